--- /dev/null
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -0,0 +1,149 @@
+//===-- Fleet/ServiceDirectory.h - endpoints without an agent ----*- C++ -*-===//
+//
+// The endpoints of plain and model services as a store lists them, with what this
+// process believes of each from its own requests. Used on one thread.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_FLEET_SERVICEDIRECTORY_H
+#define LAURELCROFT_FLEET_SERVICEDIRECTORY_H
+
+#include "laurelcroft/Support/Runtime.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace laurelcroft {
+
+/// What an endpoint says of itself. Its id names one incarnation: a restarted endpoint
+/// has another one.
+struct endpoint_record
+{
+    std::string id;
+    std::string service;
+    std::string host; ///< IP number
+    std::uint16_t port = 0;
+    std::string dataCentre;
+    std::string softwareVersion;
+    unsigned slots = 1; ///< requests that run at once
+    bool leaving = false;
+};
+
+/// Running and waiting requests as an endpoint reported them.
+struct endpoint_load
+{
+    unsigned running = 0;
+    unsigned waiting = 0;
+    unsigned slots = 0;
+};
+
+/// One endpoint and the beliefs about it.
+class service_endpoint
+{
+public:
+    explicit service_endpoint(endpoint_record record)
+        : m_record(std::move(record))
+    {
+    }
+
+    const endpoint_record &record() const { return m_record; }
+    void update(endpoint_record record) { m_record = std::move(record); }
+
+    /// Requests of this process that it works on.
+    unsigned running() const { return m_running; }
+    void began() { ++m_running; }
+    void ended() { --m_running; }
+
+    /// Takes a load report that came with an answer.
+    void reported(const endpoint_load &load, time_point now);
+
+    /// \returns running and waiting requests of all callers, as far as known.
+    double expectedLoad(time_point now) const;
+
+    /// A request was answered, or failed in a way that is the endpoint's fault.
+    void succeeded(time_point now);
+    void failed(time_point now);
+
+    /// It could not be reached at all, or refused as full.
+    void unreachable(time_point now);
+    void full(time_point now);
+
+    /// \returns the recent share of failures, 0 when nothing is known.
+    double failureShare(time_point now) const;
+
+    /// \returns true while no request should go there unless there is no other.
+    bool isAvoided(time_point now) const { return now < m_avoidedUntil; }
+
+    /// It may get no new request at all.
+    bool isGone() const { return m_gone; }
+    void setGone() { m_gone = true; }
+
+private:
+    void decay(time_point now);
+
+    endpoint_record m_record;
+    unsigned m_running = 0;
+    double m_others = 0; ///< requests of other callers at the last report
+    time_point m_reportedAt{};
+    double m_good = 0;
+    double m_bad = 0;
+    time_point m_countedAt{};
+    time_point m_avoidedUntil{};
+    unsigned m_unreachableInRow = 0;
+    bool m_gone = false;
+};
+
+using endpoint_ptr = std::shared_ptr<service_endpoint>;
+
+/// All endpoints, by service.
+class service_directory
+{
+public:
+    /// Takes an endpoint's record, new or changed.
+    void apply(endpoint_record record, time_point now);
+
+    /// An endpoint's record was removed. Just after the store was away the endpoint is
+    /// kept for \c lapseGrace, since its record may have lapsed although it lives.
+    void remove(std::string_view id, time_point now);
+
+    /// Takes a whole list; endpoints that are not in it are removed.
+    void replaceAll(std::vector<endpoint_record> records, time_point now);
+
+    /// The store could not be read, or can be read again.
+    void storeLost(time_point now);
+    void storeRegained(time_point now);
+
+    /// Drops the endpoints whose grace has passed.
+    void expire(time_point now);
+
+    /// \returns the endpoints of \p service that may get new requests.
+    std::vector<endpoint_ptr> usable(std::string_view service) const;
+
+    /// \returns all endpoints that are listed.
+    const std::map<std::string, endpoint_ptr, std::less<>> &all() const { return m_endpoints; }
+
+    /// How long a record may be missing after the store's return. The users' letter: an
+    /// endpoint that lives is listed again within about two seconds.
+    static constexpr milliseconds lapseGrace{2200};
+
+private:
+    struct lapse
+    {
+        std::string id;
+        time_point until;
+    };
+    void drop(std::string_view id);
+
+    std::map<std::string, endpoint_ptr, std::less<>> m_endpoints;
+    std::vector<lapse> m_lapsed;
+    bool m_storeAway = false;
+    time_point m_trustedFrom{};
+};
+
+} // namespace laurelcroft
+
+#endif
--- a/include/laurelcroft/Http/Message.h
+++ b/include/laurelcroft/Http/Message.h
@@ -37,6 +37,9 @@
 /// \returns the value of \p name in a query string; empty if none.
 std::string queryValue(std::string_view query, std::string_view name);
 
+/// \returns \p text with everything but letters, digits and -._~ as %XX.
+std::string percentEncoded(std::string_view text);
+
 /// A whole reply.
 struct http_reply
 {
--- /dev/null
+++ b/include/laurelcroft/Policy/SendBudget.h
@@ -0,0 +1,60 @@
+//===-- Policy/SendBudget.h - repeats over a sliding window ------*- C++ -*-===//
+//
+// Bounds the sends beyond the first of each request to a service. The bound holds
+// over all entries together without a word between them: each spends a ratio of its
+// own requests, and its part of a fixed allowance.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_POLICY_SENDBUDGET_H
+#define LAURELCROFT_POLICY_SENDBUDGET_H
+
+#include "laurelcroft/Support/Runtime.h"
+
+#include <cstddef>
+#include <deque>
+
+namespace laurelcroft {
+
+/// Bounds of a budget.
+struct send_budget_bounds
+{
+    double ratio = 0.1; ///< repeats for each request in the window
+    double allowance = 10; ///< repeats beyond it, of all entries together
+    seconds window{10};
+};
+
+/// The budget of one service at one entry.
+class send_budget
+{
+public:
+    explicit send_budget(const send_budget_bounds &bounds)
+        : m_bounds(bounds)
+    {
+    }
+
+    /// Counts a request, sent or not.
+    void request(time_point now);
+
+    /// \param entries the number of entries that share the allowance.
+    /// \returns true when one more repeat may be sent at \p now.
+    bool allows(time_point now, std::size_t entries);
+
+    /// Counts a repeat.
+    void repeat(time_point now);
+
+private:
+    struct bucket
+    {
+        time_point from;
+        std::size_t requests = 0;
+        std::size_t repeats = 0;
+    };
+    bucket &current(time_point now);
+
+    send_budget_bounds m_bounds;
+    std::deque<bucket> m_buckets;
+};
+
+} // namespace laurelcroft
+
+#endif
--- /dev/null
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -0,0 +1,84 @@
+//===-- Proxy/FlowTypes.h - the record of a request --------------*- C++ -*-===//
+//
+// What is logged and counted of one request, and the bounds that flows keep.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_PROXY_FLOWTYPES_H
+#define LAURELCROFT_PROXY_FLOWTYPES_H
+
+#include "laurelcroft/Support/Runtime.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace laurelcroft {
+
+/// Why a request ended as it did.
+enum class flow_reason {
+    served,
+    endpointFailure, ///< the endpoint's own failure was passed on
+    noContract,
+    noRoute,
+    unknownKey,
+    tooLarge,
+    noEndpoint, ///< none that may be used is listed or reachable
+    refusedByEndpoints, ///< all that were asked refused without running it
+    brokenAttempt, ///< an endpoint broke off and nothing more may be tried
+    silentEndpoint,
+    timedOut, ///< the route's timeout or the caller's patience
+    callerLeft,
+    stopping ///< this process ends
+};
+
+std::string_view textOf(flow_reason reason);
+
+/// One request, as logged at its end.
+struct flow_record
+{
+    std::string request;
+    std::string route;
+    std::string customer;
+    std::string service;
+    std::string endpoint; ///< the last one
+    std::string endpointVersion;
+    std::string model;
+    std::string choice; ///< why that endpoint
+    std::uint64_t contract = 0;
+    unsigned attempts = 0;
+    unsigned resumes = 0;
+    unsigned escalations = 0;
+    std::optional<int> confidence;
+    int status = 0;
+    flow_reason reason = flow_reason::served;
+    std::optional<milliseconds> firstPart; ///< from arrival to the first event or the answer
+    milliseconds total{0};
+    std::uint64_t events = 0;
+};
+
+namespace flow_bounds {
+
+/// A request that can't get this much of an endpoint's time is not sent any more: less
+/// than any prompt or call takes.
+inline constexpr milliseconds leastForAttempt{30};
+/// Endpoints without a connection that one request tries before it is given up.
+inline constexpr unsigned mostUnreached = 4;
+/// A repeatable request moves on when nothing came in this many times its objective, if
+/// it may be sent once more.
+inline constexpr double patienceForWhole = 2.0;
+inline constexpr double patienceForFirstEvent = 0.8;
+/// A resumable stream moves on after this part of the longest pause that is in time.
+inline constexpr double patienceForNextEvent = 0.75;
+/// Told to callers that are refused: about the time in which a place becomes free.
+inline constexpr milliseconds retryAfterFull{250};
+/// Told when there is no contract or no endpoint at all: a store read and a heartbeat.
+inline constexpr milliseconds retryAfterNothing{1000};
+/// Largest whole answer that is kept, bytes: what a body may be in either direction.
+inline constexpr std::size_t largestAnswer = 8U << 20;
+
+} // namespace flow_bounds
+
+} // namespace laurelcroft
+
+#endif
--- /dev/null
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -0,0 +1,146 @@
+//===-- Proxy/RequestFlow.h - one request on the direct path -----*- C++ -*-===//
+//
+// From a caller's request to its final answer: route, customer, endpoint, and what
+// follows when an attempt goes wrong. A template over its environment, so that tests run
+// the same code with fake endpoints and a paused clock.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_PROXY_REQUESTFLOW_H
+#define LAURELCROFT_PROXY_REQUESTFLOW_H
+
+#include "laurelcroft/Http/EventSplitter.h"
+#include "laurelcroft/Policy/AttemptOutcome.h"
+#include "laurelcroft/Policy/DirectChoice.h"
+#include "laurelcroft/Proxy/FlowTypes.h"
+#include "laurelcroft/Proxy/ProxyTypes.h"
+#include "laurelcroft/Proxy/RoutingState.h"
+
+#include <algorithm>
+#include <concepts>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace laurelcroft {
+
+/// What a flow needs around it.
+template <class E>
+concept flow_environment
+        = requires(E env, proxy_attempt attempt, call_events events, call_id call,
+                   const endpoint_ptr &endpoint, const flow_record &record, int status,
+                   const http_headers &headers, std::string body)
+{
+    requires runtime_like<std::remove_reference_t<decltype(env.runtime())>>;
+    {
+        env.routing()
+        } -> std::same_as<routing_state &>;
+    {
+        env.hasRoomAt(endpoint)
+        } -> std::same_as<bool>;
+    {
+        env.call(std::move(attempt), std::move(events))
+        } -> std::same_as<call_id>;
+    env.cancel(call);
+    env.reply(status, headers, body);
+    env.begin(status, headers);
+    env.write(body);
+    env.end();
+    env.abort();
+    env.finished(record);
+    env.attemptEnded(record, attempt_end::notSent, next_step::refuse);
+};
+
+/// One request. Keep it alive until \c isDone.
+template <flow_environment Env>
+class request_flow : public std::enable_shared_from_this<request_flow<Env>>
+{
+public:
+    request_flow(Env env, std::shared_ptr<const proxy_request> request)
+        : m_env(std::move(env))
+        , m_request(std::move(request))
+        , m_contract(m_env.routing().contract())
+    {
+    }
+
+    /// Begins; the answer may come before it returns.
+    void start();
+
+    /// The caller left: whatever runs for it is stopped.
+    void callerLeft();
+
+    /// The process must end: the answer is ended as well as can be.
+    void giveUp() { onDeadline(flow_reason::stopping); }
+
+    bool isDone() const { return m_done; }
+    const flow_record &record() const { return m_record; }
+
+private:
+    using weak_flow = std::weak_ptr<request_flow>;
+
+    bool admit();
+    const weighted_service &pickService();
+    void sendNext();
+    std::optional<endpoint_ptr> pickEndpoint();
+    void send(const endpoint_ptr &endpoint);
+    call_events eventsFor(unsigned number);
+    void watchProgress(unsigned number);
+    milliseconds patienceNow() const;
+
+    void onAnswer(proxy_answer &&answer);
+    bool escalate();
+    void onData(std::string_view data);
+    void onEvent(const stream_event &event);
+    void onEnd(call_end end);
+    void endAttempt(attempt_end end);
+    void closeAttempt(attempt_end end);
+    void onDeadline(flow_reason why);
+
+    attempt_facts facts() const;
+    bool isValidSuccess() const;
+    void deliver();
+    void refuse(int status, flow_reason why, std::optional<milliseconds> retryAfter);
+    void finish(flow_reason why, int status);
+
+    time_point now() { return m_env.runtime().now(); }
+    bool isStream() const { return m_route->form == answer_form::events; }
+    milliseconds timeLeft() { return std::chrono::ceil<milliseconds>(m_deadline - now()); }
+
+    Env m_env;
+    std::shared_ptr<const proxy_request> m_request;
+    contract_ptr m_contract;
+    const service_route *m_route = nullptr;
+    const contract_customer *m_customer = nullptr;
+    std::string m_service;
+    std::uint64_t m_session = 0;
+    std::optional<std::uint64_t> m_prefix;
+    time_point m_arrivedAt{};
+    time_point m_deadline{};
+    timer_id m_deadlineTimer = 0;
+    timer_id m_progressTimer = 0;
+    flow_record m_record;
+
+    std::vector<std::string> m_tried;
+    std::size_t m_model = 0;
+    unsigned m_sends = 0; ///< that reached or may have reached an endpoint
+    unsigned m_unreached = 0; ///< endpoints that no connection could be made to
+    unsigned m_number = 0; ///< of the current attempt; older ones' events are void
+    call_id m_call = 0;
+    endpoint_ptr m_endpoint; ///< of the current attempt; null between attempts
+    proxy_answer m_answer;
+    bool m_answered = false; ///< the current attempt's head has come
+    bool m_mayHaveRun = false; ///< at an earlier endpoint
+    bool m_begun = false; ///< the caller has the head of a stream
+    std::optional<std::uint64_t> m_lastEvent;
+    std::string m_body;
+    std::unique_ptr<event_splitter> m_splitter;
+    time_point m_attemptAt{};
+    time_point m_progressAt{};
+    bool m_progressed = false;
+    bool m_done = false;
+};
+
+} // namespace laurelcroft
+
+#include "laurelcroft/Proxy/RequestFlowImpl.h"
+
+#endif
--- /dev/null
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -0,0 +1,75 @@
+//===-- Proxy/RoutingState.h - what all requests decide by -------*- C++ -*-===//
+//
+// The contract in force, the endpoints, the roll-outs and the budgets of one entry.
+// One thread.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_PROXY_ROUTINGSTATE_H
+#define LAURELCROFT_PROXY_ROUTINGSTATE_H
+
+#include "laurelcroft/Contract/ServiceContract.h"
+#include "laurelcroft/Fleet/ServiceDirectory.h"
+#include "laurelcroft/Policy/ConfidenceCascade.h"
+#include "laurelcroft/Policy/SendBudget.h"
+#include "laurelcroft/Proxy/RolloutTracker.h"
+#include "laurelcroft/Support/Random.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace laurelcroft {
+
+/// Bounds that the site gives.
+struct routing_bounds
+{
+    send_budget_bounds repeats;
+    double rolloutExposure = 0.1; ///< share of requests for a version under roll-out
+    duration sessionLife = seconds(5);
+    std::string dataCentre; ///< of this entry
+};
+
+/// State shared by all requests of an entry.
+class routing_state
+{
+public:
+    routing_state(routing_bounds bounds, cascade_settings cascade, std::uint64_t seed)
+        : m_bounds(std::move(bounds))
+        , m_cascade(cascade)
+        , m_random(seed)
+    {
+    }
+
+    const contract_ptr &contract() const { return m_contract; }
+
+    /// Puts a contract in force. \returns false, and keeps the one in force, when
+    /// \p contract is not newer.
+    bool setContract(contract_ptr contract);
+
+    service_directory &directory() { return m_directory; }
+    const cascade_settings &cascade() const { return m_cascade; }
+    const std::string &dataCentre() const { return m_bounds.dataCentre; }
+    random_source &random() { return m_random; }
+
+    rollout_tracker &rollouts(std::string_view service);
+    std::map<std::string, rollout_tracker, std::less<>> &allRollouts() { return m_rollouts; }
+    send_budget &repeats(std::string_view service);
+
+    /// Entries that share the budgets, this one included.
+    std::size_t entries() const { return m_entries; }
+    void setEntries(std::size_t count) { m_entries = count; }
+
+private:
+    routing_bounds m_bounds;
+    cascade_settings m_cascade;
+    random_source m_random;
+    contract_ptr m_contract;
+    service_directory m_directory;
+    std::map<std::string, rollout_tracker, std::less<>> m_rollouts;
+    std::map<std::string, send_budget, std::less<>> m_repeats;
+    std::size_t m_entries = 1;
+};
+
+} // namespace laurelcroft
+
+#endif
--- /dev/null
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -0,0 +1,108 @@
+//===-- Proxy/StoreSync.h - routing state from a store -----------*- C++ -*-===//
+//
+// Keeps the contract, the endpoints and the roll-outs of an entry in step with rows of
+// a store, and writes the steps of roll-outs. Nothing is kept here that the store does
+// not have: a new process reads it all again.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_PROXY_STORESYNC_H
+#define LAURELCROFT_PROXY_STORESYNC_H
+
+#include "laurelcroft/Platform/RowFollower.h"
+#include "laurelcroft/Proxy/RolloutRows.h"
+#include "laurelcroft/Proxy/RoutingState.h"
+#include "laurelcroft/Support/Log.h"
+#include "laurelcroft/Support/Metrics.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace laurelcroft {
+
+/// A decoded value, or what is wrong with it.
+template <class T>
+using decoded = outcome<T, std::string>;
+
+/// How rows are read and written. Plain functions without state.
+struct row_codec
+{
+    std::string operatorTable; ///< the contract and the orders
+    std::string endpointTable;
+    std::string statusTable; ///< what operators read
+    /// \returns true when an operator's row of this key holds the contract.
+    std::function<bool(std::string_view key)> isContract;
+    /// \returns the service that an operator's row of this key orders a roll-out for.
+    std::function<std::optional<std::string>(std::string_view key)> orderedService;
+    std::function<decoded<service_contract>(const std::string &value)> decodeContract;
+    std::function<decoded<endpoint_record>(const std::string &key, const std::string &value)>
+            decodeEndpoint;
+    std::function<decoded<rollout_order>(const std::string &value)> decodeOrder;
+    /// \returns the row that tells operators how far a roll-out is.
+    std::function<row_write(const rollout_order &order, rollout_stage stage)> encodeStatus;
+};
+
+/// Follows the store for one entry.
+template <row_store_like Store, runtime_like Runtime>
+class store_sync
+{
+public:
+    /// Endpoints heartbeat all the time, so their feed is read at this pace: well within the
+    /// two seconds in which a leaving endpoint must be left alone.
+    static constexpr follow_pace endpointPace{milliseconds(800), milliseconds(0)};
+    /// Operators' changes are rare: the store holds the call. A held call whose answer is
+    /// lost costs this time once more.
+    static constexpr follow_pace operatorPace{milliseconds(20), milliseconds(2000)};
+    static constexpr follow_pace ownPace{milliseconds(300), milliseconds(2000)};
+    /// How often roll-outs are looked at; each entry takes a due step with this chance, so
+    /// that seldom two write at once.
+    static constexpr milliseconds stepEvery{200};
+    static constexpr double stepChance = 0.5;
+    static constexpr milliseconds announceRetry{1500};
+
+    /// \param onContract is called when another contract is in force.
+    store_sync(Store &store, Runtime &runtime, routing_state &state, metric_registry &metrics,
+               row_codec codec, std::string entryName, std::function<void()> onContract);
+
+    void start();
+
+private:
+    using follower = row_follower<Store, Runtime>;
+
+    std::unique_ptr<follower> follow(const std::string &table, follow_pace pace,
+                                     void (store_sync::*apply)(const row_batch &, bool whole));
+    void applyOperator(const row_batch &batch, bool whole);
+    void applyEndpoints(const row_batch &batch, bool whole);
+    void applyOwn(const row_batch &batch, bool whole);
+    void takeContract(const store_row &row);
+    void takeOrder(const std::string &service, const store_row &row);
+    void noteTime(const row_batch &batch);
+    milliseconds storeNow();
+    void announce();
+    void step();
+    void write(const std::string &service, const rollout_order &order, const rollout_row &row);
+
+    Store &m_store;
+    Runtime &m_runtime;
+    routing_state &m_state;
+    metric_registry &m_metrics;
+    row_codec m_codec;
+    std::string m_entryName;
+    std::function<void()> m_onContract;
+    std::vector<std::unique_ptr<follower>> m_followers;
+    std::map<std::string, std::uint64_t> m_rowVersions; ///< of roll-out rows, by service
+    std::map<std::string, bool> m_entries;
+    bool m_writing = false;
+    bool m_timeKnown = false;
+    milliseconds m_storeTime{0};
+    time_point m_storeTimeAt{};
+};
+
+} // namespace laurelcroft
+
+#include "laurelcroft/Proxy/StoreSyncImpl.h"
+
+#endif
--- /dev/null
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -0,0 +1,281 @@
+//===-- Proxy/StoreSyncImpl.h - members of store_sync ------------*- C++ -*-===//
+//
+// Included by StoreSync.h only.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_PROXY_STORESYNCIMPL_H
+#define LAURELCROFT_PROXY_STORESYNCIMPL_H
+
+namespace laurelcroft {
+
+template <row_store_like Store, runtime_like Runtime>
+store_sync<Store, Runtime>::store_sync(Store &store, Runtime &runtime, routing_state &state,
+                                       metric_registry &metrics, row_codec codec,
+                                       std::string entryName, std::function<void()> onContract)
+    : m_store(store)
+    , m_runtime(runtime)
+    , m_state(state)
+    , m_metrics(metrics)
+    , m_codec(std::move(codec))
+    , m_entryName(std::move(entryName))
+    , m_onContract(std::move(onContract))
+{
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::start()
+{
+    m_followers.push_back(
+            follow(m_codec.endpointTable, endpointPace, &store_sync::applyEndpoints));
+    m_followers.push_back(follow(m_codec.operatorTable, operatorPace, &store_sync::applyOperator));
+    m_followers.push_back(follow(std::string(ownTable), ownPace, &store_sync::applyOwn));
+    for (const auto &item : m_followers)
+        item->start();
+    announce();
+    step();
+}
+
+template <row_store_like Store, runtime_like Runtime>
+std::unique_ptr<row_follower<Store, Runtime>>
+store_sync<Store, Runtime>::follow(const std::string &table, follow_pace pace,
+                                   void (store_sync::*apply)(const row_batch &, bool whole))
+{
+    const bool listsEndpoints = table == m_codec.endpointTable;
+    follow_events events;
+    events.onTable = [this, apply](row_batch &&batch) {
+        noteTime(batch);
+        (this->*apply)(batch, true);
+    };
+    events.onChanges = [this, apply](row_batch &&batch) {
+        noteTime(batch);
+        (this->*apply)(batch, false);
+    };
+    events.onLost = [this, table, listsEndpoints](row_failure why) {
+        m_metrics.add("store_lost_total{table=\"" + table + "\"}");
+        logWarning(log_part::platform, "store lost", {{"table", table}, {"why", textOf(why)}});
+        if (listsEndpoints)
+            m_state.directory().storeLost(m_runtime.now());
+    };
+    events.onRegained = [this, table, listsEndpoints](milliseconds away) {
+        logInfo(log_part::platform, "store regained",
+                {{"table", table}, {"away_ms", std::int64_t(away.count())}});
+        if (listsEndpoints)
+            m_state.directory().storeRegained(m_runtime.now());
+    };
+    return std::make_unique<follower>(m_store, m_runtime, table, pace, std::move(events));
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::noteTime(const row_batch &batch)
+{
+    m_timeKnown = true;
+    m_storeTime = batch.storeTime;
+    m_storeTimeAt = m_runtime.now();
+}
+
+template <row_store_like Store, runtime_like Runtime>
+milliseconds store_sync<Store, Runtime>::storeNow()
+{
+    const auto since = m_runtime.now() - m_storeTimeAt;
+    return m_storeTime + std::chrono::duration_cast<milliseconds>(since);
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::applyOperator(const row_batch &batch, bool whole)
+{
+    std::map<std::string, bool> ordered;
+    for (const store_row &row : batch.rows) {
+        if (!row.removed && m_codec.isContract(row.key))
+            takeContract(row);
+        const std::optional<std::string> service = m_codec.orderedService(row.key);
+        if (!service)
+            continue;
+        ordered[*service] = true;
+        takeOrder(*service, row);
+    }
+    if (!whole)
+        return;
+    for (auto &[service, tracker] : m_state.allRollouts()) {
+        if (ordered.count(service) == 0)
+            tracker.clearOrder();
+    }
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::takeContract(const store_row &row)
+{
+    decoded<service_contract> contract = m_codec.decodeContract(row.value);
+    if (!contract) {
+        logWarning(log_part::bundle, "contract refused, the last one stays in force",
+                   {{"row_version", std::int64_t(row.version)}, {"fault", contract.error()}});
+        return;
+    }
+    const std::uint64_t version = contract.value().version;
+    const auto taken = std::make_shared<const service_contract>(std::move(contract.value()));
+    if (!m_state.setContract(taken)) {
+        logInfo(log_part::bundle, "contract is not newer",
+                {{"contract", std::int64_t(version)}});
+        return;
+    }
+    m_metrics.set("contract_version", static_cast<double>(version));
+    logInfo(log_part::bundle, "contract in force",
+            {{"contract", std::int64_t(version)},
+             {"routes", std::int64_t(taken->routes.size())},
+             {"customers", std::int64_t(taken->customers.size())}});
+    m_onContract();
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::takeOrder(const std::string &service, const store_row &row)
+{
+    rollout_tracker &tracker = m_state.rollouts(service);
+    if (row.removed) {
+        tracker.clearOrder();
+        logInfo(log_part::bundle, "roll-out order withdrawn", {{"service", service}});
+        return;
+    }
+    decoded<rollout_order> order = m_codec.decodeOrder(row.value);
+    if (!order) {
+        logWarning(log_part::bundle, "roll-out order refused",
+                   {{"service", service}, {"fault", order.error()}});
+        return;
+    }
+    order.value().service = service;
+    order.value().orderedAt = row.version;
+    tracker.setOrder(order.value());
+    logInfo(log_part::bundle, "roll-out ordered",
+            {{"service", service},
+             {"target", order.value().targetVersion},
+             {"window_ms", std::int64_t(order.value().window.count())},
+             {"row_version", std::int64_t(row.version)}});
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::applyEndpoints(const row_batch &batch, bool whole)
+{
+    const time_point now = m_runtime.now();
+    std::vector<endpoint_record> records;
+    for (const store_row &row : batch.rows) {
+        if (row.removed) {
+            logInfo(log_part::fleet, "endpoint's record removed", {{"endpoint", row.key}});
+            m_state.directory().remove(row.key, now);
+            continue;
+        }
+        decoded<endpoint_record> record = m_codec.decodeEndpoint(row.key, row.value);
+        if (!record) {
+            logWarning(log_part::fleet, "endpoint's record refused",
+                       {{"endpoint", row.key}, {"fault", record.error()}});
+            continue;
+        }
+        records.push_back(std::move(record.value()));
+    }
+    if (whole) {
+        m_state.directory().replaceAll(std::move(records), now);
+        return;
+    }
+    for (endpoint_record &record : records) {
+        const auto &all = m_state.directory().all();
+        const auto known = all.find(record.id);
+        const bool isNew = known == all.end();
+        if (isNew || known->second->record().leaving != record.leaving) {
+            logInfo(log_part::fleet, isNew ? "endpoint listed" : "endpoint is leaving",
+                    {{"endpoint", record.id},
+                     {"service", record.service},
+                     {"version", record.softwareVersion},
+                     {"leaving", record.leaving ? "yes" : "no"}});
+        }
+        m_state.directory().apply(std::move(record), now);
+    }
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::applyOwn(const row_batch &batch, bool whole)
+{
+    if (whole)
+        m_entries.clear();
+    for (const store_row &row : batch.rows) {
+        if (const std::optional<std::string> entry = entryOfKey(row.key)) {
+            if (row.removed)
+                m_entries.erase(*entry);
+            else
+                m_entries[*entry] = true;
+        }
+        const std::optional<std::string> service = serviceOfKey(row.key);
+        if (!service)
+            continue;
+        m_rowVersions[*service] = row.removed ? 0 : row.version;
+        if (row.removed)
+            continue;
+        const outcome<rollout_row, std::string> value = decodeRollout(row.value);
+        if (!value) {
+            logWarning(log_part::bundle, "roll-out row refused",
+                       {{"service", *service}, {"fault", value.error()}});
+            continue;
+        }
+        m_state.rollouts(*service).setRow(value.value());
+        logInfo(log_part::bundle, "roll-out stage",
+                {{"service", *service},
+                 {"target", value.value().targetVersion},
+                 {"stage", textOf(value.value().stage)},
+                 {"row_version", std::int64_t(row.version)}});
+    }
+    m_state.setEntries(std::max<std::size_t>(1, m_entries.size()));
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::announce()
+{
+    const row_write row{std::string(ownTable), entryKey(m_entryName), "{}", std::nullopt};
+    m_store.write({row}, [this](outcome<write_status, row_failure> result) {
+        if (result)
+            return;
+        logWarning(log_part::platform, "entry not announced, trying again",
+                   {{"why", textOf(result.error())}});
+        m_runtime.after(announceRetry, [this] { announce(); });
+    });
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::step()
+{
+    m_runtime.after(stepEvery, [this] { step(); });
+    if (m_writing || !m_timeKnown)
+        return;
+    for (auto &[service, tracker] : m_state.allRollouts()) {
+        const std::optional<rollout_row> next
+                = tracker.nextRow(storeNow(), m_state.directory().usable(service));
+        if (!next || !m_state.random().chance(stepChance))
+            continue;
+        write(service, *tracker.order(), *next);
+        return;
+    }
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::write(const std::string &service, const rollout_order &order,
+                                       const rollout_row &row)
+{
+    m_writing = true;
+    const row_write own{std::string(ownTable), rolloutKey(service), encodeRollout(row),
+                        m_rowVersions[service]};
+    const std::vector<row_write> writes{own, m_codec.encodeStatus(order, row.stage)};
+    m_store.write(writes, [this, service, row](outcome<write_status, row_failure> result) {
+        m_writing = false;
+        const bool done = result && result.value() == write_status::done;
+        const std::string_view came = !result ? textOf(result.error())
+                : done                        ? std::string_view("done")
+                                              : std::string_view("conflict");
+        logInfo(log_part::bundle, "roll-out step written",
+                {{"service", service},
+                 {"target", row.targetVersion},
+                 {"stage", textOf(row.stage)},
+                 {"result", came}});
+        // The row comes back by the feed; taking it at once saves a read's time.
+        if (done)
+            m_state.rollouts(service).setRow(row);
+    });
+}
+
+} // namespace laurelcroft
+
+#endif
--- a/include/laurelcroft/Support/Crypto.h
+++ b/include/laurelcroft/Support/Crypto.h
@@ -40,6 +40,12 @@
 /// \returns the bytes, or nothing when \p text is not unpadded base64url.
 std::optional<std::string> fromBase64Url(std::string_view text);
 
+/// The padded alphabet that stores and mail use.
+std::string toBase64(std::string_view bytes);
+
+/// \returns the bytes, or nothing when \p text is not padded base64.
+std::optional<std::string> fromBase64(std::string_view text);
+
 /// A stable 64-bit hash for rendezvous ranking; not for security.
 std::uint64_t stableHash(std::string_view data, std::uint64_t seed = 0);
 
--- /dev/null
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -0,0 +1,174 @@
+//===-- ServiceDirectory.cpp - endpoints without an agent -------------------===//
+//
+// Beliefs fade: an endpoint that failed is tried again without a probe.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Fleet/ServiceDirectory.h"
+
+#include <algorithm>
+#include <cmath>
+
+using namespace laurelcroft;
+
+namespace {
+
+/// Time in which an answer's weight in the failure share halves. Long against the time
+/// between two answers of one endpoint, short against a fault.
+constexpr milliseconds failureHalfLife{3000};
+/// Time in which a load report loses half of its weight: about the length of a request.
+constexpr milliseconds reportHalfLife{1000};
+/// First and longest time that an unreachable endpoint is left out.
+constexpr milliseconds firstAvoidance{500};
+constexpr unsigned mostDoublings = 3;
+/// Time that a full endpoint is left out: a few steps of its batch.
+constexpr milliseconds fullAvoidance{100};
+/// Answers that count as known before the first one, so that one failure is no verdict.
+constexpr double priorAnswers = 3;
+
+} // namespace
+
+static double faded(duration age, duration halfLife)
+{
+    const double halves = std::chrono::duration<double>(age) / std::chrono::duration<double>(halfLife);
+    return std::exp2(-std::max(0.0, halves));
+}
+
+void service_endpoint::reported(const endpoint_load &load, time_point now)
+{
+    const double total = static_cast<double>(load.running) + load.waiting;
+    m_others = std::max(0.0, total - m_running);
+    m_reportedAt = now;
+}
+
+double service_endpoint::expectedLoad(time_point now) const
+{
+    return m_running + m_others * faded(now - m_reportedAt, reportHalfLife);
+}
+
+void service_endpoint::decay(time_point now)
+{
+    const double keep = faded(now - m_countedAt, failureHalfLife);
+    m_good *= keep;
+    m_bad *= keep;
+    m_countedAt = now;
+}
+
+void service_endpoint::succeeded(time_point now)
+{
+    decay(now);
+    m_good += 1;
+    m_unreachableInRow = 0;
+}
+
+void service_endpoint::failed(time_point now)
+{
+    decay(now);
+    m_bad += 1;
+}
+
+void service_endpoint::unreachable(time_point now)
+{
+    const unsigned doublings = std::min(m_unreachableInRow, mostDoublings);
+    m_avoidedUntil = now + firstAvoidance * (1U << doublings);
+    ++m_unreachableInRow;
+}
+
+void service_endpoint::full(time_point now)
+{
+    m_avoidedUntil = std::max(m_avoidedUntil, now + fullAvoidance);
+}
+
+double service_endpoint::failureShare(time_point now) const
+{
+    const double keep = faded(now - m_countedAt, failureHalfLife);
+    return m_bad * keep / ((m_good + m_bad) * keep + priorAnswers);
+}
+
+void service_directory::apply(endpoint_record record, time_point now)
+{
+    std::erase_if(m_lapsed, [&](const lapse &item) { return item.id == record.id; });
+    const auto it = m_endpoints.find(record.id);
+    if (it != m_endpoints.end()) {
+        // An endpoint that has begun to leave never comes back under the same id.
+        record.leaving = record.leaving || it->second->record().leaving;
+        it->second->update(std::move(record));
+        return;
+    }
+    const std::string id = record.id;
+    m_endpoints.emplace(id, std::make_shared<service_endpoint>(std::move(record)));
+    expire(now);
+}
+
+void service_directory::drop(std::string_view id)
+{
+    const auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end())
+        return;
+    it->second->setGone();
+    m_endpoints.erase(it);
+}
+
+void service_directory::remove(std::string_view id, time_point now)
+{
+    const auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end())
+        return;
+    if (now >= m_trustedFrom || it->second->record().leaving) {
+        drop(id);
+        return;
+    }
+    const bool known = std::any_of(m_lapsed.begin(), m_lapsed.end(),
+                                   [&](const lapse &item) { return item.id == id; });
+    if (!known)
+        m_lapsed.push_back({std::string(id), m_trustedFrom});
+}
+
+void service_directory::replaceAll(std::vector<endpoint_record> records, time_point now)
+{
+    std::vector<std::string> missing;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        const bool listed
+                = std::any_of(records.begin(), records.end(),
+                              [&id = id](const endpoint_record &item) { return item.id == id; });
+        if (!listed)
+            missing.push_back(id);
+    }
+    for (const std::string &id : missing)
+        remove(id, now);
+    for (endpoint_record &record : records)
+        apply(std::move(record), now);
+}
+
+void service_directory::storeLost(time_point now)
+{
+    m_storeAway = true;
+    m_trustedFrom = now + lapseGrace;
+}
+
+void service_directory::storeRegained(time_point now)
+{
+    if (!m_storeAway)
+        return;
+    m_storeAway = false;
+    m_trustedFrom = now + lapseGrace;
+}
+
+void service_directory::expire(time_point now)
+{
+    if (m_storeAway || m_lapsed.empty() || now < m_trustedFrom)
+        return;
+    const std::vector<lapse> due = std::move(m_lapsed);
+    m_lapsed.clear();
+    for (const lapse &item : due)
+        drop(item.id);
+}
+
+std::vector<endpoint_ptr> service_directory::usable(std::string_view service) const
+{
+    std::vector<endpoint_ptr> found;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (endpoint->record().service == service && !endpoint->record().leaving)
+            found.push_back(endpoint);
+    }
+    return found;
+}
--- a/lib/Http/Message.cpp
+++ b/lib/Http/Message.cpp
@@ -40,3 +40,21 @@
     }
     return {};
 }
+
+std::string laurelcroft::percentEncoded(std::string_view text)
+{
+    constexpr std::string_view hexDigits = "0123456789ABCDEF";
+    constexpr std::string_view plain = "-._~";
+    std::string encoded;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (std::isalnum(byte) || plain.find(c) != std::string_view::npos) {
+            encoded += c;
+            continue;
+        }
+        encoded += '%';
+        encoded += hexDigits[byte >> 4];
+        encoded += hexDigits[byte & 15];
+    }
+    return encoded;
+}
--- /dev/null
+++ b/lib/Policy/SendBudget.cpp
@@ -0,0 +1,55 @@
+//===-- SendBudget.cpp - repeats over a sliding window ----------------------===//
+//
+// Buckets of a fifth of a second. Requests count for one window, repeats for one
+// bucket more, so that the bound holds for every span of the window's length.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Policy/SendBudget.h"
+
+#include <algorithm>
+
+using namespace laurelcroft;
+
+namespace {
+
+constexpr milliseconds bucketLength{200};
+/// Part of the ratio that is spent: callers' requests to other entries reach a service at
+/// other moments than ours.
+constexpr double spentPart = 0.85;
+
+} // namespace
+
+send_budget::bucket &send_budget::current(time_point now)
+{
+    while (!m_buckets.empty() && now - m_buckets.front().from > m_bounds.window + bucketLength)
+        m_buckets.pop_front();
+    if (m_buckets.empty() || now - m_buckets.back().from >= bucketLength)
+        m_buckets.push_back({now, 0, 0});
+    return m_buckets.back();
+}
+
+void send_budget::request(time_point now)
+{
+    ++current(now).requests;
+}
+
+bool send_budget::allows(time_point now, std::size_t entries)
+{
+    current(now);
+    std::size_t requests = 0;
+    std::size_t repeats = 0;
+    for (const bucket &item : m_buckets) {
+        if (now - item.from <= m_bounds.window)
+            requests += item.requests;
+        repeats += item.repeats;
+    }
+    const double sharers = static_cast<double>(std::max<std::size_t>(1, entries));
+    const double bound = spentPart * m_bounds.ratio * static_cast<double>(requests)
+            + spentPart * m_bounds.allowance / sharers;
+    return static_cast<double>(repeats) + 1 <= bound;
+}
+
+void send_budget::repeat(time_point now)
+{
+    ++current(now).repeats;
+}
--- /dev/null
+++ b/lib/Proxy/CallerServer.cpp
@@ -0,0 +1,500 @@
+//===-- CallerServer.cpp - connections of callers ---------------------------===//
+//
+// A connection goes on reading while its request is answered: that is how it learns
+// that the caller left. Pieces of an answer that are ready together leave together.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/CallerServer.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <charconv>
+#include <set>
+#include <utility>
+
+using namespace laurelcroft;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+/// Bytes that a caller may send ahead of its answer before reading stops.
+constexpr std::size_t mostPipelined = 65536;
+/// Bytes of an answer that may wait for a caller that doesn't read.
+constexpr std::size_t mostUnsent = 8U << 20;
+/// How long a closed connection waits for the caller's own close: closing with unread
+/// bytes would reset the connection and could take the answer with it.
+constexpr milliseconds lingering{500};
+/// Pause before accepting again when no descriptor was free.
+constexpr milliseconds acceptPause{50};
+
+std::string_view reasonPhrase(int status)
+{
+    switch (status) {
+    case http_status::ok:
+        return "OK";
+    case http_status::badRequest:
+        return "Bad Request";
+    case http_status::unauthorized:
+        return "Unauthorized";
+    case http_status::notFound:
+        return "Not Found";
+    case http_status::tooLarge:
+        return "Content Too Large";
+    case http_status::tooManyRequests:
+        return "Too Many Requests";
+    case http_status::badGateway:
+        return "Bad Gateway";
+    case http_status::unavailable:
+        return "Service Unavailable";
+    case http_status::gatewayTimeout:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+constexpr int headersTooLarge = 431;
+constexpr int requestTimeout = 408;
+
+} // namespace
+
+struct caller_server::state : std::enable_shared_from_this<caller_server::state>
+{
+    state(asio::io_context &context, caller_handler handler)
+        : context(context)
+        , acceptor(context)
+        , pause(context)
+        , handler(std::move(handler))
+    {
+    }
+    asio::io_context &context;
+    tcp::acceptor acceptor;
+    asio::steady_timer pause;
+    caller_handler handler;
+    caller_server_bounds bounds;
+    std::set<caller_exchange::state *> connections;
+    bool closing = false;
+    bool ended = false;
+
+    void accept();
+};
+
+/// One connection; it is also the state of its current exchange.
+struct caller_exchange::state : std::enable_shared_from_this<caller_exchange::state>
+{
+    state(std::shared_ptr<caller_server::state> server, tcp::socket accepted);
+    ~state() { server->connections.erase(this); }
+
+    std::shared_ptr<caller_server::state> server;
+    tcp::socket socket;
+    asio::steady_timer timer;
+    message_parser parser;
+    message_head head;
+    std::string body;
+    std::string pending; ///< read ahead of the answer
+    std::array<char, 4096> in{};
+    std::string out;
+    std::function<void()> onLeft;
+    bool bodyTooLarge = false;
+    bool answering = false;
+    bool reading = false;
+    bool flushing = false;
+    bool closeAfter = false;
+    bool chunked = false;
+    bool closed = false;
+    bool shuttingDown = false;
+
+    void start();
+    void arm(milliseconds wait);
+    void onTimer();
+    void read();
+    void onBytes(std::string_view bytes);
+    void onRequest();
+    void onPeerEnd();
+    void refuse(int status);
+    void appendHead(int status, const http_headers &headers);
+    void queueFlush();
+    void flush();
+    void answerEnded();
+    void shutdown();
+    void close(bool reset);
+};
+
+caller_exchange::state::state(std::shared_ptr<caller_server::state> owner, tcp::socket accepted)
+    : server(std::move(owner))
+    , socket(std::move(accepted))
+    , timer(server->context)
+    , parser(message_parser::side::requests,
+             {[this](message_head &&parsed) { head = std::move(parsed); },
+              [this](std::string_view data) {
+                  bodyTooLarge = bodyTooLarge || body.size() + data.size() > server->bounds.maxBodyBytes;
+                  if (!bodyTooLarge)
+                      body.append(data);
+              }},
+             server->bounds.maxHeaderBytes)
+{
+    server->connections.insert(this);
+}
+
+void caller_exchange::state::start()
+{
+    asio::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
+    arm(server->bounds.idleTimeout);
+    read();
+}
+
+void caller_exchange::state::arm(milliseconds wait)
+{
+    timer.expires_after(wait);
+    timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
+        if (!error && !self->closed)
+            self->onTimer();
+    });
+}
+
+void caller_exchange::state::onTimer()
+{
+    if (shuttingDown) {
+        close(false);
+        return;
+    }
+    if (answering)
+        return;
+    if (parser.hasBegun())
+        refuse(requestTimeout);
+    else
+        close(false);
+}
+
+void caller_exchange::state::read()
+{
+    if (reading || closed)
+        return;
+    reading = true;
+    socket.async_read_some(asio::buffer(in), [self = shared_from_this()](
+                                                     const asio::error_code &error,
+                                                     std::size_t size) {
+        self->reading = false;
+        if (self->closed)
+            return;
+        if (error) {
+            self->onPeerEnd();
+            return;
+        }
+        self->onBytes(std::string_view(self->in.data(), size));
+        const bool wantsMore = !self->answering || self->pending.size() < mostPipelined;
+        if (wantsMore)
+            self->read();
+    });
+}
+
+void caller_exchange::state::onBytes(std::string_view bytes)
+{
+    if (shuttingDown)
+        return;
+    if (answering) {
+        pending.append(bytes);
+        return;
+    }
+    const bool wasBegun = parser.hasBegun();
+    std::size_t used = 0;
+    const parse_state result = parser.feed(bytes, used);
+    if (result == parse_state::failed) {
+        refuse(parser.headTooLarge() ? headersTooLarge : http_status::badRequest);
+        return;
+    }
+    if (bodyTooLarge) {
+        refuse(http_status::tooLarge);
+        return;
+    }
+    if (result == parse_state::open) {
+        if (!wasBegun && parser.hasBegun())
+            arm(server->bounds.headerTimeout);
+        return;
+    }
+    pending.append(bytes.substr(used));
+    onRequest();
+}
+
+void caller_exchange::state::onRequest()
+{
+    answering = true;
+    timer.cancel();
+    closeAfter = !head.keepAlive;
+    chunked = !head.oldProtocol;
+    std::string whole = std::move(body);
+    body.clear();
+    server->handler(std::move(head), std::move(whole), caller_exchange(shared_from_this()));
+}
+
+void caller_exchange::state::onPeerEnd()
+{
+    const std::function<void()> left = std::exchange(onLeft, nullptr);
+    close(false);
+    if (left)
+        left();
+}
+
+void caller_exchange::state::refuse(int status)
+{
+    answering = true;
+    closeAfter = true;
+    caller_exchange(shared_from_this()).reply(status, {}, "");
+}
+
+void caller_exchange::state::appendHead(int status, const http_headers &headers)
+{
+    closeAfter = closeAfter || server->closing;
+    out += "HTTP/1.1 ";
+    out += std::to_string(status);
+    out += ' ';
+    out += reasonPhrase(status);
+    out += "\r\n";
+    for (const http_header &header : headers) {
+        out += header.name;
+        out += ": ";
+        out += header.value;
+        out += "\r\n";
+    }
+    if (closeAfter)
+        out += "Connection: close\r\n";
+}
+
+void caller_exchange::state::queueFlush()
+{
+    if (flushing || closed)
+        return;
+    flushing = true;
+    asio::post(server->context, [self = shared_from_this()] { self->flush(); });
+}
+
+void caller_exchange::state::flush()
+{
+    flushing = false;
+    if (closed)
+        return;
+    asio::error_code error;
+    const std::size_t sent = socket.write_some(asio::buffer(out), error);
+    out.erase(0, sent);
+    if (error && error != asio::error::would_block) {
+        onPeerEnd();
+        return;
+    }
+    if (out.empty()) {
+        if (shuttingDown)
+            shutdown();
+        return;
+    }
+    if (out.size() > mostUnsent) {
+        onPeerEnd();
+        return;
+    }
+    flushing = true;
+    socket.async_wait(tcp::socket::wait_write,
+                      [self = shared_from_this()](const asio::error_code &failed) {
+                          if (!failed)
+                              self->flush();
+                      });
+}
+
+void caller_exchange::state::answerEnded()
+{
+    onLeft = nullptr;
+    if (closeAfter) {
+        shuttingDown = true;
+        queueFlush();
+        return;
+    }
+    queueFlush();
+    answering = false;
+    parser.reset();
+    arm(server->bounds.idleTimeout);
+    if (!pending.empty()) {
+        asio::post(server->context, [self = shared_from_this()] {
+            if (self->closed || self->answering)
+                return;
+            const std::string next = std::exchange(self->pending, {});
+            self->onBytes(next);
+            if (!self->closed)
+                self->read();
+        });
+        return;
+    }
+    read();
+}
+
+void caller_exchange::state::shutdown()
+{
+    asio::error_code ignored;
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+    arm(lingering);
+    read();
+}
+
+void caller_exchange::state::close(bool reset)
+{
+    if (closed)
+        return;
+    closed = true;
+    onLeft = nullptr;
+    asio::error_code ignored;
+    if (reset)
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    timer.cancel();
+    socket.close(ignored);
+}
+
+caller_exchange::caller_exchange(std::shared_ptr<state> inner)
+    : m_state(std::move(inner))
+{
+}
+
+void caller_exchange::reply(int status, const http_headers &headers, std::string_view body)
+{
+    if (m_state->closed)
+        return;
+    m_state->appendHead(status, headers);
+    m_state->out += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    const bool wantsBody = m_state->head.method != "HEAD";
+    if (wantsBody)
+        m_state->out += body;
+    m_state->answerEnded();
+}
+
+void caller_exchange::begin(int status, const http_headers &headers)
+{
+    if (m_state->closed)
+        return;
+    m_state->closeAfter = m_state->closeAfter || !m_state->chunked;
+    m_state->appendHead(status, headers);
+    m_state->out += m_state->chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
+    m_state->queueFlush();
+}
+
+void caller_exchange::write(std::string_view piece)
+{
+    if (m_state->closed || piece.empty())
+        return;
+    if (!m_state->chunked) {
+        m_state->out += piece;
+    } else {
+        constexpr int hexadecimal = 16;
+        std::array<char, 16> size{};
+        const auto end = std::to_chars(size.data(), size.data() + size.size(), piece.size(),
+                                       hexadecimal);
+        m_state->out.append(size.data(), end.ptr);
+        m_state->out += "\r\n";
+        m_state->out += piece;
+        m_state->out += "\r\n";
+    }
+    m_state->queueFlush();
+}
+
+void caller_exchange::end()
+{
+    if (m_state->closed)
+        return;
+    if (m_state->chunked)
+        m_state->out += "0\r\n\r\n";
+    m_state->answerEnded();
+}
+
+void caller_exchange::abort()
+{
+    m_state->close(true);
+}
+
+void caller_exchange::onLeft(std::function<void()> action)
+{
+    m_state->onLeft = std::move(action);
+}
+
+void caller_server::state::accept()
+{
+    acceptor.async_accept([self = shared_from_this()](const asio::error_code &error,
+                                                      tcp::socket socket) {
+        if (self->ended || error == asio::error::operation_aborted)
+            return;
+        if (error) {
+            self->pause.expires_after(acceptPause);
+            self->pause.async_wait([self](const asio::error_code &) {
+                if (!self->ended)
+                    self->accept();
+            });
+            return;
+        }
+        if (self->connections.size() < self->bounds.mostConnections)
+            std::make_shared<caller_exchange::state>(self, std::move(socket))->start();
+        self->accept();
+    });
+}
+
+caller_server::caller_server(asio::io_context &context, caller_handler handler)
+    : m_state(std::make_shared<state>(context, std::move(handler)))
+{
+}
+
+caller_server::~caller_server()
+{
+    closeIdle();
+}
+
+std::string caller_server::open(const std::string &host, std::uint16_t port)
+{
+    asio::error_code error;
+    const auto address = asio::ip::make_address(host, error);
+    if (error)
+        return error.message();
+    const tcp::endpoint endpoint(address, port);
+    tcp::acceptor &acceptor = m_state->acceptor;
+    acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return error.message();
+    m_state->accept();
+    return {};
+}
+
+std::uint16_t caller_server::port() const
+{
+    asio::error_code ignored;
+    return m_state->acceptor.local_endpoint(ignored).port();
+}
+
+void caller_server::setBounds(const caller_server_bounds &bounds)
+{
+    m_state->bounds = bounds;
+}
+
+void caller_server::closeAfterAnswers()
+{
+    m_state->closing = true;
+}
+
+void caller_server::closeIdle()
+{
+    m_state->ended = true;
+    asio::error_code ignored;
+    m_state->acceptor.close(ignored);
+    const auto connections = m_state->connections;
+    for (caller_exchange::state *connection : connections) {
+        if (!connection->answering && !connection->parser.hasBegun())
+            connection->close(false);
+    }
+}
+
+std::size_t caller_server::connections() const
+{
+    return m_state->connections.size();
+}
--- /dev/null
+++ b/lib/Proxy/EndpointCaller.cpp
@@ -0,0 +1,175 @@
+//===-- EndpointCaller.cpp - calls to endpoints -----------------------------===//
+//
+// The connection used last is used next, so that those not needed grow old.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/EndpointCaller.h"
+
+#include "EndpointConnection.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+using namespace laurelcroft;
+
+namespace {
+
+/// A request that may run only once takes a kept connection only when it was used this
+/// recently: one that the endpoint has just dropped would leave it unknown whether it ran.
+constexpr milliseconds surelyAlive{300};
+
+} // namespace
+
+struct endpoint_caller::state
+{
+    struct pool
+    {
+        endpoint_ptr endpoint;
+        std::vector<std::shared_ptr<endpoint_connection>> idle;
+        std::size_t open = 0;
+    };
+    state(asio::io_context &context, proxy_dialect dialect)
+        : context(context)
+        , dialect(std::move(dialect))
+    {
+    }
+
+    asio::io_context &context;
+    proxy_dialect dialect;
+    std::map<std::string, pool, std::less<>> pools;
+    std::unordered_map<call_id, std::shared_ptr<endpoint_connection>> calls;
+    call_id lastCall = 0;
+    std::uint64_t opened = 0;
+    bool ending = false;
+
+    std::shared_ptr<endpoint_connection> takeIdle(pool &from, bool atMostOnce);
+    std::shared_ptr<endpoint_connection> open(const std::string &id, pool &to);
+    void returned(const std::string &id, const std::weak_ptr<endpoint_connection> &weak);
+    void closed(const std::string &id);
+};
+
+std::shared_ptr<endpoint_connection> endpoint_caller::state::takeIdle(pool &from, bool atMostOnce)
+{
+    const time_point now = bootNow();
+    while (!from.idle.empty()) {
+        const std::shared_ptr<endpoint_connection> last = from.idle.back();
+        const duration age = now - last->idleSince();
+        if (atMostOnce && age > surelyAlive)
+            return nullptr;
+        from.idle.pop_back();
+        if (last->isOpen() && age < last->idleLife())
+            return last;
+        last->close();
+    }
+    return nullptr;
+}
+
+void endpoint_caller::state::returned(const std::string &id,
+                                      const std::weak_ptr<endpoint_connection> &weak)
+{
+    const auto connection = weak.lock();
+    const auto it = pools.find(id);
+    if (connection && it != pools.end())
+        it->second.idle.push_back(connection);
+}
+
+void endpoint_caller::state::closed(const std::string &id)
+{
+    const auto it = pools.find(id);
+    if (it == pools.end() || ending)
+        return;
+    --it->second.open;
+    std::erase_if(it->second.idle, [](const auto &connection) { return !connection->isOpen(); });
+}
+
+std::shared_ptr<endpoint_connection> endpoint_caller::state::open(const std::string &id, pool &to)
+{
+    ++to.open;
+    ++opened;
+    // The connection outlives neither callback: both are dropped when it closes.
+    const auto self = std::make_shared<std::weak_ptr<endpoint_connection>>();
+    const auto connection = std::make_shared<endpoint_connection>(
+            context, dialect, [this, id, self] { returned(id, *self); },
+            [this, id] { closed(id); });
+    *self = connection;
+    return connection;
+}
+
+endpoint_caller::endpoint_caller(asio::io_context &context, proxy_dialect dialect)
+    : m_state(std::make_unique<state>(context, std::move(dialect)))
+{
+}
+
+endpoint_caller::~endpoint_caller()
+{
+    m_state->ending = true;
+    for (auto &[id, connection] : m_state->calls)
+        connection->close();
+    for (auto &[id, pool] : m_state->pools) {
+        for (const auto &connection : pool.idle)
+            connection->close();
+    }
+}
+
+call_id endpoint_caller::call(proxy_attempt attempt, call_events events)
+{
+    const std::string id = attempt.endpoint->record().id;
+    state::pool &pool = m_state->pools[id];
+    pool.endpoint = attempt.endpoint;
+    const call_id number = ++m_state->lastCall;
+    auto onEnd = [calls = &m_state->calls, number, inner = std::move(events.onEnd)](call_end end) {
+        calls->erase(number);
+        inner(end);
+    };
+    events.onEnd = std::move(onEnd);
+    std::shared_ptr<endpoint_connection> connection
+            = m_state->takeIdle(pool, attempt.atMostOnce);
+    if (connection) {
+        m_state->calls.emplace(number, connection);
+        connection->send(attempt, std::move(events));
+    } else {
+        connection = m_state->open(id, pool);
+        m_state->calls.emplace(number, connection);
+        connection->connectAndSend(attempt.endpoint->record(), attempt, std::move(events));
+    }
+    return number;
+}
+
+void endpoint_caller::cancel(call_id call)
+{
+    const auto node = m_state->calls.extract(call);
+    if (!node.empty())
+        node.mapped()->close();
+}
+
+bool endpoint_caller::hasRoom(const service_endpoint &endpoint, std::size_t mostConnections) const
+{
+    const auto it = m_state->pools.find(endpoint.record().id);
+    if (it == m_state->pools.end())
+        return true;
+    return !it->second.idle.empty() || it->second.open < mostConnections;
+}
+
+void endpoint_caller::sweep()
+{
+    const time_point now = bootNow();
+    for (auto it = m_state->pools.begin(); it != m_state->pools.end();) {
+        state::pool &pool = it->second;
+        const bool gone = pool.endpoint->isGone();
+        const auto idle = pool.idle;
+        for (const auto &connection : idle) {
+            if (gone || now - connection->idleSince() >= connection->idleLife())
+                connection->close();
+        }
+        const bool unused = gone && pool.open == 0;
+        it = unused ? m_state->pools.erase(it) : std::next(it);
+    }
+}
+
+std::uint64_t endpoint_caller::opened() const
+{
+    return m_state->opened;
+}
--- /dev/null
+++ b/lib/Proxy/EndpointConnection.cpp
@@ -0,0 +1,239 @@
+//===-- EndpointConnection.cpp - one connection to an endpoint --------------===//
+//
+// An endpoint may answer late: an answer with another request's id is skipped, and the
+// one that is due is waited for.
+//
+//===----------------------------------------------------------------------===//
+#include "EndpointConnection.h"
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+using namespace laurelcroft;
+
+namespace {
+
+/// Long against a round trip between data centres, short against any objective.
+constexpr milliseconds connectTimeout{400};
+/// How long unacknowledged bytes may stay on the way before the kernel gives up.
+constexpr unsigned unacknowledgedMs = 2500;
+/// Largest head of an answer, bytes: beyond it the peer is not an endpoint.
+constexpr std::size_t largestHead = 32768;
+/// How long an idle connection is kept when the endpoint names no time.
+constexpr milliseconds defaultIdleLife{4000};
+/// An idle connection is given up this long before the endpoint would close it.
+constexpr milliseconds idleMargin{700};
+
+} // namespace
+
+endpoint_connection::endpoint_connection(asio::io_context &context, const proxy_dialect &dialect,
+                                         std::function<void()> onIdle,
+                                         std::function<void()> onClosed)
+    : m_socket(context)
+    , m_connectTimer(context)
+    , m_dialect(dialect)
+    , m_onIdle(std::move(onIdle))
+    , m_onClosed(std::move(onClosed))
+    , m_parser(message_parser::side::answers,
+               {[this](message_head &&head) { onHead(std::move(head)); },
+                [this](std::string_view data) {
+                    const auto events = m_events;
+                    if (!m_skipping && events)
+                        events->onData(data);
+                }},
+               largestHead)
+    , m_idleLife(defaultIdleLife)
+{
+}
+
+void endpoint_connection::prepare(const proxy_attempt &attempt, call_events events)
+{
+    m_request = attempt.request;
+    m_events = std::make_shared<const call_events>(std::move(events));
+    m_out = m_dialect.encodeAttempt(attempt) + m_request->body;
+    m_outDone = 0;
+    m_busy = true;
+    m_skipping = false;
+    m_parser.reset();
+    if (m_request->method == "HEAD") {
+        m_parser.expectNoBody();
+        m_mayKeep = false;
+    }
+}
+
+void endpoint_connection::connectAndSend(const endpoint_record &endpoint,
+                                         const proxy_attempt &attempt, call_events events)
+{
+    prepare(attempt, std::move(events));
+    asio::error_code error;
+    const auto address = asio::ip::make_address(endpoint.host, error);
+    m_connectTimer.expires_after(error ? milliseconds(0) : connectTimeout);
+    m_connectTimer.async_wait([self = shared_from_this()](const asio::error_code &ended) {
+        if (!ended && !self->m_connected)
+            self->end(call_end::notSent);
+    });
+    if (error)
+        return;
+    m_socket.async_connect({address, endpoint.port}, [self = shared_from_this()](
+                                                             const asio::error_code &failed) {
+        if (self->m_closed)
+            return;
+        self->m_connectTimer.cancel();
+        if (failed) {
+            self->end(call_end::notSent);
+            return;
+        }
+        self->m_connected = true;
+        asio::error_code ignored;
+        self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->m_socket.non_blocking(true, ignored);
+        ::setsockopt(self->m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                     &unacknowledgedMs, sizeof(unacknowledgedMs));
+        self->write();
+        self->read();
+    });
+}
+
+void endpoint_connection::send(const proxy_attempt &attempt, call_events events)
+{
+    prepare(attempt, std::move(events));
+    write();
+}
+
+void endpoint_connection::write()
+{
+    asio::error_code error;
+    const auto rest = [this] {
+        return asio::buffer(m_out.data() + m_outDone, m_out.size() - m_outDone);
+    };
+    m_outDone += m_socket.write_some(rest(), error);
+    if (error && error != asio::error::would_block) {
+        // The reader sees what came before the connection broke; it ends the call.
+        return;
+    }
+    if (m_outDone == m_out.size())
+        return;
+    m_socket.async_wait(asio::ip::tcp::socket::wait_write,
+                        [self = shared_from_this()](const asio::error_code &failed) {
+                            if (!failed && !self->m_closed)
+                                self->write();
+                        });
+}
+
+void endpoint_connection::read()
+{
+    m_socket.async_read_some(
+            asio::buffer(m_in),
+            [self = shared_from_this()](const asio::error_code &error, std::size_t size) {
+                if (self->m_closed)
+                    return;
+                if (error) {
+                    self->onReadEnd(error == asio::error::eof);
+                    return;
+                }
+                self->onBytes(std::string_view(self->m_in.data(), size));
+                if (!self->m_closed)
+                    self->read();
+            });
+}
+
+void endpoint_connection::onBytes(std::string_view bytes)
+{
+    while (!bytes.empty() && !m_closed) {
+        if (!m_busy) {
+            // Bytes that nobody asked for: an answer that came twice, or worse.
+            close();
+            return;
+        }
+        std::size_t used = 0;
+        const parse_state state = m_parser.feed(bytes, used);
+        if (m_closed)
+            return;
+        bytes.remove_prefix(used);
+        if (state == parse_state::open)
+            return;
+        if (state == parse_state::failed) {
+            end(call_end::broken);
+            return;
+        }
+        if (!m_skipping) {
+            onMessageEnd(bytes);
+            return;
+        }
+        m_skipping = false;
+        m_parser.reset();
+    }
+}
+
+void endpoint_connection::onMessageEnd(std::string_view rest)
+{
+    const bool clean = rest.empty() && m_outDone == m_out.size() && m_mayKeep;
+    if (!clean) {
+        end(call_end::complete);
+        return;
+    }
+    m_busy = false;
+    m_idleSince = bootNow();
+    m_request.reset();
+    const auto events = std::exchange(m_events, nullptr);
+    const auto keep = shared_from_this();
+    m_onIdle();
+    events->onEnd(call_end::complete);
+}
+
+void endpoint_connection::onHead(message_head &&head)
+{
+    m_mayKeep = m_mayKeep && head.keepAlive && !head.endsWithConnection;
+    proxy_answer answer = m_dialect.decodeAnswer(std::move(head));
+    m_skipping = !answer.requestId.empty() && answer.requestId != m_request->id;
+    if (m_skipping)
+        return;
+    if (answer.idleLife)
+        m_idleLife = std::max<duration>(*answer.idleLife - idleMargin, milliseconds(0));
+    const bool success = answer.status >= 200 && answer.status < 300;
+    // A success that doesn't say whose it is belongs to nobody.
+    if (success && answer.requestId.empty())
+        answer.signedByEndpoint = false;
+    const auto events = m_events;
+    if (events)
+        events->onAnswer(std::move(answer));
+}
+
+void endpoint_connection::onReadEnd(bool inOrder)
+{
+    if (!m_busy) {
+        close();
+        return;
+    }
+    const bool whole = inOrder && !m_skipping && m_parser.finish() == parse_state::complete;
+    if (!m_closed)
+        end(whole ? call_end::complete : call_end::broken);
+}
+
+void endpoint_connection::end(call_end how)
+{
+    const auto events = std::exchange(m_events, nullptr);
+    const auto keep = shared_from_this();
+    close();
+    if (events)
+        events->onEnd(how);
+}
+
+void endpoint_connection::close()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    m_events = nullptr;
+    asio::error_code ignored;
+    m_connectTimer.cancel();
+    m_socket.close(ignored);
+    const std::function<void()> onClosed = std::move(m_onClosed);
+    if (onClosed)
+        onClosed();
+}
--- /dev/null
+++ b/lib/Proxy/ProxyServer.cpp
@@ -0,0 +1,315 @@
+//===-- ProxyServer.cpp - callers, flows and endpoints ----------------------===//
+//
+// The environment of the flows in production, and what surrounds them.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/ProxyServer.h"
+
+#include "laurelcroft/Proxy/CallerServer.h"
+#include "laurelcroft/Proxy/EndpointCaller.h"
+#include "laurelcroft/Proxy/RequestFlow.h"
+#include "laurelcroft/Support/Log.h"
+#include "laurelcroft/Support/Runtime.h"
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+
+#include <unordered_set>
+#include <utility>
+
+using namespace laurelcroft;
+
+namespace {
+
+/// How often idle connections are looked at and gauges set.
+constexpr milliseconds housekeepingEvery{1000};
+/// Before the end of the grace: time to write the last answers.
+constexpr milliseconds lastWords{400};
+/// How often an ending process looks whether it is done.
+constexpr milliseconds drainCheckEvery{100};
+/// An entry opens at most this part of what an endpoint takes, divided by the entries: a
+/// new entry may not be known yet.
+constexpr double connectionPart = 0.8;
+/// At least this many, whatever the number of entries.
+constexpr std::size_t leastConnections = 4;
+
+} // namespace
+
+struct proxy_server::state
+{
+    /// Environment of one flow.
+    struct environment
+    {
+        state *server;
+        caller_exchange exchange;
+
+        asio_runtime &runtime() { return server->runtime; }
+        routing_state &routing() { return server->routing; }
+        bool hasRoomAt(const endpoint_ptr &endpoint) { return server->hasRoomAt(*endpoint); }
+        call_id call(proxy_attempt attempt, call_events events)
+        {
+            return server->endpoints.call(std::move(attempt), std::move(events));
+        }
+        void cancel(call_id call) { server->endpoints.cancel(call); }
+        void reply(int status, const http_headers &headers, std::string_view body)
+        {
+            exchange.reply(status, headers, body);
+        }
+        void begin(int status, const http_headers &headers) { exchange.begin(status, headers); }
+        void write(std::string_view piece) { exchange.write(piece); }
+        void end() { exchange.end(); }
+        void abort() { exchange.abort(); }
+        void finished(const flow_record &record) { server->finished(record); }
+        void attemptEnded(const flow_record &record, attempt_end end, next_step step)
+        {
+            server->attemptEnded(record, end, step);
+        }
+    };
+    using flow = request_flow<environment>;
+
+    state(asio::io_context &context, routing_state &routing, metric_registry &metrics,
+          proxy_dialect dialect, proxy_options options);
+
+    void onRequest(message_head &&head, std::string &&body, caller_exchange exchange);
+    void onReadyCheck(const message_head &head, caller_exchange &exchange);
+    void finished(const flow_record &record);
+    void attemptEnded(const flow_record &record, attempt_end end, next_step step);
+    bool hasRoomAt(const service_endpoint &endpoint) const;
+    bool isReady() const;
+    void housekeep();
+    void removeDone();
+    void checkDrained(time_point giveUpAt);
+
+    asio::io_context &context;
+    asio_runtime runtime;
+    routing_state &routing;
+    metric_registry &metrics;
+    proxy_dialect dialect;
+    proxy_options options;
+    endpoint_caller endpoints;
+    caller_server callers;
+    caller_server readiness;
+    caller_server metricsServer;
+    std::unordered_set<std::shared_ptr<flow>> flows;
+    bool sweepPosted = false;
+    bool draining = false;
+    bool lastReady = false;
+    std::function<void()> drained;
+};
+
+proxy_server::state::state(asio::io_context &context, routing_state &routing,
+                           metric_registry &metrics, proxy_dialect dialect, proxy_options options)
+    : context(context)
+    , runtime(context)
+    , routing(routing)
+    , metrics(metrics)
+    , dialect(dialect)
+    , options(std::move(options))
+    , endpoints(context, dialect)
+    , callers(context,
+              [this](message_head &&head, std::string &&body, caller_exchange exchange) {
+                  onRequest(std::move(head), std::move(body), std::move(exchange));
+              })
+    , readiness(context,
+                [this](message_head &&head, std::string &&, caller_exchange exchange) {
+                    onReadyCheck(head, exchange);
+                })
+    , metricsServer(context,
+                    [&metrics](message_head &&, std::string &&, caller_exchange exchange) {
+                        exchange.reply(http_status::ok, {{"Content-Type", "text/plain"}},
+                                       metrics.prometheusText());
+                    })
+{
+}
+
+bool proxy_server::state::isReady() const
+{
+    return !draining && routing.contract() && !routing.directory().all().empty();
+}
+
+void proxy_server::state::onReadyCheck(const message_head &head, caller_exchange &exchange)
+{
+    if (head.target != options.readyPath) {
+        exchange.reply(http_status::notFound, {}, "");
+        return;
+    }
+    exchange.reply(isReady() ? http_status::ok : http_status::unavailable, {}, "");
+}
+
+void proxy_server::state::onRequest(message_head &&head, std::string &&body,
+                                    caller_exchange exchange)
+{
+    auto request = std::make_shared<proxy_request>(dialect.decodeRequest(std::move(head)));
+    request->body = std::move(body);
+    const auto item = std::make_shared<flow>(environment{this, exchange}, std::move(request));
+    flows.insert(item);
+    exchange.onLeft([weak = std::weak_ptr<flow>(item)] {
+        if (const auto self = weak.lock())
+            self->callerLeft();
+    });
+    item->start();
+}
+
+bool proxy_server::state::hasRoomAt(const service_endpoint &endpoint) const
+{
+    const service_description *service = routing.contract()
+            ? routing.contract()->findService(endpoint.record().service)
+            : nullptr;
+    const std::size_t all = service ? service->maxConnections : leastConnections;
+    const double sharers = static_cast<double>(std::max<std::size_t>(1, routing.entries()));
+    const auto part = static_cast<std::size_t>(static_cast<double>(all) * connectionPart / sharers);
+    return endpoints.hasRoom(endpoint, std::max(leastConnections, part));
+}
+
+void proxy_server::state::finished(const flow_record &record)
+{
+    const std::string_view reason = textOf(record.reason);
+    metrics.add("answers_total{reason=\"" + std::string(reason) + "\"}");
+    if (record.firstPart)
+        metrics.record("first_part_seconds", *record.firstPart);
+    metrics.record("request_seconds", record.total);
+    if (record.escalations > 0)
+        metrics.add("escalations_total", record.escalations);
+    if (record.resumes > 0)
+        metrics.add("resumes_total", record.resumes);
+    logInfo(log_part::routing, "request ended",
+            {{"request", record.request},
+             {"reason", reason},
+             {"status", std::int64_t(record.status)},
+             {"route", record.route},
+             {"customer", record.customer},
+             {"service", record.service},
+             {"contract", std::int64_t(record.contract)},
+             {"endpoint", record.endpoint},
+             {"version", record.endpointVersion},
+             {"model", record.model},
+             {"choice", record.choice},
+             {"confidence", std::int64_t(record.confidence.value_or(-1))},
+             {"attempts", std::int64_t(record.attempts)},
+             {"escalations", std::int64_t(record.escalations)},
+             {"resumes", std::int64_t(record.resumes)},
+             {"events", std::int64_t(record.events)},
+             {"first_ms", std::int64_t(record.firstPart.value_or(milliseconds(-1)).count())},
+             {"total_ms", std::int64_t(record.total.count())}});
+    // The flow is still on the stack: it is dropped afterwards.
+    if (sweepPosted)
+        return;
+    sweepPosted = true;
+    asio::post(context, [this] { removeDone(); });
+}
+
+void proxy_server::state::removeDone()
+{
+    sweepPosted = false;
+    std::erase_if(flows, [](const std::shared_ptr<flow> &item) { return item->isDone(); });
+}
+
+void proxy_server::state::attemptEnded(const flow_record &record, attempt_end end, next_step step)
+{
+    metrics.add("attempts_total{end=\"" + std::string(textOf(end)) + "\"}");
+    logInfo(log_part::routing, "attempt ended",
+            {{"request", record.request},
+             {"end", textOf(end)},
+             {"next", textOf(step)},
+             {"endpoint", record.endpoint},
+             {"version", record.endpointVersion},
+             {"attempt", std::int64_t(record.attempts)},
+             {"events", std::int64_t(record.events)}});
+}
+
+void proxy_server::state::housekeep()
+{
+    endpoints.sweep();
+    routing.directory().expire(runtime.now());
+    metrics.set("in_flight", static_cast<double>(flows.size()));
+    metrics.set("caller_connections", static_cast<double>(callers.connections()));
+    metrics.set("endpoint_connections_opened", static_cast<double>(endpoints.opened()));
+    metrics.set("endpoints_listed", static_cast<double>(routing.directory().all().size()));
+    metrics.set("entries_known", static_cast<double>(routing.entries()));
+    if (isReady() != lastReady) {
+        lastReady = isReady();
+        logInfo(log_part::routing, lastReady ? "ready" : "not ready",
+                {{"endpoints", std::int64_t(routing.directory().all().size())},
+                 {"draining", draining ? "yes" : "no"}});
+    }
+    runtime.after(housekeepingEvery, [this] { housekeep(); });
+}
+
+void proxy_server::state::checkDrained(time_point giveUpAt)
+{
+    const bool late = runtime.now() >= giveUpAt;
+    if (late) {
+        const auto left = flows;
+        for (const std::shared_ptr<flow> &item : left)
+            item->giveUp();
+    }
+    if (flows.empty() || late) {
+        logInfo(log_part::routing, "drained",
+                {{"unfinished", std::int64_t(late ? flows.size() : 0)}});
+        // One more turn of the loop writes the last answers.
+        runtime.after(drainCheckEvery, drained);
+        return;
+    }
+    runtime.after(drainCheckEvery, [this, giveUpAt] { checkDrained(giveUpAt); });
+}
+
+proxy_server::proxy_server(asio::io_context &context, routing_state &routing,
+                           metric_registry &metrics, proxy_dialect dialect, proxy_options options)
+    : m_state(std::make_unique<state>(context, routing, metrics, std::move(dialect),
+                                      std::move(options)))
+{
+}
+
+proxy_server::~proxy_server() = default;
+
+std::string proxy_server::open()
+{
+    const proxy_options &options = m_state->options;
+    std::string fault = m_state->callers.open(options.host, options.port);
+    if (!fault.empty())
+        return "callers' address: " + fault;
+    fault = m_state->readiness.open(options.readyHost, options.readyPort);
+    if (!fault.empty())
+        return "readiness address: " + fault;
+    if (options.metricsPort != 0) {
+        fault = m_state->metricsServer.open(options.metricsHost, options.metricsPort);
+        if (!fault.empty())
+            return "metrics address: " + fault;
+    }
+    m_state->housekeep();
+    return {};
+}
+
+void proxy_server::contractChanged()
+{
+    const contract_ptr &contract = m_state->routing.contract();
+    caller_server_bounds bounds;
+    bounds.maxHeaderBytes = contract->limits.maxHeaderBytes;
+    bounds.maxBodyBytes = contract->limits.maxBodyBytes;
+    bounds.headerTimeout = contract->limits.headerTimeout;
+    bounds.idleTimeout = contract->limits.idleTimeout;
+    bounds.mostConnections = m_state->options.mostCallers;
+    m_state->callers.setBounds(bounds);
+}
+
+void proxy_server::drain(std::function<void()> done)
+{
+    m_state->draining = true;
+    m_state->drained = std::move(done);
+    m_state->callers.closeAfterAnswers();
+    const time_point giveUpAt = m_state->runtime.now() + m_state->options.grace - lastWords;
+    m_state->runtime.after(m_state->options.turnAway, [this, giveUpAt] {
+        m_state->callers.closeIdle();
+        m_state->checkDrained(giveUpAt);
+    });
+}
+
+bool proxy_server::isReady() const
+{
+    return m_state->isReady();
+}
+
+std::uint16_t proxy_server::port() const
+{
+    return m_state->callers.port();
+}
--- a/lib/Support/Crypto.cpp
+++ b/lib/Support/Crypto.cpp
@@ -133,10 +133,13 @@
 
 static constexpr std::string_view base64UrlDigits
         = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+static constexpr std::string_view base64Digits
+        = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
-std::string laurelcroft::toBase64Url(std::string_view bytes)
+static std::string encodeSixBits(std::string_view bytes, std::string_view digits)
 {
     std::string text;
+    text.reserve(bytes.size() * 4 / 3 + 4);
     std::uint32_t buffer = 0;
     int bits = 0;
     for (const char c : bytes) {
@@ -144,22 +147,28 @@
         bits += 8;
         while (bits >= 6) {
             bits -= 6;
-            text += base64UrlDigits[(buffer >> bits) & 63];
+            text += digits[(buffer >> bits) & 63];
         }
     }
     if (bits > 0)
-        text += base64UrlDigits[(buffer << (6 - bits)) & 63];
+        text += digits[(buffer << (6 - bits)) & 63];
     return text;
 }
 
-std::optional<std::string> laurelcroft::fromBase64Url(std::string_view text)
+static std::optional<std::string> decodeSixBits(std::string_view text, std::string_view digits)
 {
+    constexpr int notADigit = -1;
+    std::array<int, 256> values{};
+    values.fill(notADigit);
+    for (std::size_t i = 0; i < digits.size(); ++i)
+        values[static_cast<unsigned char>(digits[i])] = static_cast<int>(i);
     std::string bytes;
+    bytes.reserve(text.size() * 3 / 4);
     std::uint32_t buffer = 0;
     int bits = 0;
     for (const char c : text) {
-        const std::size_t value = base64UrlDigits.find(c);
-        if (value == std::string_view::npos)
+        const int value = values[static_cast<unsigned char>(c)];
+        if (value == notADigit)
             return std::nullopt;
         buffer = (buffer << 6) | static_cast<std::uint32_t>(value);
         bits += 6;
@@ -171,6 +180,32 @@
     return bytes;
 }
 
+std::string laurelcroft::toBase64Url(std::string_view bytes)
+{
+    return encodeSixBits(bytes, base64UrlDigits);
+}
+
+std::optional<std::string> laurelcroft::fromBase64Url(std::string_view text)
+{
+    return decodeSixBits(text, base64UrlDigits);
+}
+
+std::string laurelcroft::toBase64(std::string_view bytes)
+{
+    std::string text = encodeSixBits(bytes, base64Digits);
+    constexpr std::size_t group = 4;
+    while (text.size() % group != 0)
+        text += '=';
+    return text;
+}
+
+std::optional<std::string> laurelcroft::fromBase64(std::string_view text)
+{
+    while (text.ends_with('='))
+        text.remove_suffix(1);
+    return decodeSixBits(text, base64Digits);
+}
+
 std::uint64_t laurelcroft::stableHash(std::string_view data, std::uint64_t seed)
 {
     // FNV-1a, then the finaliser of splitmix64: FNV alone ranks similar names alike.
