--- a/include/laurelcroft/Proxy/ProxyTypes.h
+++ b/include/laurelcroft/Proxy/ProxyTypes.h
@@ -39,13 +39,15 @@
 
     std::string id; ///< minted by the caller; echoed in the answer
     std::optional<milliseconds> patience; ///< how long the caller waits
+    std::string session; ///< requests of one session name it alike; empty: none
     std::string key; ///< names the customer; never passed on
     std::string model; ///< empty: none named
     bool anyModel = false; ///< the caller leaves the model to the router
     std::optional<std::uint64_t> afterEvent; ///< a stream goes on after this event id
-    std::vector<prompt_part> promptParts; ///< in order; the last is the session's own
+    std::vector<prompt_part> promptParts; ///< in order; the last is the request's own
     unsigned promptTokens = 0;
-    unsigned outputTokens = 0;
+    unsigned outputTokens = 0; ///< at most
+    std::optional<unsigned> expectedTokens; ///< the caller's guess, often far off
 };
 
 /// One send of a request to an endpoint.
--- a/include/laurelcroft/Proxy/RequestFlowImpl.h
+++ b/include/laurelcroft/Proxy/RequestFlowImpl.h
@@ -28,7 +28,7 @@
     m_env.routing().repeats(m_service).request(m_arrivedAt);
 
     const auto &parts = m_request->promptParts;
-    m_session = stableHash(parts.empty() ? m_request->id : parts.back().id);
+    m_session = stableHash(m_request->session.empty() ? m_request->id : m_request->session);
     if (parts.size() > 1)
         m_prefix = stableHash(parts[parts.size() - 2].id);
     if (m_request->anyModel)
