--- a/lib/Proxy/CallerServer.cpp
+++ b/lib/Proxy/CallerServer.cpp
@@ -306,7 +306,8 @@
 void caller_exchange::state::answerEnded()
 {
     onLeft = nullptr;
-    if (closeAfter) {
+    // An answer that began before the server ended didn't announce the close.
+    if (closeAfter || server->ended) {
         shuttingDown = true;
         queueFlush();
         return;
