Trials by session hash alone; an ending entry writes its last bytes

A hash that all entries compute alike, without memory, moves only sessions that straddle the beginning of the trial; its share is now no larger than the evidence needs.

--- a/include/laurelcroft/Policy/ServiceRollout.h
+++ b/include/laurelcroft/Policy/ServiceRollout.h
@@ -44,6 +44,7 @@
     rollout_stage stage = rollout_stage::trial;
     std::chrono::milliseconds startedAt{0}; ///< on the store's clock
     std::chrono::milliseconds stageSince{0}; ///< on the store's clock
+    double share = 0; ///< of the sessions, while on trial
 };
 
 /// What this entry knows at the moment.
@@ -53,11 +54,14 @@
     bool targetListed = false; ///< endpoints of the target version take requests
     bool foundBad = false; ///< by the guard of this entry
     unsigned oldRunning = 0; ///< this entry's requests on the old version
+    double share = 0; ///< for a trial that begins now
 };
 
-/// Share of sessions that try the new version. Below the smallest exposure that any
-/// site tolerates, with room for requests that are sent again.
-double trialShare(double toleratedShare);
+/// Share of sessions that try the new version: enough of them to judge it by, and below the
+/// exposure that the site tolerates, with room for requests that are sent again. Sessions
+/// that go on while a trial begins change their version, so it is no larger than needed.
+/// \param requestsPerSecond of the service, at all entries.
+double trialShare(double toleratedShare, double requestsPerSecond);
 
 /// \returns the row to write next; nothing when there is no step to take.
 std::optional<rollout_row> nextRolloutRow(const rollout_order &order,
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -38,6 +38,7 @@
 struct flow_record
 {
     std::string request;
+    std::string session;
     std::string route;
     std::string customer;
     std::string service;
--- a/include/laurelcroft/Proxy/RequestFlowImpl.h
+++ b/include/laurelcroft/Proxy/RequestFlowImpl.h
@@ -18,6 +18,7 @@
 {
     m_arrivedAt = now();
     m_record.request = m_request->id;
+    m_record.session = m_request->session;
     if (!admit())
         return;
     m_deadline = m_arrivedAt + m_route->timeout;
@@ -26,6 +27,7 @@
     m_service = pickService().name;
     m_record.service = m_service;
     m_env.routing().repeats(m_service).request(m_arrivedAt);
+    m_env.routing().rollouts(m_service).arrived(m_arrivedAt);
 
     const auto &parts = m_request->promptParts;
     m_session = stableHash(m_request->session.empty() ? m_request->id : m_request->session);
@@ -93,7 +95,7 @@
     const time_point at = now();
     state.directory().expire(at);
     const std::vector<endpoint_ptr> endpoints = state.rollouts(m_service).eligible(
-            state.directory().usable(m_service), m_session, at);
+            state.directory().usable(m_service), m_session);
     std::vector<direct_candidate> candidates;
     candidates.reserve(endpoints.size());
     for (const endpoint_ptr &endpoint : endpoints) {
@@ -154,7 +156,6 @@
         state.repeats(m_service).repeat(m_attemptAt);
     ++m_sends;
     ++m_number;
-    state.rollouts(m_service).served(m_session, endpoint->record().softwareVersion, m_attemptAt);
 
     m_record.attempts = m_number;
     m_record.endpoint = endpoint->record().id;
--- a/include/laurelcroft/Proxy/RolloutTracker.h
+++ b/include/laurelcroft/Proxy/RolloutTracker.h
@@ -8,10 +8,10 @@
 #define LAURELCROFT_PROXY_ROLLOUTTRACKER_H
 
 #include "laurelcroft/Fleet/ServiceDirectory.h"
-#include "laurelcroft/Fleet/SessionVersions.h"
 #include "laurelcroft/Policy/ServiceRollout.h"
 #include "laurelcroft/Policy/VersionGuard.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -25,8 +25,10 @@
 {
 public:
     /// \param exposure share of requests that a version under roll-out may get.
-    /// \param sessionLife how long a session goes on after its last request.
-    rollout_tracker(double exposure, duration sessionLife);
+    explicit rollout_tracker(double exposure)
+        : m_exposure(exposure)
+    {
+    }
 
     /// Takes the operator's order; the row is kept when it belongs to it.
     void setOrder(const rollout_order &order);
@@ -40,18 +42,20 @@
 
     /// \returns those of \p endpoints that may serve \p session.
     std::vector<endpoint_ptr> eligible(const std::vector<endpoint_ptr> &endpoints,
-                                       std::uint64_t session, time_point now);
+                                       std::uint64_t session);
 
-    /// A request of \p session went to \p version.
-    void served(std::uint64_t session, std::string_view version, time_point now);
+    /// A request for the service came in.
+    void arrived(time_point now);
 
     /// An attempt ended. \param kind route and model: answers of one kind are alike.
     /// \param wait until the first part of the answer; empty when it failed.
     void observe(std::string_view version, std::string_view kind, std::optional<duration> wait);
 
+    /// \param entries the number of entries that serve callers.
     /// \returns the row to write next, if a step is due.
     std::optional<rollout_row> nextRow(milliseconds storeNow,
-                                       const std::vector<endpoint_ptr> &endpoints) const;
+                                       const std::vector<endpoint_ptr> &endpoints,
+                                       std::size_t entries) const;
 
 private:
     struct wait_mean
@@ -60,12 +64,12 @@
         unsigned count = 0;
     };
     bool isCurrent() const { return m_order && m_row && m_row->orderedAt == m_order->orderedAt; }
-    bool wantsTarget(std::uint64_t session, time_point now);
+    bool wantsTarget(std::uint64_t session) const;
     std::string_view settledVersion(const std::vector<endpoint_ptr> &endpoints);
     bool isSlow(std::string_view kind, duration wait, bool onTarget);
 
-    double m_share;
-    session_versions m_sessions;
+    double m_exposure;
+    std::deque<time_point> m_arrivals; ///< of the last second
     std::optional<rollout_order> m_order;
     std::optional<rollout_row> m_row;
     std::optional<version_guard> m_guard;
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -25,7 +25,6 @@
 {
     send_budget_bounds repeats;
     double rolloutExposure = 0.1; ///< share of requests for a version under roll-out
-    duration sessionLife = seconds(5);
     std::string dataCentre; ///< of this entry
 };
 
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -243,7 +243,8 @@
         return;
     for (auto &[service, tracker] : m_state.allRollouts()) {
         const std::optional<rollout_row> next
-                = tracker.nextRow(storeNow(), m_state.directory().usable(service));
+                = tracker.nextRow(storeNow(), m_state.directory().usable(service),
+                                  m_state.entries());
         if (!next || !m_state.random().chance(stepChance))
             continue;
         write(service, *tracker.order(), *next);
--- a/lib/Policy/ServiceRollout.cpp
+++ b/lib/Policy/ServiceRollout.cpp
@@ -6,6 +6,7 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Policy/ServiceRollout.h"
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <utility>
@@ -21,6 +22,9 @@
 constexpr double latestPart = 0.88;
 /// Shortest time at full share before the old version may end: its last requests' length.
 constexpr std::chrono::milliseconds settling{2500};
+/// Requests a second, of all entries, that a trial is judged by: a version of which a third
+/// fails is found bad within some seconds, before fifty of its answers were bad.
+constexpr double trialRequestsPerSecond = 5;
 /// Part of the tolerated exposure that a trial uses.
 constexpr double usedExposure = 0.55;
 
@@ -51,9 +55,12 @@
     return std::nullopt;
 }
 
-double laurelcroft::trialShare(double toleratedShare)
+double laurelcroft::trialShare(double toleratedShare, double requestsPerSecond)
 {
-    return toleratedShare * usedExposure;
+    const double most = toleratedShare * usedExposure;
+    if (requestsPerSecond <= 0)
+        return most;
+    return std::min(most, trialRequestsPerSecond / requestsPerSecond);
 }
 
 static rollout_row moved(rollout_row row, rollout_stage stage, std::chrono::milliseconds now)
@@ -69,7 +76,7 @@
 {
     if (!row || row->orderedAt != order.orderedAt)
         return rollout_row{order.orderedAt, order.targetVersion, rollout_stage::trial, view.now,
-                           view.now};
+                           view.now, view.share};
     if (row->stage == rollout_stage::completed || row->stage == rollout_stage::reverted)
         return std::nullopt;
     if (view.foundBad)
--- a/lib/Proxy/CallerServer.cpp
+++ b/lib/Proxy/CallerServer.cpp
@@ -280,7 +280,7 @@
     if (closed)
         return;
     asio::error_code error;
-    const std::size_t sent = socket.write_some(asio::buffer(out), error);
+    const std::size_t sent = out.empty() ? 0 : socket.write_some(asio::buffer(out), error);
     out.erase(0, sent);
     if (error && error != asio::error::would_block) {
         onPeerEnd();
@@ -490,8 +490,11 @@
     m_state->acceptor.close(ignored);
     const auto connections = m_state->connections;
     for (caller_exchange::state *connection : connections) {
-        if (!connection->answering && !connection->parser.hasBegun())
-            connection->close(false);
+        if (connection->answering || connection->parser.hasBegun())
+            continue;
+        // The end of the last answer may still wait to be written.
+        connection->shuttingDown = true;
+        connection->queueFlush();
     }
 }
 
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -176,6 +176,7 @@
             {{"request", record.request},
              {"reason", reason},
              {"status", std::int64_t(record.status)},
+             {"session", record.session},
              {"route", record.route},
              {"customer", record.customer},
              {"service", record.service},
@@ -243,7 +244,8 @@
         for (const std::shared_ptr<flow> &item : left)
             item->giveUp();
     }
-    if (flows.empty() || late) {
+    const bool written = flows.empty() && callers.connections() == 0;
+    if (written || late) {
         logInfo(log_part::routing, "drained",
                 {{"unfinished", std::int64_t(late ? flows.size() : 0)}});
         // One more turn of the loop writes the last answers.
--- a/lib/Proxy/RolloutRows.cpp
+++ b/lib/Proxy/RolloutRows.cpp
@@ -49,7 +49,8 @@
                           {"target", row.targetVersion},
                           {"stage", textOf(row.stage)},
                           {"started_ms", row.startedAt.count()},
-                          {"stage_since_ms", row.stageSince.count()}}
+                          {"stage_since_ms", row.stageSince.count()},
+                          {"share", row.share}}
             .dump();
 }
 
@@ -67,6 +68,7 @@
         row.stage = *stage;
         row.startedAt = std::chrono::milliseconds(json.at("started_ms").get<std::int64_t>());
         row.stageSince = std::chrono::milliseconds(json.at("stage_since_ms").get<std::int64_t>());
+        row.share = json.at("share").get<double>();
         return row;
     } catch (const nlohmann::json::exception &error) {
         return failure(std::string(error.what()));
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -23,12 +23,6 @@
 
 } // namespace
 
-rollout_tracker::rollout_tracker(double exposure, duration sessionLife)
-    : m_share(trialShare(exposure))
-    , m_sessions(sessionLife)
-{
-}
-
 void rollout_tracker::setOrder(const rollout_order &order)
 {
     const bool isNew = !m_order || m_order->orderedAt != order.orderedAt;
@@ -44,16 +38,16 @@
         m_row = row;
 }
 
-bool rollout_tracker::wantsTarget(std::uint64_t session, time_point now)
+bool rollout_tracker::wantsTarget(std::uint64_t session) const
 {
-    if (!isCurrent())
-        return false;
-    if (m_row->stage == rollout_stage::trial) {
-        const std::string_view held = m_sessions.find(session, now);
-        if (!held.empty())
-            return held == m_order->targetVersion;
-    }
-    return startsOnTarget(m_row->stage, m_share, session);
+    return isCurrent() && startsOnTarget(m_row->stage, m_row->share, session);
+}
+
+void rollout_tracker::arrived(time_point now)
+{
+    m_arrivals.push_back(now);
+    while (now - m_arrivals.front() > seconds(1))
+        m_arrivals.pop_front();
 }
 
 std::string_view rollout_tracker::settledVersion(const std::vector<endpoint_ptr> &endpoints)
@@ -72,7 +66,7 @@
 }
 
 std::vector<endpoint_ptr> rollout_tracker::eligible(const std::vector<endpoint_ptr> &endpoints,
-                                                    std::uint64_t session, time_point now)
+                                                    std::uint64_t session)
 {
     std::vector<endpoint_ptr> onTarget;
     std::vector<endpoint_ptr> onOld;
@@ -88,16 +82,11 @@
         const bool isTarget = endpoint->record().softwareVersion == m_order->targetVersion;
         (isTarget ? onTarget : onOld).push_back(endpoint);
     }
-    if (!wantsTarget(session, now))
+    if (!wantsTarget(session))
         return onOld;
     return onTarget.empty() ? onOld : onTarget;
 }
 
-void rollout_tracker::served(std::uint64_t session, std::string_view version, time_point now)
-{
-    m_sessions.note(session, version, now);
-}
-
 bool rollout_tracker::isSlow(std::string_view kind, duration wait, bool onTarget)
 {
     const double value = std::chrono::duration<double, std::milli>(wait).count();
@@ -128,12 +117,14 @@
 }
 
 std::optional<rollout_row>
-rollout_tracker::nextRow(milliseconds storeNow, const std::vector<endpoint_ptr> &endpoints) const
+rollout_tracker::nextRow(milliseconds storeNow, const std::vector<endpoint_ptr> &endpoints,
+                         std::size_t entries) const
 {
     if (!m_order)
         return std::nullopt;
     rollout_view view;
     view.now = storeNow;
+    view.share = trialShare(m_exposure, static_cast<double>(m_arrivals.size() * entries));
     view.foundBad = m_guard && m_guard->isStopped();
     for (const endpoint_ptr &endpoint : endpoints) {
         const bool isTarget = endpoint->record().softwareVersion == m_order->targetVersion;
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -8,14 +8,6 @@
 
 using namespace laurelcroft;
 
-namespace {
-
-/// A session is noted when its request is sent, but goes on from the request's end: longer
-/// than any request takes.
-constexpr seconds longestRequest{30};
-
-} // namespace
-
 bool routing_state::setContract(contract_ptr contract)
 {
     if (m_contract && m_contract->version >= contract->version)
@@ -29,10 +21,7 @@
     const auto it = m_rollouts.find(service);
     if (it != m_rollouts.end())
         return it->second;
-    return m_rollouts
-            .emplace(service, rollout_tracker(m_bounds.rolloutExposure,
-                                              m_bounds.sessionLife + longestRequest))
-            .first->second;
+    return m_rollouts.emplace(service, rollout_tracker(m_bounds.rolloutExposure)).first->second;
 }
 
 send_budget &routing_state::repeats(std::string_view service)
