--- a/include/laurelcroft/Proxy/RequestFlowImpl.h
+++ b/include/laurelcroft/Proxy/RequestFlowImpl.h
@@ -314,7 +314,11 @@
 void request_flow<Env>::onEvent(const stream_event &event)
 {
     m_progressAt = now();
-    m_progressed = true;
+    if (!std::exchange(m_progressed, true)) {
+        // The next pause is bounded more tightly than the wait for the first event.
+        m_env.runtime().cancel(m_progressTimer);
+        watchProgress(m_number);
+    }
     const bool repeated = event.id && m_lastEvent && *event.id <= *m_lastEvent;
     if (repeated)
         return;
--- /dev/null
+++ b/unittests/Contract/ServiceContractTests.cpp
@@ -0,0 +1,54 @@
+//===-- ServiceContractTests.cpp - routes, services, customers --------------===//
+//
+// Lookups and the check of a whole contract.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Contract/ServiceContract.h"
+
+#include <doctest/doctest.h>
+
+using namespace laurelcroft;
+
+static service_route routeAt(const std::string &name, const std::string &prefix)
+{
+    service_route route;
+    route.name = name;
+    route.host = "h";
+    route.pathPrefix = prefix;
+    route.services = {{"s", 1}};
+    return route;
+}
+
+TEST_CASE("the longest prefix of the host wins")
+{
+    service_contract contract;
+    contract.version = 1;
+    contract.routes = {routeAt("short", "/a/"), routeAt("long", "/a/b/"), routeAt("other", "/c/")};
+    CHECK(contract.findRoute("h", "/a/x")->name == "short");
+    CHECK(contract.findRoute("h", "/a/b/x")->name == "long");
+    CHECK(contract.findRoute("h", "/a/bx")->name == "short");
+    CHECK(!contract.findRoute("h", "/d"));
+    CHECK(!contract.findRoute("g", "/a/x"));
+    CHECK(checkContract(contract).empty());
+}
+
+TEST_CASE("a stream may be repeated only where it may be resumed")
+{
+    service_route route = routeAt("r", "/a/");
+    route.form = answer_form::events;
+    CHECK(!route.mayRepeat());
+    route.resumable = true;
+    CHECK(route.mayRepeat());
+}
+
+TEST_CASE("every fault of a contract is named")
+{
+    service_contract contract;
+    service_route route = routeAt("r", "a");
+    route.services.clear();
+    route.timeout = std::chrono::milliseconds(0);
+    route.mostEndpoints = 0;
+    contract.routes = {route, route};
+    const auto faults = checkContract(contract);
+    CHECK(faults.size() == 10);
+}
--- /dev/null
+++ b/unittests/Fleet/ServiceDirectoryTests.cpp
@@ -0,0 +1,110 @@
+//===-- ServiceDirectoryTests.cpp - endpoints without an agent --------------===//
+//
+// Records that come, change, lapse and go, and beliefs that fade.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Fleet/ServiceDirectory.h"
+
+#include <doctest/doctest.h>
+
+using namespace laurelcroft;
+
+namespace {
+
+const time_point start{seconds(1000)};
+
+endpoint_record recordOf(const std::string &id, bool leaving = false)
+{
+    endpoint_record record;
+    record.id = id;
+    record.service = "pool";
+    record.leaving = leaving;
+    return record;
+}
+
+} // namespace
+
+TEST_CASE("an endpoint that leaves gets nothing new and never returns under its id")
+{
+    service_directory directory;
+    directory.apply(recordOf("a"), start);
+    directory.apply(recordOf("a", true), start);
+    CHECK(directory.usable("pool").empty());
+    directory.apply(recordOf("a"), start);
+    CHECK(directory.usable("pool").empty());
+    CHECK(directory.usable("other").empty());
+}
+
+TEST_CASE("a removal counts at once while the store can be trusted")
+{
+    service_directory directory;
+    directory.apply(recordOf("a"), start);
+    const endpoint_ptr endpoint = directory.usable("pool")[0];
+    directory.remove("a", start);
+    CHECK(directory.usable("pool").empty());
+    CHECK(endpoint->isGone());
+}
+
+TEST_CASE("a removal during an outage waits for two seconds after it")
+{
+    service_directory directory;
+    directory.apply(recordOf("a"), start);
+    directory.apply(recordOf("b", true), start);
+    directory.storeLost(start);
+    directory.storeRegained(start + seconds(9));
+    directory.replaceAll({}, start + seconds(9));
+    CHECK(directory.usable("pool").size() == 1);
+    // One that had begun to leave is gone for good.
+    CHECK(directory.all().count("b") == 0);
+    directory.expire(start + seconds(11));
+    CHECK(directory.usable("pool").size() == 1);
+    directory.expire(start + milliseconds(11300));
+    CHECK(directory.usable("pool").empty());
+}
+
+TEST_CASE("a record that comes back within the grace ends the doubt")
+{
+    service_directory directory;
+    directory.apply(recordOf("a"), start);
+    directory.storeLost(start);
+    directory.storeRegained(start);
+    directory.remove("a", start);
+    directory.apply(recordOf("a"), start + seconds(1));
+    directory.expire(start + seconds(10));
+    CHECK(directory.usable("pool").size() == 1);
+}
+
+TEST_CASE("a load report is corrected by own requests and fades")
+{
+    service_endpoint endpoint(recordOf("a"));
+    endpoint.began();
+    endpoint.reported({5, 2, 8}, start);
+    CHECK(endpoint.expectedLoad(start) == doctest::Approx(7));
+    endpoint.began();
+    CHECK(endpoint.expectedLoad(start) == doctest::Approx(8));
+    CHECK(endpoint.expectedLoad(start + seconds(10)) == doctest::Approx(2).epsilon(0.01));
+}
+
+TEST_CASE("failures raise the share, which fades without any answer")
+{
+    service_endpoint endpoint(recordOf("a"));
+    endpoint.failed(start);
+    const double once = endpoint.failureShare(start);
+    CHECK(once < 0.3);
+    for (int i = 0; i < 5; ++i)
+        endpoint.failed(start);
+    CHECK(endpoint.failureShare(start) > once);
+    CHECK(endpoint.failureShare(start + seconds(30)) < 0.05);
+}
+
+TEST_CASE("an unreachable endpoint is avoided for longer each time, up to a bound")
+{
+    service_endpoint endpoint(recordOf("a"));
+    endpoint.unreachable(start);
+    CHECK(endpoint.isAvoided(start + milliseconds(499)));
+    CHECK(!endpoint.isAvoided(start + milliseconds(500)));
+    for (int i = 0; i < 10; ++i)
+        endpoint.unreachable(start);
+    CHECK(endpoint.isAvoided(start + milliseconds(3999)));
+    CHECK(!endpoint.isAvoided(start + milliseconds(4000)));
+}
--- /dev/null
+++ b/unittests/Http/ParserTests.cpp
@@ -0,0 +1,116 @@
+//===-- ParserTests.cpp - messages and events, byte by byte -----------------===//
+//
+// Every cut of the input must give the same result.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Http/EventSplitter.h"
+#include "laurelcroft/Http/Parser.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace laurelcroft;
+
+namespace {
+
+struct parsed
+{
+    std::vector<message_head> heads;
+    std::string body;
+    parse_state last = parse_state::open;
+    std::size_t rest = 0;
+};
+
+parsed parseIn(message_parser::side side, const std::string &text, std::size_t piece)
+{
+    parsed result;
+    message_parser parser(side,
+                          {[&](message_head &&head) { result.heads.push_back(std::move(head)); },
+                           [&](std::string_view data) { result.body += data; }},
+                          4096);
+    for (std::size_t at = 0; at < text.size(); at += piece) {
+        const std::string_view part = std::string_view(text).substr(at, piece);
+        std::size_t used = 0;
+        result.last = parser.feed(part, used);
+        if (result.last != parse_state::open) {
+            result.rest = text.size() - at - used;
+            return result;
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("a request is read alike however it is cut")
+{
+    const std::string text = "POST /a?b HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcGET";
+    for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+        const parsed result = parseIn(message_parser::side::requests, text, piece);
+        REQUIRE(result.heads.size() == 1);
+        CHECK(result.heads[0].method == "POST");
+        CHECK(result.heads[0].target == "/a?b");
+        CHECK(findHeader(result.heads[0].headers, "host") == "x");
+        CHECK(result.body == "abc");
+        CHECK(result.last == parse_state::complete);
+        CHECK(result.rest == 3);
+    }
+}
+
+TEST_CASE("an interim answer is passed over")
+{
+    const std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+    const parsed result = parseIn(message_parser::side::answers, text, 7);
+    REQUIRE(result.heads.size() == 1);
+    CHECK(result.heads[0].status == 200);
+    CHECK(result.body == "ab");
+}
+
+TEST_CASE("only an answer without a length ends with its connection")
+{
+    const auto ends = [](const std::string &text) {
+        return parseIn(message_parser::side::answers, text, 512).heads.at(0).endsWithConnection;
+    };
+    CHECK(ends("HTTP/1.1 200 OK\r\n\r\nabc"));
+    CHECK(!ends("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
+    CHECK(!ends("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    CHECK(!ends("HTTP/1.1 204 No Content\r\n\r\n"));
+}
+
+TEST_CASE("an orderly end completes an answer without a length and nothing else")
+{
+    for (const std::string &head : {std::string(), std::string("Content-Length: 9\r\n")}) {
+        message_parser parser(message_parser::side::answers, {}, 4096);
+        std::size_t used = 0;
+        parser.feed("HTTP/1.1 200 OK\r\n" + head + "\r\nabc", used);
+        CHECK(parser.finish() == (head.empty() ? parse_state::complete : parse_state::failed));
+    }
+}
+
+TEST_CASE("a head beyond the bound fails")
+{
+    const std::string text = "GET / HTTP/1.1\r\nX: " + std::string(5000, 'a') + "\r\n\r\n";
+    CHECK(parseIn(message_parser::side::requests, text, 100).last == parse_state::failed);
+}
+
+TEST_CASE("events come out whole however the stream is cut")
+{
+    const std::string text = "id: 4\ndata: a\n\nversion: 2\nid: 5\r\ndata: b\r\n\r\n: note\n\nid: 6\nda";
+    for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+        event_splitter splitter;
+        std::string joined;
+        std::vector<std::uint64_t> ids;
+        for (std::size_t at = 0; at < text.size(); at += piece) {
+            splitter.feed(std::string_view(text).substr(at, piece), [&](const stream_event &event) {
+                joined += event.text;
+                if (event.id)
+                    ids.push_back(*event.id);
+            });
+        }
+        CHECK(joined == text.substr(0, text.size() - 8));
+        CHECK(ids == std::vector<std::uint64_t>{4, 5});
+        CHECK(!splitter.atBoundary());
+    }
+}
--- /dev/null
+++ b/unittests/Policy/DirectPolicyTests.cpp
@@ -0,0 +1,213 @@
+//===-- DirectPolicyTests.cpp - decisions of the direct path ----------------===//
+//
+// The outcome table row by row, budgets, choice, cascade and roll-out steps.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Policy/AttemptOutcome.h"
+#include "laurelcroft/Policy/ConfidenceCascade.h"
+#include "laurelcroft/Policy/DirectChoice.h"
+#include "laurelcroft/Policy/SendBudget.h"
+#include "laurelcroft/Policy/ServiceRollout.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace laurelcroft;
+
+namespace {
+
+constexpr attempt_end allEnds[] = {attempt_end::notSent, attempt_end::refused,
+                                   attempt_end::failed, attempt_end::broken, attempt_end::silent};
+
+attempt_facts factsOf(unsigned bits)
+{
+    attempt_facts facts;
+    facts.mayRepeat = (bits & 1) != 0;
+    facts.passedOn = (bits & 2) != 0;
+    facts.resumable = (bits & 4) != 0;
+    facts.mayHaveRun = (bits & 8) != 0;
+    facts.endpointsLeft = (bits & 16) != 0;
+    facts.budgetLeft = (bits & 32) != 0;
+    facts.timeLeft = (bits & 64) != 0;
+    return facts;
+}
+
+constexpr unsigned allFacts = 128;
+
+} // namespace
+
+TEST_CASE("in no row does a request that may run once run twice")
+{
+    for (unsigned bits = 0; bits < allFacts; ++bits) {
+        const attempt_facts facts = factsOf(bits);
+        if (facts.mayRepeat || facts.passedOn)
+            continue;
+        for (const attempt_end end : {attempt_end::failed, attempt_end::broken, attempt_end::silent})
+            CHECK(stepAfter(end, facts) != next_step::tryElsewhere);
+    }
+}
+
+TEST_CASE("in no row is a refusal given for what may have run")
+{
+    for (unsigned bits = 0; bits < allFacts; ++bits) {
+        const attempt_facts facts = factsOf(bits);
+        for (const attempt_end end : allEnds) {
+            const bool ran = end != attempt_end::notSent && end != attempt_end::refused;
+            if (ran || facts.mayHaveRun)
+                CHECK(stepAfter(end, facts) != next_step::refuse);
+        }
+    }
+}
+
+TEST_CASE("in no row does a begun answer end in anything but its rest or a cut")
+{
+    for (unsigned bits = 0; bits < allFacts; ++bits) {
+        const attempt_facts facts = factsOf(bits);
+        if (!facts.passedOn)
+            continue;
+        for (const attempt_end end : allEnds) {
+            const next_step step = stepAfter(end, facts);
+            CHECK((step == next_step::cut || step == next_step::resumeElsewhere));
+            if (step == next_step::resumeElsewhere)
+                CHECK(facts.resumable);
+        }
+    }
+}
+
+TEST_CASE("in no row is a further endpoint tried beyond attempts, time or budget")
+{
+    for (unsigned bits = 0; bits < allFacts; ++bits) {
+        const attempt_facts facts = factsOf(bits);
+        for (const attempt_end end : allEnds) {
+            const next_step step = stepAfter(end, facts);
+            if (step != next_step::tryElsewhere && step != next_step::resumeElsewhere)
+                continue;
+            CHECK(facts.endpointsLeft);
+            CHECK(facts.timeLeft);
+            // What never reached an endpoint costs no budget.
+            CHECK((facts.budgetLeft || end == attempt_end::notSent));
+        }
+    }
+}
+
+TEST_CASE("an answer that is ready is always delivered")
+{
+    for (unsigned bits = 0; bits < allFacts; ++bits)
+        CHECK(stepAfter(attempt_end::answered, factsOf(bits)) == next_step::deliver);
+}
+
+TEST_CASE("repeats stay within the ratio in every window, and return with time")
+{
+    const send_budget_bounds bounds{0.5, 4, seconds(10)};
+    send_budget budget(bounds);
+    time_point now{seconds(100)};
+    unsigned repeats = 0;
+    for (int i = 0; i < 200; ++i) {
+        now += milliseconds(50);
+        budget.request(now);
+        for (int j = 0; j < 3; ++j) {
+            if (!budget.allows(now, 2))
+                continue;
+            budget.repeat(now);
+            ++repeats;
+        }
+    }
+    CHECK(repeats <= 102);
+    CHECK(repeats > 70);
+    now += seconds(11);
+    CHECK(budget.allows(now, 2));
+}
+
+TEST_CASE("entries share the allowance between them")
+{
+    const auto alone = [](std::size_t entries) {
+        send_budget budget({0.5, 40, seconds(10)});
+        unsigned count = 0;
+        while (budget.allows(time_point(seconds(1)), entries)) {
+            budget.repeat(time_point(seconds(1)));
+            ++count;
+        }
+        return count;
+    };
+    CHECK(alone(1) <= 40);
+    CHECK(alone(4) <= 10);
+    CHECK(alone(1) > alone(4));
+}
+
+static std::vector<direct_candidate> threeCandidates()
+{
+    std::vector<direct_candidate> candidates(3);
+    candidates[0].id = "a";
+    candidates[1].id = "b";
+    candidates[2].id = "c";
+    for (direct_candidate &candidate : candidates)
+        candidate.slots = 10;
+    return candidates;
+}
+
+TEST_CASE("the emptier endpoint of the own data centre is chosen")
+{
+    auto candidates = threeCandidates();
+    candidates[0].load = 3;
+    candidates[1].load = 1;
+    candidates[2].sameDataCentre = false;
+    CHECK(chooseDirect(candidates, std::nullopt, 1)->index == 1);
+    candidates[0].load = 9;
+    candidates[1].load = 9;
+    CHECK(chooseDirect(candidates, std::nullopt, 1)->index == 2);
+}
+
+TEST_CASE("tried and exhausted endpoints are left out, avoided ones are the last resort")
+{
+    auto candidates = threeCandidates();
+    candidates[0].tried = true;
+    candidates[1].hasConnection = false;
+    candidates[2].avoided = true;
+    const auto choice = chooseDirect(candidates, std::nullopt, 1);
+    REQUIRE(choice);
+    CHECK(choice->index == 2);
+    CHECK(choice->reason == direct_reason::lastResort);
+    candidates[2].tried = true;
+    CHECK(!chooseDirect(candidates, std::nullopt, 1));
+}
+
+TEST_CASE("a prefix stays at one endpoint until that is much fuller")
+{
+    auto candidates = threeCandidates();
+    const std::size_t home = chooseDirect(candidates, 77, 1)->index;
+    for (std::uint64_t tie = 0; tie < 20; ++tie)
+        CHECK(chooseDirect(candidates, 77, tie)->index == home);
+    candidates[home].load = 2;
+    CHECK(chooseDirect(candidates, 77, 1)->index == home);
+    candidates[home].load = 9;
+    CHECK(chooseDirect(candidates, 77, 1)->index != home);
+}
+
+TEST_CASE("an endpoint that fails often is avoided before it is full")
+{
+    auto candidates = threeCandidates();
+    candidates[0].failureShare = 0.3;
+    candidates[1].load = 5;
+    candidates[2].load = 6;
+    CHECK(chooseDirect(candidates, std::nullopt, 1)->index == 1);
+}
+
+TEST_CASE("the cascade escalates only doubtful answers, and only where it may run again")
+{
+    const cascade_settings settings{0, 50};
+    CHECK(escalatesTo(settings, {0, 3, 20, true}) == 2);
+    CHECK(!escalatesTo(settings, {0, 3, 50, true}));
+    CHECK(!escalatesTo(settings, {0, 3, 20, false}));
+    CHECK(!escalatesTo(settings, {0, 3, std::nullopt, true}));
+    CHECK(!escalatesTo(settings, {2, 3, 0, true}));
+    CHECK(firstModel({9, 50}, 3) == 2);
+    CHECK(firstModel({0, 50}, 0) == 0);
+}
+
+TEST_CASE("a trial is no larger than its evidence needs, and never beyond the exposure")
+{
+    CHECK(trialShare(0.15, 0) < 0.15);
+    CHECK(trialShare(0.15, 10) < 0.15);
+    CHECK(trialShare(0.15, 1000) < 0.01);
+}
--- /dev/null
+++ b/unittests/Proxy/CallerServerTests.cpp
@@ -0,0 +1,216 @@
+//===-- CallerServerTests.cpp - connections of callers ----------------------===//
+//
+// Real sockets on the loopback address; the test is the caller.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/CallerServer.h"
+
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+#include <optional>
+
+using namespace laurelcroft;
+
+namespace {
+
+/// A server whose requests the test answers by hand, and one caller.
+struct server_world
+{
+    server_world()
+        : server(context,
+                 [this](message_head &&parsed, std::string &&whole, caller_exchange given) {
+                     head = std::move(parsed);
+                     body = std::move(whole);
+                     exchange = given;
+                     ++requests;
+                 })
+        , caller(context)
+    {
+        REQUIRE(server.open("127.0.0.1", 0).empty());
+        caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    }
+
+    void send(std::string_view text) { asio::write(caller, asio::buffer(text)); }
+
+    /// Lets everything happen that is ready, several times over.
+    void settle()
+    {
+        for (int i = 0; i < 20; ++i) {
+            context.restart();
+            context.run_for(std::chrono::milliseconds(2));
+        }
+    }
+
+    /// \returns what the caller has got; \c closed tells whether its connection ended.
+    std::string received()
+    {
+        settle();
+        caller.non_blocking(true);
+        std::string text;
+        char buffer[4096];
+        asio::error_code error;
+        while (true) {
+            const std::size_t size = caller.read_some(asio::buffer(buffer), error);
+            if (error)
+                break;
+            text.append(buffer, size);
+        }
+        closed = error != asio::error::would_block;
+        return text;
+    }
+
+    asio::io_context context;
+    caller_server server;
+    asio::ip::tcp::socket caller;
+    message_head head;
+    std::string body;
+    std::optional<caller_exchange> exchange;
+    unsigned requests = 0;
+    bool closed = false;
+};
+
+} // namespace
+
+TEST_CASE("a request comes whole, and its answer goes back on a kept connection")
+{
+    server_world world;
+    world.send("POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhe");
+    world.settle();
+    CHECK(world.requests == 0);
+    world.send("llo");
+    world.settle();
+    REQUIRE(world.requests == 1);
+    CHECK(world.head.target == "/a/b?c=d");
+    CHECK(world.body == "hello");
+    world.exchange->reply(200, {{"X-A", "1"}}, "yes");
+    CHECK(world.received() == "HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 3\r\n\r\nyes");
+    CHECK(!world.closed);
+    world.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    world.settle();
+    CHECK(world.requests == 2);
+}
+
+TEST_CASE("chunks of a request are put together")
+{
+    server_world world;
+    world.send("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    world.settle();
+    REQUIRE(world.requests == 1);
+    CHECK(world.body == "abcde");
+}
+
+TEST_CASE("a stream leaves in chunks; one that is broken off never looks whole")
+{
+    server_world world;
+    world.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    world.settle();
+    world.exchange->begin(200, {});
+    world.exchange->write("one");
+    CHECK(world.received() == "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n");
+    world.exchange->abort();
+    CHECK(world.received().empty());
+    CHECK(world.closed);
+}
+
+TEST_CASE("a caller that leaves is noticed while its request runs")
+{
+    server_world world;
+    world.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    world.settle();
+    bool left = false;
+    world.exchange->onLeft([&] { left = true; });
+    world.caller.close();
+    world.settle();
+    CHECK(left);
+}
+
+TEST_CASE("requests that hide another one, or are no request, are refused and harm nobody")
+{
+    const char *texts[] = {
+            "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+            "nonsense\r\n\r\n",
+    };
+    for (const char *text : texts) {
+        server_world world;
+        world.send(text);
+        const std::string answer = world.received();
+        CHECK(answer.starts_with("HTTP/1.1 400"));
+        CHECK(world.requests == 0);
+        world.caller.close();
+        world.settle();
+        CHECK(world.server.connections() == 0);
+    }
+}
+
+TEST_CASE("heads and bodies beyond the bounds are refused")
+{
+    server_world world;
+    caller_server_bounds bounds;
+    bounds.maxBodyBytes = 4;
+    world.server.setBounds(bounds);
+    world.send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello");
+    CHECK(world.received().starts_with("HTTP/1.1 413"));
+    CHECK(world.requests == 0);
+
+    server_world second;
+    second.send("GET /a HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(20000, 'a') + "\r\n\r\n");
+    CHECK(second.received().starts_with("HTTP/1.1 431"));
+}
+
+TEST_CASE("a slow head is given up at its timeout")
+{
+    server_world world;
+    caller_server_bounds bounds;
+    bounds.headerTimeout = milliseconds(20);
+    world.server.setBounds(bounds);
+    world.send("GET /a HTTP/1.1\r\nHos");
+    CHECK(world.received().starts_with("HTTP/1.1 408"));
+}
+
+TEST_CASE("an ending server lets answers finish and takes no more")
+{
+    server_world world;
+    world.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    world.settle();
+    world.exchange->begin(200, {});
+    world.server.closeAfterAnswers();
+    world.server.closeIdle();
+    world.exchange->write("one");
+    world.exchange->end();
+    CHECK(world.received().ends_with("0\r\n\r\n"));
+    CHECK(world.closed);
+    CHECK(world.requests == 1);
+}
+
+TEST_CASE("the end of an answer is written although the server ends in the same turn")
+{
+    server_world world;
+    world.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    world.settle();
+    world.exchange->begin(200, {});
+    world.exchange->write("one");
+    world.settle();
+    world.exchange->end();
+    world.server.closeIdle();
+    CHECK(world.received().ends_with("0\r\n\r\n"));
+    CHECK(world.closed);
+}
+
+TEST_CASE("a request that came ahead of its turn is served next")
+{
+    server_world world;
+    world.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+    world.settle();
+    CHECK(world.requests == 1);
+    world.exchange->reply(200, {}, "");
+    world.settle();
+    CHECK(world.requests == 2);
+    CHECK(world.head.target == "/b");
+}
--- /dev/null
+++ b/unittests/Proxy/EndpointCallerTests.cpp
@@ -0,0 +1,247 @@
+//===-- EndpointCallerTests.cpp - calls to endpoints ------------------------===//
+//
+// Real sockets on the loopback address; the test is the endpoint and writes raw bytes.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/EndpointCaller.h"
+
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+#include <list>
+#include <optional>
+
+using namespace laurelcroft;
+
+namespace {
+
+/// The id stands in a header called Id; a mark of the endpoint is not asked for.
+proxy_dialect plainDialect()
+{
+    proxy_dialect dialect;
+    dialect.encodeAttempt = [](const proxy_attempt &attempt) {
+        return attempt.request->method + " / HTTP/1.1\r\nId: " + attempt.request->id + "\r\n\r\n";
+    };
+    dialect.decodeAnswer = [](message_head &&head) {
+        proxy_answer answer;
+        answer.status = head.status;
+        answer.requestId = findHeader(head.headers, "Id");
+        answer.signedByEndpoint = true;
+        return answer;
+    };
+    return dialect;
+}
+
+struct call_result
+{
+    std::optional<proxy_answer> answer;
+    std::string body;
+    std::optional<call_end> end;
+};
+
+struct caller_world
+{
+    caller_world()
+        : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
+        , calls(context, plainDialect())
+    {
+        endpoint_record record;
+        record.id = "e1";
+        record.host = "127.0.0.1";
+        record.port = acceptor.local_endpoint().port();
+        endpoint = std::make_shared<service_endpoint>(record);
+    }
+
+    call_id start(const std::string &id, call_result &result, bool atMostOnce = false)
+    {
+        auto request = std::make_shared<proxy_request>();
+        request->method = "GET";
+        request->id = id;
+        proxy_attempt attempt;
+        attempt.request = request;
+        attempt.endpoint = endpoint;
+        attempt.atMostOnce = atMostOnce;
+        call_events events;
+        events.onAnswer = [&result](proxy_answer &&answer) { result.answer = std::move(answer); };
+        events.onData = [&result](std::string_view data) { result.body += data; };
+        events.onEnd = [&result](call_end end) { result.end = end; };
+        return calls.call(std::move(attempt), std::move(events));
+    }
+
+    asio::ip::tcp::socket &accept()
+    {
+        sockets.push_back(acceptor.accept());
+        settle();
+        return sockets.back();
+    }
+
+    void settle()
+    {
+        for (int i = 0; i < 10; ++i) {
+            context.restart();
+            context.run_for(std::chrono::milliseconds(2));
+        }
+    }
+
+    void send(asio::ip::tcp::socket &socket, std::string_view text)
+    {
+        asio::write(socket, asio::buffer(text));
+        settle();
+    }
+
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor;
+    std::list<asio::ip::tcp::socket> sockets;
+    endpoint_ptr endpoint;
+    endpoint_caller calls;
+};
+
+std::string answerTo(const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size())
+            + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+TEST_CASE("a whole answer keeps its connection for the next call")
+{
+    caller_world world;
+    call_result first;
+    world.start("r1", first);
+    auto &socket = world.accept();
+    world.send(socket, answerTo("r1", "abc"));
+    CHECK(first.end == call_end::complete);
+    CHECK(first.body == "abc");
+    call_result second;
+    world.start("r2", second);
+    world.settle();
+    world.send(socket, answerTo("r2", "d"));
+    CHECK(second.body == "d");
+    CHECK(world.calls.opened() == 1);
+}
+
+TEST_CASE("a port that refuses was never sent to")
+{
+    caller_world world;
+    world.acceptor.close();
+    call_result result;
+    world.start("r1", result);
+    world.settle();
+    CHECK(result.end == call_end::notSent);
+}
+
+TEST_CASE("a connection that ends before or within the answer leaves it unknown")
+{
+    for (const std::string &part :
+         {std::string(), std::string("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 9\r\n\r\nab")}) {
+        caller_world world;
+        call_result result;
+        world.start("r1", result);
+        auto &socket = world.accept();
+        world.send(socket, part);
+        socket.close();
+        world.settle();
+        CHECK(result.end == call_end::broken);
+    }
+}
+
+TEST_CASE("an answer without a length ends with its connection, but not with a reset")
+{
+    for (const bool reset : {false, true}) {
+        caller_world world;
+        call_result result;
+        world.start("r1", result);
+        auto &socket = world.accept();
+        world.send(socket, "HTTP/1.1 200 OK\r\nId: r1\r\n\r\nabc");
+        if (reset)
+            socket.set_option(asio::socket_base::linger(true, 0));
+        else
+            socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+        if (reset)
+            socket.close();
+        world.settle();
+        CHECK(result.end == (reset ? call_end::broken : call_end::complete));
+    }
+}
+
+TEST_CASE("another request's answer is skipped and the one that is due waited for")
+{
+    caller_world world;
+    call_result result;
+    world.start("r2", result);
+    auto &socket = world.accept();
+    world.send(socket, answerTo("r1", "old"));
+    CHECK(!result.answer);
+    world.send(socket, answerTo("r2", "new"));
+    CHECK(result.body == "new");
+    CHECK(result.end == call_end::complete);
+}
+
+TEST_CASE("bytes after a whole answer drop the connection")
+{
+    caller_world world;
+    call_result first;
+    world.start("r1", first);
+    auto &socket = world.accept();
+    world.send(socket, answerTo("r1", "abc") + answerTo("r1", "abc"));
+    CHECK(first.end == call_end::complete);
+    CHECK(first.body == "abc");
+    call_result second;
+    world.start("r2", second);
+    world.accept();
+    CHECK(world.calls.opened() == 2);
+}
+
+TEST_CASE("bytes that are no answer break the call")
+{
+    caller_world world;
+    call_result result;
+    world.start("r1", result);
+    world.send(world.accept(), "this is no answer\r\n\r\n");
+    CHECK(result.end == call_end::broken);
+}
+
+TEST_CASE("a cancelled call closes its connection and reports nothing")
+{
+    caller_world world;
+    call_result result;
+    const call_id call = world.start("r1", result);
+    auto &socket = world.accept();
+    world.calls.cancel(call);
+    world.settle();
+    CHECK(!result.end);
+    char buffer[256];
+    asio::error_code error;
+    while (!error)
+        socket.read_some(asio::buffer(buffer), error);
+    CHECK(error == asio::error::eof);
+    CHECK(world.calls.hasRoom(*world.endpoint, 1));
+}
+
+TEST_CASE("what may run only once doesn't trust a connection that has rested")
+{
+    caller_world world;
+    call_result first;
+    world.start("r1", first);
+    world.send(world.accept(), answerTo("r1", ""));
+    for (int i = 0; i < 20; ++i)
+        world.settle();
+    call_result second;
+    world.start("r2", second, true);
+    world.accept();
+    CHECK(world.calls.opened() == 2);
+}
+
+TEST_CASE("connections to an endpoint are bounded")
+{
+    caller_world world;
+    call_result first;
+    world.start("r1", first);
+    CHECK(!world.calls.hasRoom(*world.endpoint, 1));
+    CHECK(world.calls.hasRoom(*world.endpoint, 2));
+}
--- /dev/null
+++ b/unittests/Proxy/FlowTests.cpp
@@ -0,0 +1,278 @@
+//===-- FlowTests.cpp - one request on the direct path ----------------------===//
+//
+// Every way in which an attempt ends, for each kind of request.
+//
+//===----------------------------------------------------------------------===//
+#include "FlowWorld.h"
+
+#include <doctest/doctest.h>
+
+using namespace laurelcroft;
+
+TEST_CASE("without a contract a request is refused, truly and with a time to come back")
+{
+    flow_world world;
+    startFlow(world, requestFor(lookupRoute()));
+    CHECK(world.status == 503);
+    CHECK(findHeader(world.headers, "Retry-After") == "1.000000");
+    CHECK(world.calls.empty());
+}
+
+TEST_CASE("no route is 404, an unknown key is 401, and neither reaches an endpoint")
+{
+    flow_world world;
+    world.useRoute(lookupRoute());
+    world.addEndpoint("e1");
+    auto request = requestFor(lookupRoute());
+    request->path = "/b/x";
+    startFlow(world, request);
+    CHECK(world.status == 404);
+    request = requestFor(lookupRoute());
+    request->key = "nobody's";
+    startFlow(world, request);
+    CHECK(world.status == 401);
+    CHECK(world.calls.empty());
+}
+
+TEST_CASE("the customer, its priority and what is left of the time go to the endpoint")
+{
+    flow_world world;
+    world.useRoute(fetchRoute());
+    world.addEndpoint("e1");
+    auto request = requestFor(fetchRoute());
+    request->patience = milliseconds(1500);
+    startFlow(world, request);
+    REQUIRE(world.calls.size() == 1);
+    CHECK(world.calls[0].attempt.customer == "daan");
+    CHECK(world.calls[0].attempt.priority == 3);
+    CHECK(world.calls[0].attempt.remaining == milliseconds(1500));
+    CHECK(world.calls[0].attempt.atMostOnce);
+}
+
+TEST_CASE("a whole answer is passed on unchanged")
+{
+    flow_world world;
+    world.useRoute(fetchRoute());
+    world.addEndpoint("e1");
+    startFlow(world, requestFor(fetchRoute()));
+    world.answer(0, 200);
+    world.data(0, "abc");
+    world.data(0, "def");
+    world.end(0, call_end::complete);
+    CHECK(world.status == 200);
+    CHECK(world.body == "abcdef");
+    CHECK(findHeader(world.headers, "X-From") == "e1");
+    CHECK(world.record->reason == flow_reason::served);
+}
+
+TEST_CASE("what may run only once is never sent again after it may have run")
+{
+    for (const call_end end : {call_end::broken, call_end::complete}) {
+        flow_world world;
+        world.useRoute(fetchRoute());
+        world.addEndpoint("e1");
+        world.addEndpoint("e2");
+        startFlow(world, requestFor(fetchRoute()));
+        if (end == call_end::complete)
+            world.answer(0, 500);
+        world.end(0, end);
+        CHECK(world.calls.size() == 1);
+        // Nothing is known after a break; the endpoint's own failure is passed on.
+        CHECK(world.status == (end == call_end::broken ? 502 : 500));
+        CHECK(findHeader(world.headers, "Retry-After").empty());
+    }
+}
+
+TEST_CASE("what never left this process goes to another endpoint, whatever its kind")
+{
+    flow_world world;
+    world.useRoute(fetchRoute());
+    world.addEndpoint("e1");
+    world.addEndpoint("e2");
+    startFlow(world, requestFor(fetchRoute()));
+    world.end(0, call_end::notSent);
+    REQUIRE(world.calls.size() == 2);
+    CHECK(world.calls[0].attempt.endpoint != world.calls[1].attempt.endpoint);
+    world.end(1, call_end::notSent);
+    CHECK(world.status == 503);
+}
+
+TEST_CASE("a refusal that the endpoint vouches for is passed on as a true one")
+{
+    flow_world world;
+    world.useRoute(fetchRoute());
+    world.addEndpoint("e1");
+    startFlow(world, requestFor(fetchRoute()));
+    world.refuseNotRun(0);
+    CHECK(world.status == 503);
+    CHECK(findHeader(world.headers, "Retry-After") == "0.250000");
+    CHECK(world.record->reason == flow_reason::refusedByEndpoints);
+}
+
+TEST_CASE("after a run anywhere, no refusal claims that there was none")
+{
+    flow_world world;
+    world.useRoute(lookupRoute());
+    world.addEndpoint("e1");
+    world.addEndpoint("e2");
+    startFlow(world, requestFor(lookupRoute()));
+    world.end(0, call_end::broken);
+    REQUIRE(world.calls.size() == 2);
+    world.refuseNotRun(1);
+    CHECK(world.status == 502);
+}
+
+TEST_CASE("a repeatable request moves on from a failure and from silence")
+{
+    flow_world world;
+    world.useRoute(lookupRoute());
+    world.addEndpoint("e1");
+    world.addEndpoint("e2");
+    startFlow(world, requestFor(lookupRoute()));
+    world.runtime.advance(milliseconds(601));
+    REQUIRE(world.calls.size() == 2);
+    CHECK(world.calls[0].cancelled);
+    CHECK(world.openCalls() == 1);
+    world.answer(1, 500);
+    world.end(1, call_end::complete);
+    CHECK(world.status == 500);
+    CHECK(world.calls.size() == 2);
+}
+
+TEST_CASE("a success without the endpoint's mark, or in a coding, is no success")
+{
+    for (const bool encoded : {false, true}) {
+        flow_world world;
+        world.useRoute(fetchRoute());
+        world.addEndpoint("e1");
+        startFlow(world, requestFor(fetchRoute()));
+        proxy_answer answer;
+        answer.status = 200;
+        answer.signedByEndpoint = encoded;
+        answer.encoded = encoded;
+        world.calls[0].events.onAnswer(std::move(answer));
+        CHECK(world.status == 502);
+        CHECK(world.calls[0].cancelled);
+    }
+}
+
+TEST_CASE("at the route's timeout the final answer comes at once")
+{
+    flow_world world;
+    world.useRoute(fetchRoute());
+    world.addEndpoint("e1");
+    startFlow(world, requestFor(fetchRoute()));
+    world.runtime.advance(milliseconds(3999));
+    CHECK(world.status == 0);
+    world.runtime.advance(milliseconds(1));
+    CHECK(world.status == 504);
+    CHECK(world.calls[0].cancelled);
+}
+
+TEST_CASE("a caller that leaves stops what runs for it")
+{
+    flow_world world;
+    world.useRoute(draftRoute());
+    world.addEndpoint("e1");
+    const auto flow = startFlow(world, requestFor(draftRoute()));
+    flow->callerLeft();
+    CHECK(world.calls[0].cancelled);
+    CHECK(flow->isDone());
+    CHECK(world.routing.directory().all().at("e1")->running() == 0);
+    CHECK(world.runtime.pending() == 0);
+}
+
+TEST_CASE("a stream passes whole events on, and resumes after the last one")
+{
+    flow_world world;
+    world.useRoute(draftRoute());
+    world.addEndpoint("e1");
+    world.addEndpoint("e2");
+    startFlow(world, requestFor(draftRoute()));
+    world.answer(0, 200, 90);
+    world.data(0, eventText(1) + eventText(2) + "id: 3\nda");
+    CHECK(world.body == eventText(1) + eventText(2));
+    const std::string head(findHeader(world.headers, "X-From"));
+    world.end(0, call_end::broken);
+    REQUIRE(world.calls.size() == 2);
+    CHECK(world.calls[1].attempt.afterEvent == 2);
+    world.answer(1, 200, 90);
+    world.data(1, eventText(2) + eventText(3));
+    world.end(1, call_end::complete);
+    CHECK(world.ended);
+    CHECK(world.body == eventText(1) + eventText(2) + eventText(3));
+    CHECK(findHeader(world.headers, "X-From") == head);
+    CHECK(world.record->resumes == 1);
+}
+
+TEST_CASE("a stream that can't go on is cut, so that it never looks whole")
+{
+    flow_world world;
+    world.useRoute(draftRoute());
+    world.addEndpoint("e1");
+    startFlow(world, requestFor(draftRoute()));
+    world.answer(0, 200, 90);
+    world.data(0, eventText(1) + "id: 2");
+    world.end(0, call_end::complete);
+    CHECK(world.aborted);
+    CHECK(!world.ended);
+}
+
+TEST_CASE("a pause in a stream moves it before the pause is too long")
+{
+    flow_world world;
+    world.useRoute(draftRoute());
+    world.addEndpoint("e1");
+    world.addEndpoint("e2");
+    startFlow(world, requestFor(draftRoute()));
+    world.answer(0, 200, 90);
+    world.data(0, eventText(1));
+    world.runtime.advance(milliseconds(1000));
+    REQUIRE(world.calls.size() == 2);
+    CHECK(world.calls[0].cancelled);
+    CHECK(world.steps.back().first == attempt_end::silent);
+    CHECK(world.steps.back().second == next_step::resumeElsewhere);
+}
+
+TEST_CASE("a doubtful answer of the small model is dropped for the large one's")
+{
+    flow_world world;
+    world.useRoute(draftRoute());
+    world.addEndpoint("e1");
+    startFlow(world, requestFor(draftRoute()));
+    CHECK(world.calls[0].attempt.model == "small");
+    world.answer(0, 200, 20);
+    REQUIRE(world.calls.size() == 2);
+    CHECK(world.calls[0].cancelled);
+    CHECK(world.calls[1].attempt.model == "large");
+    world.answer(1, 200, 10);
+    world.data(1, eventText(1));
+    world.end(1, call_end::complete);
+    CHECK(world.ended);
+    CHECK(world.record->escalations == 1);
+}
+
+TEST_CASE("the caller's own model is never replaced")
+{
+    flow_world world;
+    world.useRoute(draftRoute());
+    world.addEndpoint("e1");
+    auto request = requestFor(draftRoute());
+    request->anyModel = false;
+    request->model = "middle";
+    startFlow(world, request);
+    CHECK(world.calls[0].attempt.model.empty());
+    world.answer(0, 200, 0);
+    CHECK(world.calls.size() == 1);
+}
+
+TEST_CASE("a stopping process ends what it can't finish")
+{
+    flow_world world;
+    world.useRoute(draftRoute());
+    world.addEndpoint("e1");
+    const auto flow = startFlow(world, requestFor(draftRoute()));
+    flow->giveUp();
+    CHECK(world.status == 504);
+    CHECK(world.record->reason == flow_reason::stopping);
+}
--- /dev/null
+++ b/unittests/Proxy/FlowWorld.cpp
@@ -0,0 +1,126 @@
+//===-- FlowWorld.cpp - fakes around one request flow -----------------------===//
+//
+// Routes and requests that the tests share.
+//
+//===----------------------------------------------------------------------===//
+#include "FlowWorld.h"
+
+using namespace laurelcroft;
+
+void flow_world::addEndpoint(const std::string &id, const std::string &service,
+                             const std::string &version)
+{
+    endpoint_record record;
+    record.id = id;
+    record.service = service;
+    record.host = "127.0.0.1";
+    record.port = 1;
+    record.softwareVersion = version;
+    record.slots = 4;
+    routing.directory().apply(record, runtime.now());
+}
+
+void flow_world::useRoute(const service_route &route)
+{
+    auto contract = std::make_shared<service_contract>();
+    contract->version = routing.contract() ? routing.contract()->version + 1 : 1;
+    contract->routes.push_back(route);
+    contract->needsKeys = true;
+    contract->customers.push_back({"daan", 3});
+    contract->customerOfKey["key-daan"] = 0;
+    routing.setContract(contract);
+}
+
+void flow_world::answer(std::size_t index, int code, std::optional<int> confidence)
+{
+    proxy_answer answer;
+    answer.status = code;
+    answer.requestId = calls[index].attempt.request->id;
+    answer.signedByEndpoint = true;
+    answer.confidence = confidence;
+    answer.headers = {{"X-From", calls[index].attempt.endpoint->record().id}};
+    calls[index].events.onAnswer(std::move(answer));
+}
+
+void flow_world::refuseNotRun(std::size_t index)
+{
+    proxy_answer answer;
+    answer.status = http_status::unavailable;
+    answer.notRun = true;
+    calls[index].events.onAnswer(std::move(answer));
+    calls[index].events.onEnd(call_end::complete);
+}
+
+std::size_t flow_world::openCalls() const
+{
+    std::size_t open = 0;
+    for (const played_call &call : calls)
+        open += call.cancelled ? 0 : 1;
+    return open;
+}
+
+static service_route baseRoute()
+{
+    service_route route;
+    route.name = "route";
+    route.host = "site.example";
+    route.pathPrefix = "/a/";
+    route.timeout = milliseconds(4000);
+    route.objective = milliseconds(300);
+    route.services = {{"pool", 1.0}};
+    return route;
+}
+
+service_route laurelcroft::lookupRoute()
+{
+    service_route route = baseRoute();
+    route.repeatable = true;
+    route.mostEndpoints = 2;
+    return route;
+}
+
+service_route laurelcroft::fetchRoute()
+{
+    return baseRoute();
+}
+
+service_route laurelcroft::draftRoute()
+{
+    service_route route = baseRoute();
+    route.form = answer_form::events;
+    route.resumable = true;
+    route.objective = milliseconds(2000);
+    route.eventGap = milliseconds(1200);
+    route.timeout = milliseconds(20000);
+    route.mostEndpoints = 3;
+    route.models = {"small", "middle", "large"};
+    return route;
+}
+
+std::shared_ptr<proxy_request> laurelcroft::requestFor(const service_route &route)
+{
+    auto request = std::make_shared<proxy_request>();
+    request->method = "POST";
+    request->host = route.host;
+    request->path = route.pathPrefix + "x";
+    request->target = request->path;
+    request->id = "r1";
+    request->key = "key-daan";
+    request->patience = milliseconds(20000);
+    request->anyModel = !route.models.empty();
+    return request;
+}
+
+std::shared_ptr<fake_flow> laurelcroft::startFlow(flow_world &world,
+                                                  std::shared_ptr<proxy_request> request)
+{
+    auto flow = std::make_shared<fake_flow>(fake_environment{&world}, std::move(request));
+    world.flows.push_back(flow);
+    flow->start();
+    return flow;
+}
+
+std::string laurelcroft::eventText(unsigned id)
+{
+    return "id: " + std::to_string(id) + "\ndata: words\n\n";
+}
--- /dev/null
+++ b/unittests/Proxy/FlowWorld.h
@@ -0,0 +1,110 @@
+//===-- FlowWorld.h - fakes around one request flow --------------*- C++ -*-===//
+//
+// Endpoints that the test plays by hand, a caller that writes down what it gets, and a
+// clock that stands still until the test advances it.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_UNITTESTS_PROXY_FLOWWORLD_H
+#define LAURELCROFT_UNITTESTS_PROXY_FLOWWORLD_H
+
+#include "laurelcroft/Proxy/RequestFlow.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace laurelcroft {
+
+/// One call that the flow made.
+struct played_call
+{
+    proxy_attempt attempt;
+    call_events events;
+    bool cancelled = false;
+};
+
+/// Everything around one flow.
+struct flow_world
+{
+    manual_runtime runtime;
+    routing_state routing{{}, {0, 50}, 1};
+    std::vector<played_call> calls;
+    std::vector<std::pair<attempt_end, next_step>> steps;
+    int status = 0; ///< of the answer; 0: none yet
+    http_headers headers;
+    std::string body;
+    bool begun = false;
+    bool ended = false;
+    bool aborted = false;
+    std::optional<flow_record> record;
+    bool room = true;
+    std::vector<std::shared_ptr<void>> flows; ///< kept alive as the server does
+
+    void addEndpoint(const std::string &id, const std::string &service = "pool",
+                     const std::string &version = "v1");
+    /// Puts a contract of this one route in force.
+    void useRoute(const service_route &route);
+
+    /// Plays the head, and the end, of the answer of call \p index.
+    void answer(std::size_t index, int status, std::optional<int> confidence = std::nullopt);
+    void refuseNotRun(std::size_t index);
+    void data(std::size_t index, const std::string &text) { calls[index].events.onData(text); }
+    void end(std::size_t index, call_end how) { calls[index].events.onEnd(how); }
+    std::size_t openCalls() const;
+};
+
+/// The environment that a flow gets.
+struct fake_environment
+{
+    flow_world *world;
+
+    manual_runtime &runtime() { return world->runtime; }
+    routing_state &routing() { return world->routing; }
+    bool hasRoomAt(const endpoint_ptr &) { return world->room; }
+    call_id call(proxy_attempt attempt, call_events events)
+    {
+        world->calls.push_back({std::move(attempt), std::move(events)});
+        return world->calls.size();
+    }
+    void cancel(call_id call)
+    {
+        if (call > 0)
+            world->calls[call - 1].cancelled = true;
+    }
+    void reply(int status, const http_headers &headers, std::string_view body)
+    {
+        world->status = status;
+        world->headers = headers;
+        world->body = body;
+        world->ended = true;
+    }
+    void begin(int status, const http_headers &headers)
+    {
+        world->begun = true;
+        world->status = status;
+        world->headers = headers;
+    }
+    void write(std::string_view piece) { world->body += piece; }
+    void end() { world->ended = true; }
+    void abort() { world->aborted = true; }
+    void finished(const flow_record &record) { world->record = record; }
+    void attemptEnded(const flow_record &, attempt_end end, next_step step)
+    {
+        world->steps.emplace_back(end, step);
+    }
+};
+
+using fake_flow = request_flow<fake_environment>;
+
+service_route lookupRoute(); ///< repeatable, two endpoints
+service_route fetchRoute(); ///< runs at most once
+service_route draftRoute(); ///< a resumable stream over three models
+
+std::shared_ptr<proxy_request> requestFor(const service_route &route);
+std::shared_ptr<fake_flow> startFlow(flow_world &world, std::shared_ptr<proxy_request> request);
+std::string eventText(unsigned id);
+
+} // namespace laurelcroft
+
+#endif
--- /dev/null
+++ b/unittests/Proxy/StoreSyncTests.cpp
@@ -0,0 +1,329 @@
+//===-- StoreSyncTests.cpp - routing state from a store ---------------------===//
+//
+// A store in memory that loses answers, forgets its history and goes away, under a
+// paused clock.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/StoreSync.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+using namespace laurelcroft;
+
+namespace {
+
+/// Rows in memory; answers come after one millisecond.
+class fake_store
+{
+public:
+    explicit fake_store(manual_runtime &runtime)
+        : m_runtime(runtime)
+    {
+    }
+
+    void list(const std::string &table, row_callback<row_batch> done)
+    {
+        ++lists;
+        answer(std::move(done), [this, table] { return rowsOf(table, 0, false); });
+    }
+
+    void follow(const std::string &table, std::uint64_t since, milliseconds wait,
+                row_callback<row_batch> done)
+    {
+        if (forgetful) {
+            m_runtime.after(milliseconds(1), [done] { done(failure(row_failure::historyGone)); });
+            return;
+        }
+        const bool news = changedSince(table, since);
+        const milliseconds delay = news || wait.count() == 0 ? milliseconds(1) : wait;
+        m_runtime.after(delay, [this, table, since, done] {
+            if (away)
+                done(failure(row_failure::unknown));
+            else
+                done(rowsOf(table, since, true));
+        });
+    }
+
+    void write(const std::vector<row_write> &rows, row_callback<write_status> done)
+    {
+        ++writes;
+        answer<write_status>(std::move(done), [this, rows] { return apply(rows); });
+    }
+
+    void put(const std::string &table, const std::string &key, const std::string &value)
+    {
+        m_tables[table][key] = {key, value, ++m_version, false};
+    }
+
+    void remove(const std::string &table, const std::string &key)
+    {
+        m_tables[table][key] = {key, "", ++m_version, true};
+    }
+
+    std::string valueOf(const std::string &table, const std::string &key)
+    {
+        return m_tables[table][key].value;
+    }
+
+    bool away = false;
+    bool forgetful = false;
+    unsigned lists = 0;
+    unsigned writes = 0;
+
+private:
+    template <class T>
+    void answer(row_callback<T> done, std::function<T()> result)
+    {
+        m_runtime.after(milliseconds(1), [this, done, result] {
+            if (away)
+                done(failure(row_failure::unknown));
+            else
+                done(result());
+        });
+    }
+    void answer(row_callback<row_batch> done, std::function<row_batch()> result)
+    {
+        answer<row_batch>(std::move(done), std::move(result));
+    }
+
+    bool changedSince(const std::string &table, std::uint64_t since)
+    {
+        return !rowsOf(table, since, true).rows.empty();
+    }
+
+    row_batch rowsOf(const std::string &table, std::uint64_t since, bool withRemoved)
+    {
+        row_batch batch;
+        batch.version = m_version;
+        batch.storeTime = std::chrono::duration_cast<milliseconds>(
+                m_runtime.now().time_since_epoch());
+        for (const auto &[key, row] : m_tables[table]) {
+            if (row.version > since && (withRemoved || !row.removed))
+                batch.rows.push_back(row);
+        }
+        return batch;
+    }
+
+    write_status apply(const std::vector<row_write> &rows)
+    {
+        for (const row_write &row : rows) {
+            const auto &known = m_tables[row.table];
+            const auto it = known.find(row.key);
+            const std::uint64_t version
+                    = it == known.end() || it->second.removed ? 0 : it->second.version;
+            if (row.expected && *row.expected != version)
+                return write_status::conflict;
+        }
+        ++m_version;
+        for (const row_write &row : rows)
+            m_tables[row.table][row.key] = {row.key, row.value, m_version, false};
+        return write_status::done;
+    }
+
+    manual_runtime &m_runtime;
+    std::map<std::string, std::map<std::string, store_row>> m_tables;
+    std::uint64_t m_version = 1;
+};
+
+/// A contract's value is its version; an endpoint's its software version, "-" when leaving.
+row_codec plainCodec()
+{
+    row_codec codec;
+    codec.operatorTable = "orders";
+    codec.endpointTable = "endpoints";
+    codec.statusTable = "status";
+    codec.isContract = [](std::string_view key) { return key == "contract"; };
+    codec.orderedService = [](std::string_view key) -> std::optional<std::string> {
+        if (key == "contract")
+            return std::nullopt;
+        return std::string(key);
+    };
+    codec.decodeContract = [](const std::string &value) -> decoded<service_contract> {
+        if (value == "wrong")
+            return failure(std::string("routes: missing"));
+        service_contract contract;
+        contract.version = std::stoul(value);
+        return contract;
+    };
+    codec.decodeEndpoint = [](const std::string &key,
+                              const std::string &value) -> decoded<endpoint_record> {
+        endpoint_record record;
+        record.id = key;
+        record.service = "pool";
+        record.softwareVersion = value.substr(0, 2);
+        record.leaving = value.ends_with('-');
+        return record;
+    };
+    codec.decodeOrder = [](const std::string &value) -> decoded<rollout_order> {
+        return rollout_order{"", value, seconds(10), 0};
+    };
+    codec.encodeStatus = [](const rollout_order &order, rollout_stage stage) {
+        return row_write{"status", order.service, std::string(textOf(stage)), std::nullopt};
+    };
+    return codec;
+}
+
+struct sync_world
+{
+    explicit sync_world(const std::string &name = "e1")
+        : name(name)
+    {
+    }
+    std::string name;
+    manual_runtime runtime;
+    fake_store store{runtime};
+    routing_state routing{{}, {}, 1};
+    metric_registry metrics;
+    unsigned contracts = 0;
+    store_sync<fake_store, manual_runtime> sync{store,   runtime,      routing, metrics,
+                                                plainCodec(), name, [this] { ++contracts; }};
+};
+
+} // namespace
+
+static_assert(row_store_like<fake_store>);
+
+TEST_CASE("contract and endpoints are read, then followed")
+{
+    sync_world world;
+    world.store.put("orders", "contract", "3");
+    world.store.put("endpoints", "a", "v1");
+    world.sync.start();
+    world.runtime.advance(milliseconds(10));
+    REQUIRE(world.routing.contract());
+    CHECK(world.routing.contract()->version == 3);
+    CHECK(world.routing.directory().usable("pool").size() == 1);
+    world.store.put("orders", "contract", "5");
+    world.store.put("endpoints", "b", "v1");
+    world.store.put("endpoints", "a", "v1-");
+    world.runtime.advance(milliseconds(2100));
+    CHECK(world.routing.contract()->version == 5);
+    const auto usable = world.routing.directory().usable("pool");
+    REQUIRE(usable.size() == 1);
+    CHECK(usable[0]->record().id == "b");
+    CHECK(world.contracts == 2);
+}
+
+TEST_CASE("a wrong contract leaves the last good one in force, an older one never returns")
+{
+    sync_world world;
+    world.store.put("orders", "contract", "3");
+    world.sync.start();
+    world.runtime.advance(milliseconds(10));
+    world.store.put("orders", "contract", "wrong");
+    world.runtime.advance(milliseconds(2100));
+    CHECK(world.routing.contract()->version == 3);
+    world.store.put("orders", "contract", "2");
+    world.runtime.advance(milliseconds(2100));
+    CHECK(world.routing.contract()->version == 3);
+}
+
+TEST_CASE("a leaving endpoint is left alone within a second of its row")
+{
+    sync_world world;
+    world.store.put("endpoints", "a", "v1");
+    world.sync.start();
+    world.runtime.advance(milliseconds(10));
+    world.store.put("endpoints", "a", "v1-");
+    world.runtime.advance(milliseconds(1000));
+    CHECK(world.routing.directory().usable("pool").empty());
+}
+
+TEST_CASE("history that is gone is read anew, removals included")
+{
+    sync_world world;
+    world.store.put("endpoints", "a", "v1");
+    world.store.put("endpoints", "b", "v1");
+    world.sync.start();
+    world.runtime.advance(milliseconds(10));
+    world.store.forgetful = true;
+    world.store.remove("endpoints", "a");
+    world.runtime.advance(milliseconds(1000));
+    const auto usable = world.routing.directory().usable("pool");
+    REQUIRE(usable.size() == 1);
+    CHECK(usable[0]->record().id == "b");
+}
+
+TEST_CASE("endpoints that lapsed while the store was away get two seconds to come back")
+{
+    sync_world world;
+    world.store.put("endpoints", "a", "v1");
+    world.store.put("endpoints", "b", "v1");
+    world.sync.start();
+    world.runtime.advance(milliseconds(10));
+    world.store.away = true;
+    world.runtime.advance(seconds(5));
+    world.store.remove("endpoints", "a");
+    world.store.remove("endpoints", "b");
+    world.store.away = false;
+    world.runtime.advance(milliseconds(1000));
+    CHECK(world.routing.directory().usable("pool").size() == 2);
+    world.store.put("endpoints", "a", "v1");
+    world.runtime.advance(milliseconds(3000));
+    world.routing.directory().expire(world.runtime.now());
+    const auto usable = world.routing.directory().usable("pool");
+    REQUIRE(usable.size() == 1);
+    CHECK(usable[0]->record().id == "a");
+}
+
+TEST_CASE("an outage costs few calls, and its end is noticed within a second")
+{
+    sync_world world;
+    world.store.put("orders", "contract", "1");
+    world.sync.start();
+    world.runtime.advance(milliseconds(10));
+    world.store.away = true;
+    world.runtime.advance(seconds(20));
+    world.store.away = false;
+    world.store.put("orders", "contract", "2");
+    world.runtime.advance(milliseconds(1000));
+    CHECK(world.routing.contract()->version == 2);
+}
+
+TEST_CASE("an order is carried out to its end and the operator is told")
+{
+    sync_world world;
+    world.store.put("endpoints", "a", "v1");
+    world.store.put("endpoints", "b", "v2");
+    world.store.put("orders", "pool", "v2");
+    world.sync.start();
+    world.runtime.advance(seconds(2));
+    CHECK(world.store.valueOf("status", "pool") == "trial");
+    world.runtime.advance(seconds(5));
+    CHECK(world.store.valueOf("status", "pool") == "full");
+    world.runtime.advance(seconds(4));
+    CHECK(world.store.valueOf("status", "pool") == "completed");
+    const unsigned writes = world.store.writes;
+    world.runtime.advance(seconds(30));
+    CHECK(world.store.writes == writes);
+}
+
+TEST_CASE("an entry that starts in the middle of a roll-out goes on from the row")
+{
+    sync_world world;
+    world.store.put("endpoints", "a", "v1");
+    world.store.put("endpoints", "b", "v2");
+    world.store.put("orders", "pool", "v2");
+    // The order's row has version 4 here.
+    const rollout_row row{4, "v2", rollout_stage::reverted, milliseconds(1), milliseconds(1), 0.1};
+    world.store.put("laurelcroft", "rollout/pool", encodeRollout(row));
+    world.sync.start();
+    world.runtime.advance(seconds(3));
+    const auto eligible = world.routing.rollouts("pool").eligible(
+            world.routing.directory().usable("pool"), 0);
+    REQUIRE(eligible.size() == 1);
+    CHECK(eligible[0]->record().id == "a");
+    CHECK(world.store.valueOf("status", "pool").empty());
+}
+
+TEST_CASE("entries count each other by their rows")
+{
+    sync_world world("e1");
+    world.store.put("laurelcroft", "entry/e2", "{}");
+    world.sync.start();
+    world.runtime.advance(seconds(3));
+    CHECK(world.routing.entries() == 2);
+}
--- a/utils/check.sh
+++ b/utils/check.sh
@@ -37,7 +37,7 @@
     echo "$(basename "$1"): $good passed, $bad failed"
 }
 
-for program in build/unittests/*/*-tests build/test/FaultMatrix/fault-matrix build/test/Golden/golden-tests build/test/Processes/process-tests; do
+for program in build/unittests/*/*-tests build/platform/unittests/*-tests build/test/FaultMatrix/fault-matrix build/test/Golden/golden-tests build/test/Processes/process-tests; do
     [ -x "$program" ] && count "$program"
 done
 if [ -f KNOWN-RED.txt ]; then
