The cascade eases with pressure; endpoints are chosen by expected wait; busy is not dead

Change: threshold 50 to 15 percent by the recent wait for first parts; cost of an endpoint in milliseconds, from prompts it still reads and prefixes it keeps; a request leaves an endpoint that answers others three times later.

--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -7,6 +7,7 @@
 #ifndef LAURELCROFT_FLEET_SERVICEDIRECTORY_H
 #define LAURELCROFT_FLEET_SERVICEDIRECTORY_H
 
+#include "laurelcroft/Fleet/PromptMemory.h"
 #include "laurelcroft/Support/Runtime.h"
 
 #include <cstdint>
@@ -58,6 +59,18 @@
     void began() { ++m_running; }
     void ended() { --m_running; }
 
+    /// Prompts of this process that it still reads, as time that this is thought to take.
+    double readingMs() const { return m_readingMs; }
+    void beganReading(double ms) { m_readingMs += ms; }
+    void endedReading(double ms) { m_readingMs -= ms; }
+
+    /// Prefixes that it is thought to keep.
+    prompt_memory &prompts() { return m_prompts; }
+
+    /// A part of any answer came, which shows that it works.
+    void progressed(time_point now) { m_progressedAt = now; }
+    time_point progressedAt() const { return m_progressedAt; }
+
     /// Takes a load report that came with an answer.
     void reported(const endpoint_load &load, time_point now);
 
@@ -87,6 +100,9 @@
 
     endpoint_record m_record;
     unsigned m_running = 0;
+    double m_readingMs = 0;
+    prompt_memory m_prompts;
+    time_point m_progressedAt{};
     double m_others = 0; ///< requests of other callers at the last report
     time_point m_reportedAt{};
     double m_good = 0;
--- a/include/laurelcroft/Policy/ConfidenceCascade.h
+++ b/include/laurelcroft/Policy/ConfidenceCascade.h
@@ -18,6 +18,11 @@
 {
     std::size_t firstModel = 0; ///< index into the route's models, smallest first
     int keepFrom = 50; ///< percent of confidence from which an answer is kept
+    int keepFromBusy = 15; ///< the same while endpoints are busy
+    /// Waits for a first part, as shares of the objective, up to which endpoints count as
+    /// calm, and from which as busy; the threshold moves between them.
+    double calmWait = 0.08;
+    double busyWait = 0.35;
 };
 
 /// What is known when the head of an answer comes.
@@ -27,8 +32,26 @@
     std::size_t models = 1; ///< number of models of the route
     std::optional<int> confidence; ///< percent
     bool mayRunAgain = false; ///< endpoints, budget and time allow one more run
+    double wait = 0; ///< recent mean wait for a first part, as a share of the objective
 };
 
+/// A recent mean that follows its samples within a second or two.
+class recent_wait
+{
+public:
+    /// \param share wait for a first part over the route's objective.
+    void note(double share) { m_mean += weight * (share - m_mean); }
+    double mean() const { return m_mean; }
+
+private:
+    /// At some tens of answers a second the mean follows within about a second.
+    static constexpr double weight = 0.03;
+    double m_mean = 0;
+};
+
+/// \returns the confidence from which an answer is kept, percent, at this mean wait.
+int keptFrom(const cascade_settings &settings, double wait);
+
 /// \returns the index of the first model to ask, of \p models.
 std::size_t firstModel(const cascade_settings &settings, std::size_t models);
 
--- a/include/laurelcroft/Policy/DirectChoice.h
+++ b/include/laurelcroft/Policy/DirectChoice.h
@@ -22,6 +22,7 @@
     std::string_view id;
     double load = 0; ///< requests it is thought to have, of all callers
     double slots = 1; ///< requests that run at once
+    double waitMs = 0; ///< for prompts that are read before this one, and for this one
     double failureShare = 0; ///< recent share of failures, 0 to 1
     bool sameDataCentre = true;
     bool avoided = false; ///< unreachable or full a moment ago
@@ -38,11 +39,12 @@
 struct direct_choice
 {
     std::size_t index = 0;
-    double cost = 0;
+    double cost = 0; ///< milliseconds, with what else makes a send dearer
     direct_reason reason = direct_reason::leastCost;
 };
 
-/// \param prefix hash of the longest shared prefix of the prompt; empty if there is none.
+/// \param prefix hash of the longest shared prefix of the prompt; empty if there is none. Among
+/// endpoints of like cost it decides, so that each prefix is read at few of them.
 /// \param tieBreaker spreads equal costs.
 /// \returns nothing when no candidate may be sent to.
 std::optional<direct_choice> chooseDirect(std::span<const direct_candidate> candidates,
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -51,6 +51,7 @@
     unsigned resumes = 0;
     unsigned escalations = 0;
     std::optional<int> confidence;
+    double serviceWait = 0; ///< recent mean at the service, as a share of the objective
     int status = 0;
     flow_reason reason = flow_reason::served;
     std::optional<milliseconds> firstPart; ///< from arrival to the first event or the answer
@@ -71,6 +72,14 @@
 inline constexpr double patienceForFirstEvent = 0.8;
 /// A resumable stream moves on after this part of the longest pause that is in time.
 inline constexpr double patienceForNextEvent = 0.75;
+/// An endpoint that answers none of this entry's requests for this long seems dead. Several
+/// steps of a full batch, and the reading of a long prompt between two of them.
+inline constexpr milliseconds endpointSilence{700};
+/// An endpoint that goes on with other requests is busy rather than dead: a request waits
+/// this many times longer before it moves, since moving it means reading its prompt anew.
+inline constexpr double patienceWithBusy = 3.0;
+/// How often a wait is looked at.
+inline constexpr milliseconds progressCheck{400};
 /// Told to callers that are refused: about the time in which a place becomes free.
 inline constexpr milliseconds retryAfterFull{250};
 /// Told when there is no contract or no endpoint at all: a store read and a heartbeat.
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -84,9 +84,15 @@
     void send(const endpoint_ptr &endpoint);
     call_events eventsFor(unsigned number);
     void watchProgress(unsigned number);
+    std::vector<prompt_prefix> prefixesOf(const std::string &model) const;
+    std::string modelName() const;
+    unsigned tokensToRead(service_endpoint &endpoint) const;
+    void endReading();
     milliseconds patienceNow() const;
+    bool seemsDead();
 
     void onAnswer(proxy_answer &&answer);
+    void noteWait();
     bool escalate();
     void onData(std::string_view data);
     void onEvent(const stream_event &event);
@@ -112,7 +118,9 @@
     const contract_customer *m_customer = nullptr;
     std::string m_service;
     std::uint64_t m_session = 0;
-    std::optional<std::uint64_t> m_prefix;
+    std::vector<prompt_prefix> m_prefixes; ///< of the current model, shared ones only
+    double m_readingMs = 0; ///< of the current attempt, until its first event
+    unsigned m_readTokens = 0;
     time_point m_arrivedAt{};
     time_point m_deadline{};
     timer_id m_deadlineTimer = 0;
--- a/include/laurelcroft/Proxy/RequestFlowImpl.h
+++ b/include/laurelcroft/Proxy/RequestFlowImpl.h
@@ -29,12 +29,10 @@
     m_env.routing().repeats(m_service).request(m_arrivedAt);
     m_env.routing().rollouts(m_service).arrived(m_arrivedAt);
 
-    const auto &parts = m_request->promptParts;
     m_session = stableHash(m_request->session.empty() ? m_request->id : m_request->session);
-    if (parts.size() > 1)
-        m_prefix = stableHash(parts[parts.size() - 2].id);
     if (m_request->anyModel)
         m_model = firstModel(m_env.routing().cascade(), m_route->models.size());
+    m_prefixes = prefixesOf(modelName());
     m_lastEvent = m_request->afterEvent;
 
     m_deadlineTimer = m_env.runtime().after(m_deadline - m_arrivedAt, [weak = weak_flow(this->weak_from_this())] {
@@ -88,6 +86,34 @@
     return m_route->services.back();
 }
 
+template <flow_environment Env>
+std::string request_flow<Env>::modelName() const
+{
+    const bool chosenHere = m_request->anyModel && m_model < m_route->models.size();
+    return chosenHere ? m_route->models[m_model] : m_request->model;
+}
+
+template <flow_environment Env>
+std::vector<prompt_prefix> request_flow<Env>::prefixesOf(const std::string &model) const
+{
+    std::vector<prompt_prefix> prefixes;
+    std::uint64_t hash = stableHash(model);
+    // The last part is the request's own: nobody else reads it.
+    for (std::size_t i = 0; i + 1 < m_request->promptParts.size(); ++i) {
+        const prompt_part &part = m_request->promptParts[i];
+        hash = stableHash(part.id, hash);
+        prefixes.push_back({hash, part.tokens});
+    }
+    return prefixes;
+}
+
+template <flow_environment Env>
+unsigned request_flow<Env>::tokensToRead(service_endpoint &endpoint) const
+{
+    const unsigned kept = endpoint.prompts().keptTokens(m_prefixes);
+    return m_request->promptTokens - std::min(kept, m_request->promptTokens);
+}
+
 template <flow_environment Env>
 std::optional<endpoint_ptr> request_flow<Env>::pickEndpoint()
 {
@@ -103,6 +129,8 @@
         candidate.id = endpoint->record().id;
         candidate.load = endpoint->expectedLoad(at);
         candidate.slots = std::max(1U, endpoint->record().slots);
+        candidate.waitMs = endpoint->readingMs()
+                + state.promptRate(modelName()).expectedMs(tokensToRead(*endpoint));
         candidate.failureShare = endpoint->failureShare(at);
         candidate.sameDataCentre = endpoint->record().dataCentre == state.dataCentre();
         candidate.avoided = endpoint->isAvoided(at);
@@ -110,8 +138,9 @@
         candidate.hasConnection = m_env.hasRoomAt(endpoint);
         candidates.push_back(candidate);
     }
+    const auto prefix = m_prefixes.empty() ? std::nullopt : std::optional(m_prefixes.back().hash);
     const std::optional<direct_choice> choice
-            = chooseDirect(candidates, m_prefix, state.random().bits());
+            = chooseDirect(candidates, prefix, state.random().bits());
     if (!choice)
         return std::nullopt;
     m_record.choice = textOf(choice->reason);
@@ -151,6 +180,10 @@
     m_splitter = isStream() ? std::make_unique<event_splitter>() : nullptr;
     m_endpoint = endpoint;
     m_endpoint->began();
+    m_readTokens = tokensToRead(*endpoint);
+    m_readingMs = state.promptRate(modelName()).expectedMs(m_readTokens);
+    m_endpoint->beganReading(m_readingMs);
+    m_endpoint->prompts().note(m_prefixes);
     m_tried.push_back(endpoint->record().id);
     if (m_sends > 0)
         state.repeats(m_service).repeat(m_attemptAt);
@@ -168,9 +201,9 @@
     attempt.priority = m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
     if (m_customer)
         attempt.customer = m_customer->name;
-    if (m_request->anyModel && !m_route->models.empty())
-        attempt.model = m_route->models[m_model];
-    m_record.model = attempt.model.empty() ? m_request->model : attempt.model;
+    m_record.model = modelName();
+    if (m_record.model != m_request->model)
+        attempt.model = m_record.model;
     attempt.afterEvent = m_lastEvent;
     attempt.atMostOnce = !m_route->mayRepeat();
     m_call = m_env.call(std::move(attempt), eventsFor(m_number));
@@ -202,11 +235,25 @@
     return events;
 }
 
+template <flow_environment Env>
+void request_flow<Env>::endReading()
+{
+    m_endpoint->endedReading(std::exchange(m_readingMs, 0));
+}
+
+template <flow_environment Env>
+bool request_flow<Env>::seemsDead()
+{
+    return now() - m_endpoint->progressedAt() >= flow_bounds::endpointSilence;
+}
+
 template <flow_environment Env>
 milliseconds request_flow<Env>::patienceNow() const
 {
-    const auto part = [](milliseconds whole, double share) {
-        return std::chrono::duration_cast<milliseconds>(whole * share);
+    auto &self = const_cast<request_flow &>(*this);
+    const double stretch = self.seemsDead() ? 1.0 : flow_bounds::patienceWithBusy;
+    const auto part = [stretch](milliseconds whole, double share) {
+        return std::chrono::duration_cast<milliseconds>(whole * share * stretch);
     };
     if (m_route->form == answer_form::whole)
         return part(m_route->objective, flow_bounds::patienceForWhole);
@@ -220,8 +267,10 @@
 {
     if (!m_route->mayRepeat())
         return;
+    // Whether the endpoint works on others is asked now and then: it may fall silent later.
     const auto due = m_progressAt + patienceNow();
-    const duration wait = std::max<duration>(due - now(), milliseconds(1));
+    const duration wait = std::clamp<duration>(due - now(), milliseconds(1),
+                                               flow_bounds::progressCheck);
     m_progressTimer = m_env.runtime().after(wait, [weak = weak_flow(this->weak_from_this()), number] {
         const auto self = weak.lock();
         if (!self || self->m_done || self->m_number != number || !self->m_endpoint)
@@ -248,6 +297,8 @@
 {
     m_answer = std::move(answer);
     m_answered = true;
+    endReading();
+    m_endpoint->progressed(now());
     if (m_answer.load)
         m_endpoint->reported(*m_answer.load, now());
     const bool success = m_answer.status >= 200 && m_answer.status < 300;
@@ -257,10 +308,22 @@
     }
     if (!success || m_begun)
         return;
+    noteWait();
     m_record.confidence = m_answer.confidence;
     escalate();
 }
 
+template <flow_environment Env>
+void request_flow<Env>::noteWait()
+{
+    const std::chrono::duration<double, std::milli> wait = now() - m_attemptAt;
+    const std::chrono::duration<double, std::milli> objective = m_route->objective;
+    m_env.routing().waits(m_service).note(wait / objective);
+    if (m_answered)
+        m_env.routing().promptRate(m_record.model).note(m_readTokens, wait.count());
+    m_record.serviceWait = m_env.routing().waits(m_service).mean();
+}
+
 template <flow_environment Env>
 bool request_flow<Env>::escalate()
 {
@@ -271,21 +334,25 @@
     view.model = m_model;
     view.models = m_route->models.size();
     view.confidence = m_answer.confidence;
+    view.wait = m_env.routing().waits(m_service).mean();
     view.mayRunAgain = m_route->mayRepeat() && now.endpointsLeft && now.budgetLeft && now.timeLeft;
     const std::optional<std::size_t> larger = escalatesTo(m_env.routing().cascade(), view);
     if (!larger)
         return false;
     // The answer is dropped only when another endpoint stands ready for the larger model.
     const std::vector<std::string> tried = std::exchange(m_tried, {});
+    const std::size_t smaller = std::exchange(m_model, *larger);
+    m_prefixes = prefixesOf(modelName());
     const std::optional<endpoint_ptr> endpoint = pickEndpoint();
     if (!endpoint) {
         m_tried = tried;
+        m_model = smaller;
+        m_prefixes = prefixesOf(modelName());
         return false;
     }
     closeAttempt(attempt_end::answered);
     m_env.cancel(m_call);
     m_mayHaveRun = true;
-    m_model = *larger;
     ++m_record.escalations;
     send(*endpoint);
     return true;
@@ -314,6 +381,7 @@
 void request_flow<Env>::onEvent(const stream_event &event)
 {
     m_progressAt = now();
+    m_endpoint->progressed(m_progressAt);
     if (!std::exchange(m_progressed, true)) {
         // The next pause is bounded more tightly than the wait for the first event.
         m_env.runtime().cancel(m_progressTimer);
@@ -361,6 +429,7 @@
     const std::string kind = m_route->name + "/" + m_record.model;
     const std::string &version = m_endpoint->record().softwareVersion;
     m_env.runtime().cancel(m_progressTimer);
+    endReading();
     m_endpoint->ended();
     switch (end) {
     case attempt_end::answered:
@@ -370,6 +439,8 @@
     case attempt_end::failed:
     case attempt_end::broken:
     case attempt_end::silent:
+        if (!m_answered)
+            noteWait();
         m_endpoint->failed(at);
         rollouts.observe(version, kind, std::nullopt);
         break;
@@ -500,6 +571,7 @@
     if (m_done)
         return;
     if (m_endpoint) {
+        endReading();
         m_endpoint->ended();
         m_endpoint = nullptr;
         m_env.cancel(m_call);
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -10,6 +10,7 @@
 #include "laurelcroft/Contract/ServiceContract.h"
 #include "laurelcroft/Fleet/ServiceDirectory.h"
 #include "laurelcroft/Policy/ConfidenceCascade.h"
+#include "laurelcroft/Policy/PromptRate.h"
 #include "laurelcroft/Policy/SendBudget.h"
 #include "laurelcroft/Proxy/RolloutTracker.h"
 #include "laurelcroft/Support/Random.h"
@@ -54,6 +55,12 @@
     std::map<std::string, rollout_tracker, std::less<>> &allRollouts() { return m_rollouts; }
     send_budget &repeats(std::string_view service);
 
+    /// Recent waits for first parts at endpoints of \p service.
+    recent_wait &waits(std::string_view service);
+
+    /// How fast \p model reads prompts.
+    prompt_rate &promptRate(std::string_view model);
+
     /// Entries that share the budgets, this one included.
     std::size_t entries() const { return m_entries; }
     void setEntries(std::size_t count) { m_entries = count; }
@@ -66,6 +73,8 @@
     service_directory m_directory;
     std::map<std::string, rollout_tracker, std::less<>> m_rollouts;
     std::map<std::string, send_budget, std::less<>> m_repeats;
+    std::map<std::string, recent_wait, std::less<>> m_waits;
+    std::map<std::string, prompt_rate, std::less<>> m_promptRates;
     std::size_t m_entries = 1;
 };
 
--- a/lib/Policy/ConfidenceCascade.cpp
+++ b/lib/Policy/ConfidenceCascade.cpp
@@ -1,5 +1,7 @@
 //===-- ConfidenceCascade.cpp - small model first ---------------------------===//
 //
+// A larger model's run takes several times the endpoint's time. While requests wait, that
+// time is worth more to others, so that only the most doubtful answers are asked for again.
 // A doubtful answer goes straight to the largest model: a second doubtful answer would
 // cost another wait before the first event.
 //
@@ -7,6 +9,7 @@
 #include "laurelcroft/Policy/ConfidenceCascade.h"
 
 #include <algorithm>
+#include <cmath>
 
 using namespace laurelcroft;
 
@@ -15,13 +18,21 @@
     return models == 0 ? 0 : std::min(settings.firstModel, models - 1);
 }
 
+int laurelcroft::keptFrom(const cascade_settings &settings, double wait)
+{
+    const double span = settings.busyWait - settings.calmWait;
+    const double busy = span <= 0 ? 0 : std::clamp((wait - settings.calmWait) / span, 0.0, 1.0);
+    const double range = settings.keepFromBusy - settings.keepFrom;
+    return static_cast<int>(std::lround(settings.keepFrom + busy * range));
+}
+
 std::optional<std::size_t> laurelcroft::escalatesTo(const cascade_settings &settings,
                                                     const cascade_view &view)
 {
     const bool largest = view.model + 1 >= view.models;
     if (largest || !view.mayRunAgain || !view.confidence)
         return std::nullopt;
-    if (*view.confidence >= settings.keepFrom)
+    if (*view.confidence >= keptFrom(settings, view.wait))
         return std::nullopt;
     return view.models - 1;
 }
--- a/lib/Policy/DirectChoice.cpp
+++ b/lib/Policy/DirectChoice.cpp
@@ -1,7 +1,7 @@
 //===-- DirectChoice.cpp - an endpoint without an agent ---------------------===//
 //
-// The cost of a candidate is its load over its slots, with additions for what else
-// makes a send there dearer.
+// The cost of a candidate is a wait in milliseconds, with additions for what else makes a
+// send there dearer.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Policy/DirectChoice.h"
@@ -14,15 +14,18 @@
 
 namespace {
 
-/// A send to another data centre is worth it when the own endpoints are this much fuller
-/// (in shares of their slots). Weighed by bytes between data centres against waiting.
-constexpr double otherDataCentreCost = 0.5;
-/// A failure share of one tenth weighs as much as two fifths of the slots taken.
-constexpr double failureCost = 4.0;
-/// The endpoint that keeps a prefix is taken up to this much fuller than the best one.
-constexpr double prefixWorth = 0.35;
+/// What full slots add to the wait: the steps of a full batch against those of one request,
+/// over an answer of usual length.
+constexpr double fullSlotsMs = 250;
+/// A send to another data centre is worth it when it saves this much: bytes between data
+/// centres have a price that is several percent of a request's worth.
+constexpr double otherDataCentreMs = 120;
+/// An endpoint that fails always costs as much as this wait.
+constexpr double failureMs = 1500;
+/// Endpoints whose costs differ by less are alike; then the prefix decides.
+constexpr double alikeMs = 40;
 /// An endpoint that was avoided is taken only when there is no other.
-constexpr double avoidedCost = 50.0;
+constexpr double avoidedMs = 1e6;
 
 } // namespace
 
@@ -41,12 +44,12 @@
 
 static double costOf(const direct_candidate &candidate)
 {
-    double cost = candidate.load / candidate.slots;
+    double cost = candidate.waitMs + candidate.load / candidate.slots * fullSlotsMs;
     if (!candidate.sameDataCentre)
-        cost += otherDataCentreCost;
-    cost += candidate.failureShare * failureCost;
+        cost += otherDataCentreMs;
+    cost += candidate.failureShare * failureMs;
     if (candidate.avoided)
-        cost += avoidedCost;
+        cost += avoidedMs;
     return cost;
 }
 
@@ -88,7 +91,7 @@
     if (!best || !prefix)
         return best;
     const std::optional<std::size_t> home = prefixHome(candidates, *prefix);
-    if (home && costOf(candidates[*home]) <= best->cost + prefixWorth)
+    if (home && costOf(candidates[*home]) <= best->cost + alikeMs)
         return direct_choice{*home, costOf(candidates[*home]), direct_reason::prefix};
     return best;
 }
--- /dev/null
+++ b/lib/Policy/PromptRate.cpp
@@ -0,0 +1,26 @@
+//===-- PromptRate.cpp - how fast a model reads prompts ---------------------===//
+//
+// An asymmetric running mean, which settles near a low quantile.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Policy/PromptRate.h"
+
+using namespace laurelcroft;
+
+namespace {
+
+/// Shorter prompts say more about the way there than about reading.
+constexpr unsigned leastTokens = 1500;
+constexpr double weightOfShorter = 0.1;
+constexpr double weightOfLonger = 0.01;
+
+} // namespace
+
+void prompt_rate::note(unsigned tokens, double waitMs)
+{
+    if (tokens < leastTokens)
+        return;
+    const double sample = waitMs / tokens;
+    const double weight = sample < m_msPerToken ? weightOfShorter : weightOfLonger;
+    m_msPerToken += weight * (sample - m_msPerToken);
+}
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -14,6 +14,7 @@
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 
+#include <cmath>
 #include <unordered_set>
 #include <utility>
 
@@ -186,6 +187,7 @@
              {"model", record.model},
              {"choice", record.choice},
              {"confidence", std::int64_t(record.confidence.value_or(-1))},
+             {"service_wait_percent", std::lround(record.serviceWait * 100)},
              {"attempts", std::int64_t(record.attempts)},
              {"escalations", std::int64_t(record.escalations)},
              {"resumes", std::int64_t(record.resumes)},
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -16,18 +16,31 @@
     return true;
 }
 
+/// \returns the item of \p name, made from \p arguments when first asked for.
+template <class T, class... Args>
+static T &itemOf(std::map<std::string, T, std::less<>> &items, std::string_view name,
+                 const Args &...arguments)
+{
+    const auto it = items.find(name);
+    return it != items.end() ? it->second : items.emplace(name, T(arguments...)).first->second;
+}
+
 rollout_tracker &routing_state::rollouts(std::string_view service)
 {
-    const auto it = m_rollouts.find(service);
-    if (it != m_rollouts.end())
-        return it->second;
-    return m_rollouts.emplace(service, rollout_tracker(m_bounds.rolloutExposure)).first->second;
+    return itemOf(m_rollouts, service, m_bounds.rolloutExposure);
 }
 
 send_budget &routing_state::repeats(std::string_view service)
 {
-    const auto it = m_repeats.find(service);
-    if (it != m_repeats.end())
-        return it->second;
-    return m_repeats.emplace(service, send_budget(m_bounds.repeats)).first->second;
+    return itemOf(m_repeats, service, m_bounds.repeats);
+}
+
+recent_wait &routing_state::waits(std::string_view service)
+{
+    return itemOf(m_waits, service);
+}
+
+prompt_rate &routing_state::promptRate(std::string_view model)
+{
+    return itemOf(m_promptRates, model);
 }
--- a/unittests/Policy/DirectPolicyTests.cpp
+++ b/unittests/Policy/DirectPolicyTests.cpp
@@ -178,7 +178,7 @@
     const std::size_t home = chooseDirect(candidates, 77, 1)->index;
     for (std::uint64_t tie = 0; tie < 20; ++tie)
         CHECK(chooseDirect(candidates, 77, tie)->index == home);
-    candidates[home].load = 2;
+    candidates[home].load = 1;
     CHECK(chooseDirect(candidates, 77, 1)->index == home);
     candidates[home].load = 9;
     CHECK(chooseDirect(candidates, 77, 1)->index != home);
