--- a/include/laurelcroft/Policy/ServiceRollout.h
+++ b/include/laurelcroft/Policy/ServiceRollout.h
@@ -9,6 +9,7 @@
 #define LAURELCROFT_POLICY_SERVICEROLLOUT_H
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,6 +28,7 @@
 
 /// How far a roll-out is.
 enum class rollout_stage {
+    pilot, ///< very few sessions, while none may change its version
     trial, ///< a small share of the sessions
     full, ///< everything that can move
     completed, ///< the old version may end
@@ -44,7 +46,7 @@
     rollout_stage stage = rollout_stage::trial;
     std::chrono::milliseconds startedAt{0}; ///< on the store's clock
     std::chrono::milliseconds stageSince{0}; ///< on the store's clock
-    double share = 0; ///< of the sessions, while on trial
+    double share = 0; ///< of the sessions, in pilot and trial
 };
 
 /// What this entry knows at the moment.
@@ -52,16 +54,18 @@
 {
     std::chrono::milliseconds now{0}; ///< on the store's clock
     bool targetListed = false; ///< endpoints of the target version take requests
-    bool foundBad = false; ///< by the guard of this entry
-    unsigned oldRunning = 0; ///< this entry's requests on the old version
-    double share = 0; ///< for a trial that begins now
+    bool foundBad = false; ///< by the guards of this entry
+    bool suspected = false; ///< too much speaks against it to let the old version go
+    double exposure = 0.1; ///< share of requests that the site tolerates on a bad version
+    double requestsPerSecond = 0; ///< for the service, at all entries
 };
 
-/// Share of sessions that try the new version: enough of them to judge it by, and below the
-/// exposure that the site tolerates, with room for requests that are sent again. Sessions
-/// that go on while a trial begins change their version, so it is no larger than needed.
-/// \param requestsPerSecond of the service, at all entries.
-double trialShare(double toleratedShare, double requestsPerSecond);
+/// \returns the share of sessions that \p stage sends to the new version.
+double shareOf(rollout_stage stage, const rollout_view &view);
+
+/// \returns how many of \p endpoints of the new version take the sessions of a pilot or a
+/// trial: so few that each is about as loaded as it will be at full share.
+std::size_t trialEndpoints(double share, std::size_t endpoints);
 
 /// \returns the row to write next; nothing when there is no step to take.
 std::optional<rollout_row> nextRolloutRow(const rollout_order &order,
--- a/include/laurelcroft/Policy/VersionGuard.h
+++ b/include/laurelcroft/Policy/VersionGuard.h
@@ -33,6 +33,10 @@
     /// \returns true once the version was found bad; it stays so.
     bool isStopped() const { return m_stopped; }
 
+    /// How sure it is that the version is bad: stopped from 1 / falseStop on, 1 when nothing
+    /// speaks for it.
+    double evidence() const;
+
     /// The bad share that is tolerated: the settled one's, its margin and the guard's drop.
     double toleratedBadShare() const;
 
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -25,10 +25,9 @@
 
 /// What a flow needs around it.
 template <class E>
-concept flow_environment
-        = requires(E env, proxy_attempt attempt, call_events events, call_id call,
-                   const endpoint_ptr &endpoint, const flow_record &record, int status,
-                   const http_headers &headers, std::string body)
+concept flow_environment = requires(E env, proxy_attempt attempt, call_events events, call_id call,
+                                    const endpoint_ptr &endpoint, const flow_record &record,
+                                    int status, const http_headers &headers, std::string body)
 {
     requires runtime_like<std::remove_reference_t<decltype(env.runtime())>>;
     {
@@ -101,6 +100,7 @@
     void closeAttempt(attempt_end end);
     void onDeadline(flow_reason why);
 
+    answer_timing timingNow();
     attempt_facts facts() const;
     bool isValidSuccess() const;
     void deliver();
@@ -143,6 +143,8 @@
     std::unique_ptr<event_splitter> m_splitter;
     time_point m_attemptAt{};
     time_point m_progressAt{};
+    time_point m_firstEventAt{}; ///< of the current attempt
+    std::int64_t m_attemptEvents = 0;
     bool m_progressed = false;
     bool m_done = false;
 };
--- a/include/laurelcroft/Proxy/RequestFlowImpl.h
+++ b/include/laurelcroft/Proxy/RequestFlowImpl.h
@@ -35,10 +35,11 @@
     m_prefixes = prefixesOf(modelName());
     m_lastEvent = m_request->afterEvent;
 
-    m_deadlineTimer = m_env.runtime().after(m_deadline - m_arrivedAt, [weak = weak_flow(this->weak_from_this())] {
-        if (const auto self = weak.lock())
-            self->onDeadline(flow_reason::timedOut);
-    });
+    m_deadlineTimer = m_env.runtime().after(m_deadline - m_arrivedAt,
+                                            [weak = weak_flow(this->weak_from_this())] {
+                                                if (const auto self = weak.lock())
+                                                    self->onDeadline(flow_reason::timedOut);
+                                            });
     sendNext();
 }
 
@@ -120,8 +121,8 @@
     routing_state &state = m_env.routing();
     const time_point at = now();
     state.directory().expire(at);
-    const std::vector<endpoint_ptr> endpoints = state.rollouts(m_service).eligible(
-            state.directory().usable(m_service), m_session);
+    const std::vector<endpoint_ptr> endpoints
+            = state.rollouts(m_service).eligible(state.directory().usable(m_service), m_session);
     std::vector<direct_candidate> candidates;
     candidates.reserve(endpoints.size());
     for (const endpoint_ptr &endpoint : endpoints) {
@@ -175,6 +176,7 @@
     m_attemptAt = now();
     m_progressAt = m_attemptAt;
     m_progressed = false;
+    m_attemptEvents = 0;
     m_answered = false;
     m_body.clear();
     m_splitter = isStream() ? std::make_unique<event_splitter>() : nullptr;
@@ -198,7 +200,8 @@
     attempt.request = m_request;
     attempt.endpoint = endpoint;
     attempt.remaining = timeLeft();
-    attempt.priority = m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
+    attempt.priority
+            = m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
     if (m_customer)
         attempt.customer = m_customer->name;
     m_record.model = modelName();
@@ -216,7 +219,8 @@
     const weak_flow weak = this->weak_from_this();
     const auto current = [weak, number]() -> std::shared_ptr<request_flow> {
         auto self = weak.lock();
-        const bool isCurrent = self && !self->m_done && self->m_number == number && self->m_endpoint;
+        const bool isCurrent
+                = self && !self->m_done && self->m_number == number && self->m_endpoint;
         return isCurrent ? self : nullptr;
     };
     call_events events;
@@ -269,20 +273,21 @@
         return;
     // Whether the endpoint works on others is asked now and then: it may fall silent later.
     const auto due = m_progressAt + patienceNow();
-    const duration wait = std::clamp<duration>(due - now(), milliseconds(1),
-                                               flow_bounds::progressCheck);
-    m_progressTimer = m_env.runtime().after(wait, [weak = weak_flow(this->weak_from_this()), number] {
-        const auto self = weak.lock();
-        if (!self || self->m_done || self->m_number != number || !self->m_endpoint)
-            return;
-        const bool silent = self->now() - self->m_progressAt >= self->patienceNow();
-        const attempt_facts facts = self->facts();
-        const bool mayMove = facts.endpointsLeft && facts.budgetLeft && facts.timeLeft;
-        if (silent && mayMove)
-            self->endAttempt(attempt_end::silent);
-        else if (!silent)
-            self->watchProgress(number);
-    });
+    const duration wait
+            = std::clamp<duration>(due - now(), milliseconds(1), flow_bounds::progressCheck);
+    m_progressTimer
+            = m_env.runtime().after(wait, [weak = weak_flow(this->weak_from_this()), number] {
+                  const auto self = weak.lock();
+                  if (!self || self->m_done || self->m_number != number || !self->m_endpoint)
+                      return;
+                  const bool silent = self->now() - self->m_progressAt >= self->patienceNow();
+                  const attempt_facts facts = self->facts();
+                  const bool mayMove = facts.endpointsLeft && facts.budgetLeft && facts.timeLeft;
+                  if (silent && mayMove)
+                      self->endAttempt(attempt_end::silent);
+                  else if (!silent)
+                      self->watchProgress(number);
+              });
 }
 
 template <flow_environment Env>
@@ -382,7 +387,9 @@
 {
     m_progressAt = now();
     m_endpoint->progressed(m_progressAt);
+    ++m_attemptEvents;
     if (!std::exchange(m_progressed, true)) {
+        m_firstEventAt = m_progressAt;
         // The next pause is bounded more tightly than the wait for the first event.
         m_env.runtime().cancel(m_progressTimer);
         watchProgress(m_number);
@@ -421,12 +428,21 @@
         endAttempt(attempt_end::answered);
 }
 
+template <flow_environment Env>
+answer_timing request_flow<Env>::timingNow()
+{
+    answer_timing timing;
+    timing.wait = (m_progressed ? m_firstEventAt : now()) - m_attemptAt;
+    if (m_attemptEvents > 1)
+        timing.pause = (m_progressAt - m_firstEventAt) / (m_attemptEvents - 1);
+    return timing;
+}
+
 template <flow_environment Env>
 void request_flow<Env>::closeAttempt(attempt_end end)
 {
     const time_point at = now();
     rollout_tracker &rollouts = m_env.routing().rollouts(m_service);
-    const std::string kind = m_route->name + "/" + m_record.model;
     const std::string &version = m_endpoint->record().softwareVersion;
     m_env.runtime().cancel(m_progressTimer);
     endReading();
@@ -434,7 +450,7 @@
     switch (end) {
     case attempt_end::answered:
         m_endpoint->succeeded(at);
-        rollouts.observe(version, kind, (m_progressed ? m_progressAt : at) - m_attemptAt);
+        rollouts.observe(version, m_route->name, m_record.model, timingNow());
         break;
     case attempt_end::failed:
     case attempt_end::broken:
@@ -442,7 +458,7 @@
         if (!m_answered)
             noteWait();
         m_endpoint->failed(at);
-        rollouts.observe(version, kind, std::nullopt);
+        rollouts.observe(version, m_route->name, m_record.model, std::nullopt);
         break;
     case attempt_end::refused:
         m_endpoint->full(at);
@@ -463,9 +479,10 @@
     facts.passedOn = m_begun;
     facts.resumable = m_route->resumable && (m_record.events == 0 || m_lastEvent);
     facts.mayHaveRun = m_mayHaveRun;
-    facts.endpointsLeft = m_sends < m_route->mostEndpoints && m_unreached < flow_bounds::mostUnreached;
-    facts.budgetLeft = self.m_env.routing().repeats(m_service).allows(self.now(),
-                                                                   self.m_env.routing().entries());
+    facts.endpointsLeft
+            = m_sends < m_route->mostEndpoints && m_unreached < flow_bounds::mostUnreached;
+    facts.budgetLeft = self.m_env.routing().repeats(m_service).allows(
+            self.now(), self.m_env.routing().entries());
     facts.timeLeft = self.timeLeft() >= flow_bounds::leastForAttempt;
     return facts;
 }
@@ -499,16 +516,20 @@
         return;
     case next_step::cut:
         m_env.abort();
-        finish(end == attempt_end::silent ? flow_reason::silentEndpoint : flow_reason::brokenAttempt, 0);
+        finish(end == attempt_end::silent ? flow_reason::silentEndpoint
+                                          : flow_reason::brokenAttempt,
+               0);
         return;
     case next_step::fail:
         refuse(http_status::badGateway,
-               end == attempt_end::silent ? flow_reason::silentEndpoint : flow_reason::brokenAttempt,
+               end == attempt_end::silent ? flow_reason::silentEndpoint
+                                          : flow_reason::brokenAttempt,
                std::nullopt);
         return;
     case next_step::refuse:
         refuse(http_status::unavailable,
-               end == attempt_end::refused ? flow_reason::refusedByEndpoints : flow_reason::noEndpoint,
+               end == attempt_end::refused ? flow_reason::refusedByEndpoints
+                                           : flow_reason::noEndpoint,
                flow_bounds::retryAfterFull);
         return;
     }
--- a/include/laurelcroft/Proxy/RolloutRows.h
+++ b/include/laurelcroft/Proxy/RolloutRows.h
@@ -9,26 +9,59 @@
 #include "laurelcroft/Policy/ServiceRollout.h"
 #include "laurelcroft/Support/Outcome.h"
 
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 
 namespace laurelcroft {
 
+/// Answers of a version under roll-out.
+struct version_answers
+{
+    std::uint64_t good = 0;
+    std::uint64_t bad = 0;
+    bool operator==(const version_answers &) const = default;
+};
+
+/// What one entry has seen of a version under roll-out.
+struct rollout_evidence
+{
+    std::uint64_t orderedAt = 0; ///< as in the order
+    std::map<std::string, version_answers> byRoute;
+    bool operator==(const rollout_evidence &) const = default;
+
+    std::uint64_t bad() const;
+};
+
 /// The table of laurelcroft's own rows.
 inline constexpr std::string_view ownTable = "laurelcroft";
 
 std::string rolloutKey(std::string_view service);
 std::string entryKey(std::string_view entry);
+std::string evidenceKey(std::string_view entry, std::string_view service);
 
 /// \returns the service of a roll-out's key; nothing for other keys.
 std::optional<std::string> serviceOfKey(std::string_view key);
 /// \returns the entry of an entry's key; nothing for other keys.
 std::optional<std::string> entryOfKey(std::string_view key);
 
+/// Whose evidence a row holds.
+struct evidence_place
+{
+    std::string entry;
+    std::string service;
+};
+/// \returns the place of an evidence row's key; nothing for other keys.
+std::optional<evidence_place> evidenceOfKey(std::string_view key);
+
 std::string encodeRollout(const rollout_row &row);
 outcome<rollout_row, std::string> decodeRollout(const std::string &value);
 
+std::string encodeEvidence(const rollout_evidence &evidence);
+outcome<rollout_evidence, std::string> decodeEvidence(const std::string &value);
+
 } // namespace laurelcroft
 
 #endif
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -62,6 +62,9 @@
     static constexpr milliseconds stepEvery{200};
     static constexpr double stepChance = 0.5;
     static constexpr milliseconds announceRetry{1500};
+    /// Least time between two rows of evidence; it is written only when it tells of more bad
+    /// answers.
+    static constexpr milliseconds evidencePause{500};
 
     /// \param onContract is called when another contract is in force.
     store_sync(Store &store, Runtime &runtime, routing_state &state, metric_registry &metrics,
@@ -84,6 +87,8 @@
     void announce();
     void step();
     void write(const std::string &service, const rollout_order &order, const rollout_row &row);
+    bool tellEvidence(const std::string &service, const rollout_tracker &tracker);
+    void takeOwnRow(const store_row &row);
 
     Store &m_store;
     Runtime &m_runtime;
@@ -95,7 +100,9 @@
     std::vector<std::unique_ptr<follower>> m_followers;
     std::map<std::string, std::uint64_t> m_rowVersions; ///< of roll-out rows, by service
     std::map<std::string, bool> m_entries;
+    std::map<std::string, rollout_evidence> m_told; ///< by service
     bool m_writing = false;
+    time_point m_toldAt{};
     bool m_timeKnown = false;
     milliseconds m_storeTime{0};
     time_point m_storeTimeAt{};
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -6,6 +6,8 @@
 #ifndef LAURELCROFT_PROXY_STORESYNCIMPL_H
 #define LAURELCROFT_PROXY_STORESYNCIMPL_H
 
+#include <cmath>
+
 namespace laurelcroft {
 
 template <row_store_like Store, runtime_like Runtime>
@@ -25,8 +27,7 @@
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::start()
 {
-    m_followers.push_back(
-            follow(m_codec.endpointTable, endpointPace, &store_sync::applyEndpoints));
+    m_followers.push_back(follow(m_codec.endpointTable, endpointPace, &store_sync::applyEndpoints));
     m_followers.push_back(follow(m_codec.operatorTable, operatorPace, &store_sync::applyOperator));
     m_followers.push_back(follow(std::string(ownTable), ownPace, &store_sync::applyOwn));
     for (const auto &item : m_followers)
@@ -113,8 +114,7 @@
     const std::uint64_t version = contract.value().version;
     const auto taken = std::make_shared<const service_contract>(std::move(contract.value()));
     if (!m_state.setContract(taken)) {
-        logInfo(log_part::bundle, "contract is not newer",
-                {{"contract", std::int64_t(version)}});
+        logInfo(log_part::bundle, "contract is not newer", {{"contract", std::int64_t(version)}});
         return;
     }
     m_metrics.set("contract_version", static_cast<double>(version));
@@ -193,33 +193,76 @@
 {
     if (whole)
         m_entries.clear();
-    for (const store_row &row : batch.rows) {
-        if (const std::optional<std::string> entry = entryOfKey(row.key)) {
-            if (row.removed)
-                m_entries.erase(*entry);
-            else
-                m_entries[*entry] = true;
-        }
-        const std::optional<std::string> service = serviceOfKey(row.key);
-        if (!service)
-            continue;
-        m_rowVersions[*service] = row.removed ? 0 : row.version;
+    for (const store_row &row : batch.rows)
+        takeOwnRow(row);
+    m_state.setEntries(std::max<std::size_t>(1, m_entries.size()));
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::takeOwnRow(const store_row &row)
+{
+    if (const std::optional<std::string> entry = entryOfKey(row.key)) {
         if (row.removed)
-            continue;
-        const outcome<rollout_row, std::string> value = decodeRollout(row.value);
-        if (!value) {
-            logWarning(log_part::bundle, "roll-out row refused",
-                       {{"service", *service}, {"fault", value.error()}});
-            continue;
-        }
-        m_state.rollouts(*service).setRow(value.value());
-        logInfo(log_part::bundle, "roll-out stage",
-                {{"service", *service},
-                 {"target", value.value().targetVersion},
-                 {"stage", textOf(value.value().stage)},
-                 {"row_version", std::int64_t(row.version)}});
+            m_entries.erase(*entry);
+        else
+            m_entries[*entry] = true;
+        return;
     }
-    m_state.setEntries(std::max<std::size_t>(1, m_entries.size()));
+    if (const std::optional<evidence_place> place = evidenceOfKey(row.key)) {
+        const auto evidence = decodeEvidence(row.value);
+        if (!evidence)
+            logWarning(log_part::bundle, "evidence refused",
+                       {{"entry", place->entry}, {"fault", evidence.error()}});
+        else if (place->entry != m_entryName)
+            m_state.rollouts(place->service).takeEvidence(place->entry, evidence.value());
+        return;
+    }
+    const std::optional<std::string> service = serviceOfKey(row.key);
+    if (!service)
+        return;
+    m_rowVersions[*service] = row.removed ? 0 : row.version;
+    if (row.removed)
+        return;
+    const outcome<rollout_row, std::string> value = decodeRollout(row.value);
+    if (!value) {
+        logWarning(log_part::bundle, "roll-out row refused",
+                   {{"service", *service}, {"fault", value.error()}});
+        return;
+    }
+    m_state.rollouts(*service).setRow(value.value());
+    logInfo(log_part::bundle, "roll-out stage",
+            {{"service", *service},
+             {"target", value.value().targetVersion},
+             {"stage", textOf(value.value().stage)},
+             {"share_permille", std::lround(value.value().share * 1000)},
+             {"row_version", std::int64_t(row.version)}});
+}
+
+template <row_store_like Store, runtime_like Runtime>
+bool store_sync<Store, Runtime>::tellEvidence(const std::string &service,
+                                              const rollout_tracker &tracker)
+{
+    const rollout_evidence &own = tracker.ownEvidence();
+    const rollout_evidence &told = m_told[service];
+    const bool sameOrder = told.orderedAt == own.orderedAt;
+    const bool news = own.bad() > (sameOrder ? told.bad() : 0);
+    if (!news || m_runtime.now() - m_toldAt < evidencePause)
+        return false;
+    m_writing = true;
+    m_toldAt = m_runtime.now();
+    m_told[service] = own;
+    const row_write row{std::string(ownTable), evidenceKey(m_entryName, service),
+                        encodeEvidence(own), std::nullopt};
+    m_store.write({row}, [this, service](outcome<write_status, row_failure> result) {
+        m_writing = false;
+        if (result)
+            return;
+        // The next bad answer, or the next look, tells it again.
+        m_told.erase(service);
+        logWarning(log_part::platform, "evidence not written",
+                   {{"service", service}, {"why", textOf(result.error())}});
+    });
+    return true;
 }
 
 template <row_store_like Store, runtime_like Runtime>
@@ -242,9 +285,11 @@
     if (m_writing || !m_timeKnown)
         return;
     for (auto &[service, tracker] : m_state.allRollouts()) {
-        const std::optional<rollout_row> next
-                = tracker.nextRow(storeNow(), m_state.directory().usable(service),
-                                  m_state.entries());
+        const std::optional<rollout_row> next = tracker.nextRow(
+                storeNow(), m_state.directory().usable(service), m_state.entries());
+        const bool underWay = tracker.order() && tracker.row() && !tracker.isOver();
+        if (!next && underWay && tellEvidence(service, tracker))
+            return;
         if (!next || !m_state.random().chance(stepChance))
             continue;
         write(service, *tracker.order(), *next);
--- a/lib/Contract/ServiceContract.cpp
+++ b/lib/Contract/ServiceContract.cpp
@@ -30,8 +30,9 @@
 
 const service_description *service_contract::findService(std::string_view name) const
 {
-    const auto it = std::find_if(services.begin(), services.end(),
-                                 [&](const service_description &item) { return item.name == name; });
+    const auto it
+            = std::find_if(services.begin(), services.end(),
+                           [&](const service_description &item) { return item.name == name; });
     return it == services.end() ? nullptr : &*it;
 }
 
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -29,7 +29,8 @@
 
 static double faded(duration age, duration halfLife)
 {
-    const double halves = std::chrono::duration<double>(age) / std::chrono::duration<double>(halfLife);
+    const double halves
+            = std::chrono::duration<double>(age) / std::chrono::duration<double>(halfLife);
     return std::exp2(-std::max(0.0, halves));
 }
 
--- a/lib/Http/Parser.cpp
+++ b/lib/Http/Parser.cpp
@@ -117,7 +117,8 @@
     else
         head.status = static_cast<int>(parser->status_code);
     head.keepAlive = http_should_keep_alive(parser) != 0;
-    head.endsWithConnection = self.which == side::answers && !self.noBody && endsWithConnection(*parser);
+    head.endsWithConnection
+            = self.which == side::answers && !self.noBody && endsWithConnection(*parser);
     head.oldProtocol = parser->http_major == 1 && parser->http_minor == 0;
     // An interim answer announces the real one and is not passed on.
     const bool interim = head.status >= 100 && head.status < 200;
--- a/lib/Policy/DirectChoice.cpp
+++ b/lib/Policy/DirectChoice.cpp
@@ -85,7 +85,8 @@
         const std::uint64_t tie = stableHash(candidates[i].id, tieBreaker);
         if (best && (cost > best->cost || (cost == best->cost && tie < bestTie)))
             continue;
-        best = {i, cost, candidates[i].avoided ? direct_reason::lastResort : direct_reason::leastCost};
+        best = {i, cost,
+                candidates[i].avoided ? direct_reason::lastResort : direct_reason::leastCost};
         bestTie = tie;
     }
     if (!best || !prefix)
--- a/lib/Policy/ServiceRollout.cpp
+++ b/lib/Policy/ServiceRollout.cpp
@@ -1,13 +1,16 @@
 //===-- ServiceRollout.cpp - a service's move to a version ------------------===//
 //
-// The share stays small until most of the window has shown the version good: sessions
-// must not change their version early, and a version may turn bad late.
+// A session that goes on while a stage begins changes its version, which it must not in the
+// first half of the window: the pilot is tiny. A version can be bad only under load, for one
+// route, or late, and full share is the first sure test of that: it comes so late that even
+// a version whose faults nobody sees stays within the tolerated exposure.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Policy/ServiceRollout.h"
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -15,20 +18,29 @@
 
 namespace {
 
-/// Part of the window that a trial lasts. Above a half, so that sessions move only in the
-/// second half; early enough that old requests end before the deadline.
-constexpr double trialPart = 0.58;
-/// Part of the window after which the old version is let go although requests run on it.
-constexpr double latestPart = 0.88;
-/// Shortest time at full share before the old version may end: its last requests' length.
-constexpr std::chrono::milliseconds settling{2500};
-/// Requests a second, of all entries, that a trial is judged by: a version of which a third
-/// fails is found bad within some seconds, before fifty of its answers were bad.
-constexpr double trialRequestsPerSecond = 5;
-/// Part of the tolerated exposure that a trial uses.
-constexpr double usedExposure = 0.55;
+/// Requests a second, of all entries, that a pilot gets: of sessions that straddle its
+/// beginning, this leaves less than one in most roll-outs.
+constexpr double pilotRequestsPerSecond = 1.5;
+/// The same for a trial: a version of which a third fails is found bad within some seconds,
+/// before fifty of its answers were bad.
+constexpr double trialRequestsPerSecond = 6;
+/// Largest part of the tolerated exposure that a trial uses.
+constexpr double usedByTrial = 0.5;
+/// Part of the tolerated exposure that trial and full share use together when nothing is
+/// found; the rest is for a rate that rises towards the end.
+constexpr double usedExposure = 0.88;
+/// A trial begins just after the first half of the window.
+constexpr double pilotPart = 0.51;
+/// Full share never begins earlier.
+constexpr double earliestFull = 0.56;
+/// The old version is let go this long before the deadline: a step, a slow write, and the
+/// time between the order and its first row.
+constexpr std::chrono::duration<double> beforeDeadline{1.0};
+/// Shortest time at full share before that, so that faults under full load show.
+constexpr std::chrono::duration<double> leastFull{1.2};
 
-constexpr std::array<std::pair<rollout_stage, std::string_view>, 4> stageNames = {{
+constexpr std::array<std::pair<rollout_stage, std::string_view>, 5> stageNames = {{
+        {rollout_stage::pilot, "pilot"},
         {rollout_stage::trial, "trial"},
         {rollout_stage::full, "full"},
         {rollout_stage::completed, "completed"},
@@ -55,18 +67,38 @@
     return std::nullopt;
 }
 
-double laurelcroft::trialShare(double toleratedShare, double requestsPerSecond)
+double laurelcroft::shareOf(rollout_stage stage, const rollout_view &view)
 {
-    const double most = toleratedShare * usedExposure;
-    if (requestsPerSecond <= 0)
-        return most;
-    return std::min(most, trialRequestsPerSecond / requestsPerSecond);
+    const double most = view.exposure * usedByTrial;
+    const double wanted
+            = stage == rollout_stage::pilot ? pilotRequestsPerSecond : trialRequestsPerSecond;
+    if (stage == rollout_stage::full || stage == rollout_stage::completed)
+        return 1;
+    if (stage == rollout_stage::reverted)
+        return 0;
+    return view.requestsPerSecond <= 0 ? most : std::min(most, wanted / view.requestsPerSecond);
 }
 
-static rollout_row moved(rollout_row row, rollout_stage stage, std::chrono::milliseconds now)
+std::size_t laurelcroft::trialEndpoints(double share, std::size_t endpoints)
+{
+    const auto part = static_cast<std::size_t>(std::lround(share * static_cast<double>(endpoints)));
+    return std::min(endpoints, std::max<std::size_t>(1, part));
+}
+
+/// \returns when, from the order on, full share begins for a trial of \p share.
+static std::chrono::duration<double> fullFrom(std::chrono::duration<double> window, double share,
+                                              double exposure)
+{
+    const double part = (1 - usedExposure * exposure) / (1 - std::min(share, exposure));
+    const auto latest = window - beforeDeadline - leastFull;
+    return std::max(window * earliestFull, std::min(window * part, latest));
+}
+
+static rollout_row moved(rollout_row row, rollout_stage stage, const rollout_view &view)
 {
     row.stage = stage;
-    row.stageSince = now;
+    row.stageSince = view.now;
+    row.share = shareOf(stage, view);
     return row;
 }
 
@@ -74,25 +106,37 @@
                                                        const std::optional<rollout_row> &row,
                                                        const rollout_view &view)
 {
-    if (!row || row->orderedAt != order.orderedAt)
-        return rollout_row{order.orderedAt, order.targetVersion, rollout_stage::trial, view.now,
-                           view.now, view.share};
+    if (!row || row->orderedAt != order.orderedAt) {
+        const rollout_row first{
+                order.orderedAt, order.targetVersion, rollout_stage::pilot, view.now, view.now, 0};
+        return moved(first, rollout_stage::pilot, view);
+    }
     if (row->stage == rollout_stage::completed || row->stage == rollout_stage::reverted)
         return std::nullopt;
     if (view.foundBad)
-        return moved(*row, rollout_stage::reverted, view.now);
+        return moved(*row, rollout_stage::reverted, view);
+    if (!view.targetListed)
+        return std::nullopt;
 
     const std::chrono::duration<double> window = order.window;
     const std::chrono::duration<double> elapsed = view.now - row->startedAt;
-    if (row->stage == rollout_stage::trial) {
-        const bool due = elapsed >= window * trialPart && view.targetListed;
-        return due ? std::optional(moved(*row, rollout_stage::full, view.now)) : std::nullopt;
+    const std::chrono::duration<double> inStage = view.now - row->stageSince;
+    switch (row->stage) {
+    case rollout_stage::pilot:
+        if (elapsed >= window * pilotPart)
+            return moved(*row, rollout_stage::trial, view);
+        break;
+    case rollout_stage::trial:
+        if (elapsed >= fullFrom(window, row->share, view.exposure))
+            return moved(*row, rollout_stage::full, view);
+        break;
+    default:
+        // The step can't be taken back: in doubt the new version goes.
+        if (elapsed >= window - beforeDeadline && inStage >= leastFull / 2)
+            return moved(*row, view.suspected ? rollout_stage::reverted : rollout_stage::completed,
+                         view);
+        break;
     }
-    const bool settled = view.now - row->stageSince >= settling;
-    const bool idle = view.oldRunning == 0;
-    const bool late = elapsed >= window * latestPart;
-    if (settled && view.targetListed && (idle || late))
-        return moved(*row, rollout_stage::completed, view.now);
     return std::nullopt;
 }
 
@@ -104,6 +148,7 @@
         return true;
     case rollout_stage::reverted:
         return false;
+    case rollout_stage::pilot:
     case rollout_stage::trial:
         break;
     }
--- a/lib/Policy/VersionGuard.cpp
+++ b/lib/Policy/VersionGuard.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 using namespace laurelcroft;
 
@@ -38,20 +39,23 @@
     return std::min(highestTolerated, share + 2 * deviation + m_bounds.worseBy / 2);
 }
 
+double version_guard::evidence() const
+{
+    return std::accumulate(m_wealth.begin(), m_wealth.end(), 0.0);
+}
+
 void version_guard::step(bool bad)
 {
     m_steps += 1;
     const double tolerated = toleratedBadShare();
     const auto number = static_cast<double>(m_steps);
     const double fresh = 1.0 / (number * (number + 1.0)) / static_cast<double>(bets);
-    double total = 0;
     for (std::size_t i = 0; i < bets; ++i) {
         const double bet = betShares[i] / tolerated;
         const double factor = 1.0 + bet * ((bad ? 1.0 : 0.0) - tolerated);
         m_wealth[i] = (m_wealth[i] + fresh) * factor;
-        total += m_wealth[i];
     }
-    if (total >= 1.0 / m_bounds.falseStop)
+    if (evidence() >= 1.0 / m_bounds.falseStop)
         m_stopped = true;
 }
 
--- a/lib/Proxy/CallerServer.cpp
+++ b/lib/Proxy/CallerServer.cpp
@@ -131,7 +131,8 @@
     , parser(message_parser::side::requests,
              {[this](message_head &&parsed) { head = std::move(parsed); },
               [this](std::string_view data) {
-                  bodyTooLarge = bodyTooLarge || body.size() + data.size() > server->bounds.maxBodyBytes;
+                  bodyTooLarge
+                          = bodyTooLarge || body.size() + data.size() > server->bounds.maxBodyBytes;
                   if (!bodyTooLarge)
                       body.append(data);
               }},
@@ -177,21 +178,21 @@
     if (reading || closed)
         return;
     reading = true;
-    socket.async_read_some(asio::buffer(in), [self = shared_from_this()](
-                                                     const asio::error_code &error,
-                                                     std::size_t size) {
-        self->reading = false;
-        if (self->closed)
-            return;
-        if (error) {
-            self->onPeerEnd();
-            return;
-        }
-        self->onBytes(std::string_view(self->in.data(), size));
-        const bool wantsMore = !self->answering || self->pending.size() < mostPipelined;
-        if (wantsMore)
-            self->read();
-    });
+    socket.async_read_some(
+            asio::buffer(in),
+            [self = shared_from_this()](const asio::error_code &error, std::size_t size) {
+                self->reading = false;
+                if (self->closed)
+                    return;
+                if (error) {
+                    self->onPeerEnd();
+                    return;
+                }
+                self->onBytes(std::string_view(self->in.data(), size));
+                const bool wantsMore = !self->answering || self->pending.size() < mostPipelined;
+                if (wantsMore)
+                    self->read();
+            });
 }
 
 void caller_exchange::state::onBytes(std::string_view bytes)
@@ -387,8 +388,8 @@
     } else {
         constexpr int hexadecimal = 16;
         std::array<char, 16> size{};
-        const auto end = std::to_chars(size.data(), size.data() + size.size(), piece.size(),
-                                       hexadecimal);
+        const auto end
+                = std::to_chars(size.data(), size.data() + size.size(), piece.size(), hexadecimal);
         m_state->out.append(size.data(), end.ptr);
         m_state->out += "\r\n";
         m_state->out += piece;
@@ -418,22 +419,22 @@
 
 void caller_server::state::accept()
 {
-    acceptor.async_accept([self = shared_from_this()](const asio::error_code &error,
-                                                      tcp::socket socket) {
-        if (self->ended || error == asio::error::operation_aborted)
-            return;
-        if (error) {
-            self->pause.expires_after(acceptPause);
-            self->pause.async_wait([self](const asio::error_code &) {
-                if (!self->ended)
-                    self->accept();
+    acceptor.async_accept(
+            [self = shared_from_this()](const asio::error_code &error, tcp::socket socket) {
+                if (self->ended || error == asio::error::operation_aborted)
+                    return;
+                if (error) {
+                    self->pause.expires_after(acceptPause);
+                    self->pause.async_wait([self](const asio::error_code &) {
+                        if (!self->ended)
+                            self->accept();
+                    });
+                    return;
+                }
+                if (self->connections.size() < self->bounds.mostConnections)
+                    std::make_shared<caller_exchange::state>(self, std::move(socket))->start();
+                self->accept();
             });
-            return;
-        }
-        if (self->connections.size() < self->bounds.mostConnections)
-            std::make_shared<caller_exchange::state>(self, std::move(socket))->start();
-        self->accept();
-    });
 }
 
 caller_server::caller_server(asio::io_context &context, caller_handler handler)
--- a/lib/Proxy/EndpointCaller.cpp
+++ b/lib/Proxy/EndpointCaller.cpp
@@ -55,7 +55,7 @@
 {
     const time_point now = bootNow();
     while (!from.idle.empty()) {
-        const std::shared_ptr<endpoint_connection> last = from.idle.back();
+        std::shared_ptr<endpoint_connection> last = from.idle.back();
         const duration age = now - last->idleSince();
         if (atMostOnce && age > surelyAlive)
             return nullptr;
@@ -91,7 +91,7 @@
     ++opened;
     // The connection outlives neither callback: both are dropped when it closes.
     const auto self = std::make_shared<std::weak_ptr<endpoint_connection>>();
-    const auto connection = std::make_shared<endpoint_connection>(
+    auto connection = std::make_shared<endpoint_connection>(
             context, dialect, [this, id, self] { returned(id, *self); },
             [this, id] { closed(id); });
     *self = connection;
@@ -125,8 +125,7 @@
         inner(end);
     };
     events.onEnd = std::move(onEnd);
-    std::shared_ptr<endpoint_connection> connection
-            = m_state->takeIdle(pool, attempt.atMostOnce);
+    std::shared_ptr<endpoint_connection> connection = m_state->takeIdle(pool, attempt.atMostOnce);
     if (connection) {
         m_state->calls.emplace(number, connection);
         connection->send(attempt, std::move(events));
--- a/lib/Proxy/EndpointConnection.cpp
+++ b/lib/Proxy/EndpointConnection.cpp
@@ -79,24 +79,24 @@
     });
     if (error)
         return;
-    m_socket.async_connect({address, endpoint.port}, [self = shared_from_this()](
-                                                             const asio::error_code &failed) {
-        if (self->m_closed)
-            return;
-        self->m_connectTimer.cancel();
-        if (failed) {
-            self->end(call_end::notSent);
-            return;
-        }
-        self->m_connected = true;
-        asio::error_code ignored;
-        self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        self->m_socket.non_blocking(true, ignored);
-        ::setsockopt(self->m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-                     &unacknowledgedMs, sizeof(unacknowledgedMs));
-        self->write();
-        self->read();
-    });
+    m_socket.async_connect(
+            {address, endpoint.port}, [self = shared_from_this()](const asio::error_code &failed) {
+                if (self->m_closed)
+                    return;
+                self->m_connectTimer.cancel();
+                if (failed) {
+                    self->end(call_end::notSent);
+                    return;
+                }
+                self->m_connected = true;
+                asio::error_code ignored;
+                self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+                self->m_socket.non_blocking(true, ignored);
+                ::setsockopt(self->m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                             &unacknowledgedMs, sizeof(unacknowledgedMs));
+                self->write();
+                self->read();
+            });
 }
 
 void endpoint_connection::send(const proxy_attempt &attempt, call_events events)
@@ -108,9 +108,8 @@
 void endpoint_connection::write()
 {
     asio::error_code error;
-    const auto rest = [this] {
-        return asio::buffer(m_out.data() + m_outDone, m_out.size() - m_outDone);
-    };
+    const auto rest
+            = [this] { return asio::buffer(m_out.data() + m_outDone, m_out.size() - m_outDone); };
     m_outDone += m_socket.write_some(rest(), error);
     if (error && error != asio::error::would_block) {
         // The reader sees what came before the connection broke; it ends the call.
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -115,11 +115,9 @@
                 [this](message_head &&head, std::string &&, caller_exchange exchange) {
                     onReadyCheck(head, exchange);
                 })
-    , metricsServer(context,
-                    [&metrics](message_head &&, std::string &&, caller_exchange exchange) {
-                        exchange.reply(http_status::ok, {{"Content-Type", "text/plain"}},
-                                       metrics.prometheusText());
-                    })
+    , metricsServer(context, [&metrics](message_head &&, std::string &&, caller_exchange exchange) {
+        exchange.reply(http_status::ok, {{"Content-Type", "text/plain"}}, metrics.prometheusText());
+    })
 {
 }
 
--- a/lib/Proxy/RolloutRows.cpp
+++ b/lib/Proxy/RolloutRows.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::string_view rolloutPrefix = "rollout/";
 constexpr std::string_view entryPrefix = "entry/";
+constexpr std::string_view evidencePrefix = "evidence/";
 
 } // namespace
 
@@ -33,6 +34,28 @@
     return std::string(entryPrefix) + std::string(entry);
 }
 
+std::string laurelcroft::evidenceKey(std::string_view entry, std::string_view service)
+{
+    return std::string(evidencePrefix) + std::string(entry) + "/" + std::string(service);
+}
+
+std::uint64_t rollout_evidence::bad() const
+{
+    std::uint64_t total = 0;
+    for (const auto &[route, seen] : byRoute)
+        total += seen.bad;
+    return total;
+}
+
+std::optional<evidence_place> laurelcroft::evidenceOfKey(std::string_view key)
+{
+    const std::optional<std::string> rest = afterPrefix(key, evidencePrefix);
+    const std::size_t slash = rest ? rest->find('/') : std::string::npos;
+    if (slash == std::string::npos)
+        return std::nullopt;
+    return evidence_place{rest->substr(0, slash), rest->substr(slash + 1)};
+}
+
 std::optional<std::string> laurelcroft::serviceOfKey(std::string_view key)
 {
     return afterPrefix(key, rolloutPrefix);
@@ -74,3 +97,27 @@
         return failure(std::string(error.what()));
     }
 }
+
+std::string laurelcroft::encodeEvidence(const rollout_evidence &evidence)
+{
+    nlohmann::json routes = nlohmann::json::object();
+    for (const auto &[route, seen] : evidence.byRoute)
+        routes[route] = {{"good", seen.good}, {"bad", seen.bad}};
+    return nlohmann::json{{"ordered_at", evidence.orderedAt}, {"routes", routes}}.dump();
+}
+
+outcome<rollout_evidence, std::string> laurelcroft::decodeEvidence(const std::string &value)
+{
+    try {
+        const nlohmann::json json = nlohmann::json::parse(value);
+        rollout_evidence evidence;
+        evidence.orderedAt = json.at("ordered_at").get<std::uint64_t>();
+        for (const auto &[route, seen] : json.at("routes").items()) {
+            evidence.byRoute[route]
+                    = {seen.at("good").get<std::uint64_t>(), seen.at("bad").get<std::uint64_t>()};
+        }
+        return evidence;
+    } catch (const nlohmann::json::exception &error) {
+        return failure(std::string(error.what()));
+    }
+}
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -5,15 +5,23 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/RolloutTracker.h"
 
+#include "laurelcroft/Support/Crypto.h"
+
 #include <algorithm>
+#include <cstddef>
 
 using namespace laurelcroft;
 
 namespace {
 
-/// Drop of the good share that makes a version bad, and the probability of stopping a good
-/// one. A wrong stop costs one roll-out, a late one many bad answers.
-constexpr rollout_guard guardBounds{0.08, 0.004, 0};
+/// Drop of the good share that makes a version bad, and the probability, for each guard, of
+/// stopping a good one. A wrong stop costs one roll-out, a late one many bad answers.
+constexpr rollout_guard guardBounds{0.08, 0.002, 0};
+/// Evidence from which the old version is not let go. A good version seldom has it: half a
+/// percent of what stops one.
+constexpr double doubtfulEvidence = 5;
+/// Name of the guard over all routes; no route has it.
+constexpr std::string_view allRoutes = "*";
 /// An answer counts as bad when its first part takes this many times the settled mean.
 constexpr double slowFactor = 3.0;
 /// Answers of a kind from which its mean is known.
@@ -27,8 +35,11 @@
 {
     const bool isNew = !m_order || m_order->orderedAt != order.orderedAt;
     m_order = order;
-    if (isNew)
-        m_guard.emplace(guardBounds);
+    if (isNew) {
+        m_guards.clear();
+        m_own = {order.orderedAt, {}};
+        m_others.clear();
+    }
 }
 
 void rollout_tracker::setRow(const rollout_row &row)
@@ -38,6 +49,14 @@
         m_row = row;
 }
 
+bool rollout_tracker::isOver() const
+{
+    const bool ended = m_row
+            && (m_row->stage == rollout_stage::completed
+                || m_row->stage == rollout_stage::reverted);
+    return isCurrent() && ended;
+}
+
 bool rollout_tracker::wantsTarget(std::uint64_t session) const
 {
     return isCurrent() && startsOnTarget(m_row->stage, m_row->share, session);
@@ -58,9 +77,9 @@
     if (counts.empty() || counts.count(m_settled) != 0)
         return m_settled;
     // Nothing of the version in force is left: the most frequent one takes its place.
-    const auto most = std::max_element(counts.begin(), counts.end(), [](const auto &a, const auto &b) {
-        return a.second < b.second;
-    });
+    const auto most
+            = std::max_element(counts.begin(), counts.end(),
+                               [](const auto &a, const auto &b) { return a.second < b.second; });
     m_settled = most->first;
     return m_settled;
 }
@@ -84,16 +103,16 @@
     }
     if (!wantsTarget(session))
         return onOld;
-    return onTarget.empty() ? onOld : onTarget;
+    if (onTarget.empty())
+        return onOld;
+    keepTrialEndpoints(onTarget);
+    return onTarget;
 }
 
-bool rollout_tracker::isSlow(std::string_view kind, duration wait, bool onTarget)
+bool rollout_tracker::isSlow(const std::string &kind, duration time, bool onTarget)
 {
-    const double value = std::chrono::duration<double, std::milli>(wait).count();
-    auto it = m_waits.find(kind);
-    if (it == m_waits.end())
-        it = m_waits.emplace(std::string(kind), wait_mean()).first;
-    wait_mean &mean = it->second;
+    const double value = std::chrono::duration<double, std::milli>(time).count();
+    time_mean &mean = m_times[kind];
     const bool slow = mean.count >= answersForMean && value > slowFactor * mean.milliseconds;
     if (!onTarget) {
         ++mean.count;
@@ -103,35 +122,93 @@
     return slow;
 }
 
-void rollout_tracker::observe(std::string_view version, std::string_view kind,
-                              std::optional<duration> wait)
+void rollout_tracker::keepTrialEndpoints(std::vector<endpoint_ptr> &onTarget) const
 {
-    const bool onTarget = m_order && version == m_order->targetVersion;
-    const bool bad = !wait || isSlow(kind, *wait, onTarget);
-    if (!m_guard)
+    const bool few = m_row->stage == rollout_stage::pilot || m_row->stage == rollout_stage::trial;
+    if (!few)
         return;
+    const std::size_t count = trialEndpoints(m_row->share, onTarget.size());
+    // Ranked by a hash of the id, so that all entries keep the same ones.
+    const auto ranksBefore = [](const endpoint_ptr &a, const endpoint_ptr &b) {
+        return stableHash(a->record().id) < stableHash(b->record().id);
+    };
+    const auto end = onTarget.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(onTarget.begin(), end, onTarget.end(), ranksBefore);
+    onTarget.erase(end, onTarget.end());
+}
+
+version_guard &rollout_tracker::guardOf(std::string_view name)
+{
+    const auto it = m_guards.find(name);
+    if (it != m_guards.end())
+        return it->second;
+    return m_guards.emplace(name, version_guard(guardBounds)).first->second;
+}
+
+void rollout_tracker::judge(std::string_view name, bool onTarget, bool bad)
+{
+    version_guard &guard = guardOf(name);
     if (onTarget)
-        m_guard->addRollout(bad ? 0 : 1, bad ? 1 : 0);
+        guard.addRollout(bad ? 0 : 1, bad ? 1 : 0);
     else
-        m_guard->addSettled(bad ? 0 : 1, bad ? 1 : 0);
+        guard.addSettled(bad ? 0 : 1, bad ? 1 : 0);
 }
 
-std::optional<rollout_row>
-rollout_tracker::nextRow(milliseconds storeNow, const std::vector<endpoint_ptr> &endpoints,
-                         std::size_t entries) const
+void rollout_tracker::observe(std::string_view version, std::string_view route,
+                              std::string_view model, std::optional<answer_timing> timing)
+{
+    const bool onTarget = m_order && version == m_order->targetVersion;
+    const std::string kind = std::string(route) + "/" + std::string(model);
+    bool bad = !timing;
+    if (timing) {
+        const bool slowStart = isSlow(kind, timing->wait, onTarget);
+        const bool slowEvents = timing->pause && isSlow(kind + "/pause", *timing->pause, onTarget);
+        bad = slowStart || slowEvents;
+    }
+    if (!m_order)
+        return;
+    if (onTarget) {
+        version_answers &seen = m_own.byRoute[std::string(route)];
+        ++(bad ? seen.bad : seen.good);
+    }
+    judge(route, onTarget, bad);
+    judge(allRoutes, onTarget, bad);
+}
+
+void rollout_tracker::takeEvidence(const std::string &entry, const rollout_evidence &evidence)
+{
+    if (!m_order || evidence.orderedAt != m_order->orderedAt)
+        return;
+    rollout_evidence &known = m_others[entry];
+    for (const auto &[route, seen] : evidence.byRoute) {
+        version_answers &before = known.byRoute[route];
+        // An entry that was restarted counts from 0 again.
+        const bool restarted = seen.good < before.good || seen.bad < before.bad;
+        const version_answers base = restarted ? version_answers() : before;
+        for (const std::string_view guard : {std::string_view(route), allRoutes})
+            guardOf(guard).addRollout(seen.good - base.good, seen.bad - base.bad);
+        before = seen;
+    }
+}
+
+std::optional<rollout_row> rollout_tracker::nextRow(milliseconds storeNow,
+                                                    const std::vector<endpoint_ptr> &endpoints,
+                                                    std::size_t entries) const
 {
     if (!m_order)
         return std::nullopt;
     rollout_view view;
     view.now = storeNow;
-    view.share = trialShare(m_exposure, static_cast<double>(m_arrivals.size() * entries));
-    view.foundBad = m_guard && m_guard->isStopped();
+    view.exposure = m_exposure;
+    view.requestsPerSecond = static_cast<double>(m_arrivals.size() * entries);
+    view.suspected = std::any_of(m_guards.begin(), m_guards.end(), [](const auto &item) {
+        return item.second.evidence() >= doubtfulEvidence;
+    });
+    view.foundBad = std::any_of(m_guards.begin(), m_guards.end(),
+                                [](const auto &item) { return item.second.isStopped(); });
     for (const endpoint_ptr &endpoint : endpoints) {
         const bool isTarget = endpoint->record().softwareVersion == m_order->targetVersion;
-        if (isTarget)
-            view.targetListed = true;
-        else
-            view.oldRunning += endpoint->running();
+        view.targetListed = view.targetListed || isTarget;
     }
     return nextRolloutRow(*m_order, m_row, view);
 }
--- a/unittests/Http/ParserTests.cpp
+++ b/unittests/Http/ParserTests.cpp
@@ -61,7 +61,8 @@
 
 TEST_CASE("an interim answer is passed over")
 {
-    const std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+    const std::string text
+            = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
     const parsed result = parseIn(message_parser::side::answers, text, 7);
     REQUIRE(result.heads.size() == 1);
     CHECK(result.heads[0].status == 200);
@@ -97,7 +98,8 @@
 
 TEST_CASE("events come out whole however the stream is cut")
 {
-    const std::string text = "id: 4\ndata: a\n\nversion: 2\nid: 5\r\ndata: b\r\n\r\n: note\n\nid: 6\nda";
+    const std::string text
+            = "id: 4\ndata: a\n\nversion: 2\nid: 5\r\ndata: b\r\n\r\n: note\n\nid: 6\nda";
     for (std::size_t piece = 1; piece <= text.size(); ++piece) {
         event_splitter splitter;
         std::string joined;
--- a/unittests/Policy/DirectPolicyTests.cpp
+++ b/unittests/Policy/DirectPolicyTests.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
-constexpr attempt_end allEnds[] = {attempt_end::notSent, attempt_end::refused,
-                                   attempt_end::failed, attempt_end::broken, attempt_end::silent};
+constexpr attempt_end allEnds[] = {attempt_end::notSent, attempt_end::refused, attempt_end::failed,
+                                   attempt_end::broken, attempt_end::silent};
 
 attempt_facts factsOf(unsigned bits)
 {
@@ -43,7 +43,8 @@
         const attempt_facts facts = factsOf(bits);
         if (facts.mayRepeat || facts.passedOn)
             continue;
-        for (const attempt_end end : {attempt_end::failed, attempt_end::broken, attempt_end::silent})
+        for (const attempt_end end :
+             {attempt_end::failed, attempt_end::broken, attempt_end::silent})
             CHECK(stepAfter(end, facts) != next_step::tryElsewhere);
     }
 }
@@ -207,7 +208,53 @@
 
 TEST_CASE("a trial is no larger than its evidence needs, and never beyond the exposure")
 {
-    CHECK(trialShare(0.15, 0) < 0.15);
-    CHECK(trialShare(0.15, 10) < 0.15);
-    CHECK(trialShare(0.15, 1000) < 0.01);
+    rollout_view view;
+    view.exposure = 0.15;
+    for (const rollout_stage stage : {rollout_stage::pilot, rollout_stage::trial}) {
+        view.requestsPerSecond = 0;
+        CHECK(shareOf(stage, view) < 0.15);
+        view.requestsPerSecond = 10;
+        CHECK(shareOf(stage, view) < 0.15);
+        view.requestsPerSecond = 1000;
+        CHECK(shareOf(stage, view) < 0.01);
+    }
+}
+
+TEST_CASE("a version whose faults nobody sees stays within the exposure, and in time")
+{
+    for (const double window : {6.0, 8.0, 12.0, 20.0, 24.0, 60.0, 600.0}) {
+        const rollout_order order{"pool", "v2", milliseconds(std::int64_t(window * 1000)), 1};
+        rollout_view view;
+        view.exposure = 0.15;
+        view.requestsPerSecond = 100;
+        view.targetListed = true;
+        std::optional<rollout_row> row;
+        double exposed = 0;
+        double completedAt = 0;
+        constexpr double step = 0.1;
+        for (double at = 0; at < window; at += step) {
+            view.now = milliseconds(std::int64_t(at * 1000));
+            if (const auto next = nextRolloutRow(order, row, view))
+                row = next;
+            exposed += row->share * step;
+            if (at < window / 2)
+                CHECK(row->share < 0.02);
+            if (row->stage == rollout_stage::completed && completedAt == 0)
+                completedAt = at;
+        }
+        CHECK(completedAt > 0);
+        CHECK(completedAt < window - 0.5);
+        // Below some ten seconds the deadline goes first.
+        if (window >= 20)
+            CHECK(exposed / window < 0.15);
+    }
+}
+
+TEST_CASE("a trial is as dense at its endpoints as full share will be")
+{
+    CHECK(trialEndpoints(0.05, 18) == 1);
+    CHECK(trialEndpoints(0.05, 40) == 2);
+    CHECK(trialEndpoints(0.05, 100) == 5);
+    CHECK(trialEndpoints(0.5, 1) == 1);
+    CHECK(trialEndpoints(0.5, 0) == 0);
 }
--- a/unittests/Proxy/CallerServerTests.cpp
+++ b/unittests/Proxy/CallerServerTests.cpp
@@ -133,7 +133,8 @@
 TEST_CASE("requests that hide another one, or are no request, are refused and harm nobody")
 {
     const char *texts[] = {
-            "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: "
+            "chunked\r\n\r\n",
             "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
             "nonsense\r\n\r\n",
     };
--- a/unittests/Proxy/RolloutTests.cpp
+++ b/unittests/Proxy/RolloutTests.cpp
@@ -87,10 +87,11 @@
         tracker.setOrder(exampleOrder());
         tracker.setRow(rowAt(rollout_stage::trial));
         for (int i = 0; i < 100; ++i)
-            tracker.observe("v1", "route", milliseconds(100));
+            tracker.observe("v1", "route", "m", answer_timing{milliseconds(100), {}});
         for (int i = 0; i < 12; ++i)
-            tracker.observe("v2", "route",
-                            slow ? std::optional<duration>(milliseconds(800)) : std::nullopt);
+            tracker.observe("v2", "route", "m",
+                            slow ? std::optional<answer_timing>({milliseconds(800), {}})
+                                 : std::nullopt);
         const auto next = tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3);
         REQUIRE(next);
         CHECK(next->stage == rollout_stage::reverted);
@@ -103,37 +104,72 @@
     tracker.setOrder(exampleOrder());
     tracker.setRow(rowAt(rollout_stage::trial));
     for (int i = 0; i < 300; ++i) {
-        const auto wait = i % 7 == 0 ? std::nullopt : std::optional<duration>(milliseconds(100));
-        tracker.observe("v1", "route", wait);
+        const auto wait
+                = i % 7 == 0 ? std::nullopt : std::optional<answer_timing>({milliseconds(100), {}});
+        tracker.observe("v1", "route", "m", wait);
         if (i % 3 == 0)
-            tracker.observe("v2", "route", wait);
+            tracker.observe("v2", "route", "m", wait);
     }
     CHECK(!tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3));
 }
 
-TEST_CASE("a good version goes from trial to full to completed")
+TEST_CASE("failures of one route are not hidden by the good answers of others")
+{
+    rollout_tracker tracker(0.15);
+    tracker.setOrder(exampleOrder());
+    tracker.setRow(rowAt(rollout_stage::trial));
+    const auto good = std::optional<answer_timing>({milliseconds(100), {}});
+    for (int i = 0; i < 200; ++i) {
+        tracker.observe("v1", "busy", "m", good);
+        tracker.observe("v1", "rare", "m", good);
+    }
+    for (int i = 0; i < 30; ++i) {
+        tracker.observe("v2", "busy", "m", good);
+        tracker.observe("v2", "busy", "m", good);
+        tracker.observe("v2", "busy", "m", good);
+        tracker.observe("v2", "rare", "m", i % 3 == 0 ? std::nullopt : good);
+    }
+    const auto next = tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3);
+    REQUIRE(next);
+    CHECK(next->stage == rollout_stage::reverted);
+}
+
+TEST_CASE("a trial keeps to few endpoints of the new version, the same at every entry")
+{
+    rollout_tracker one(0.15);
+    rollout_tracker other(0.15);
+    std::vector<endpoint_ptr> endpoints;
+    for (int i = 0; i < 10; ++i)
+        endpoints.push_back(endpointOf("n" + std::to_string(i), "v2"));
+    std::vector<endpoint_ptr> reversed(endpoints.rbegin(), endpoints.rend());
+    rollout_row row = rowAt(rollout_stage::trial);
+    row.share = 0.2;
+    for (rollout_tracker *tracker : {&one, &other}) {
+        tracker->setOrder(exampleOrder());
+        tracker->setRow(row);
+    }
+    const auto first = one.eligible(endpoints, 0);
+    const auto second = other.eligible(reversed, 0);
+    REQUIRE(first.size() == 2);
+    CHECK(first == second);
+}
+
+TEST_CASE("a good version goes from pilot over trial and full to completed")
 {
     rollout_tracker tracker(0.15);
     const std::vector<endpoint_ptr> both = {endpointOf("a", "v1"), endpointOf("b", "v2")};
     tracker.setOrder(exampleOrder());
-    const auto first = tracker.nextRow(milliseconds(1000), both, 3);
-    REQUIRE(first);
-    CHECK(first->stage == rollout_stage::trial);
-    CHECK(first->share <= 0.15);
-    tracker.setRow(*first);
-    CHECK(!tracker.nextRow(milliseconds(10000), both, 3));
-    const auto full = tracker.nextRow(milliseconds(13000), both, 3);
-    REQUIRE(full);
-    CHECK(full->stage == rollout_stage::full);
-    tracker.setRow(*full);
-    both[0]->began();
-    CHECK(!tracker.nextRow(milliseconds(16000), both, 3));
-    both[0]->ended();
-    const auto done = tracker.nextRow(milliseconds(16000), both, 3);
-    REQUIRE(done);
-    CHECK(done->stage == rollout_stage::completed);
-    tracker.setRow(*done);
-    CHECK(!tracker.nextRow(milliseconds(30000), both, 3));
+    std::vector<rollout_stage> stages;
+    for (milliseconds at(1000); at < milliseconds(21000); at += milliseconds(100)) {
+        const auto next = tracker.nextRow(at, both, 3);
+        if (!next)
+            continue;
+        stages.push_back(next->stage);
+        tracker.setRow(*next);
+    }
+    CHECK(stages
+          == std::vector<rollout_stage>{rollout_stage::pilot, rollout_stage::trial,
+                                        rollout_stage::full, rollout_stage::completed});
 }
 
 TEST_CASE("a row of an earlier order says nothing about the next one")
@@ -147,7 +183,7 @@
     tracker.setOrder(second);
     const auto next = tracker.nextRow(milliseconds(1000), {endpointOf("c", "v3")}, 1);
     REQUIRE(next);
-    CHECK(next->stage == rollout_stage::trial);
+    CHECK(next->stage == rollout_stage::pilot);
     CHECK(next->orderedAt == 9);
 }
 
@@ -165,3 +201,80 @@
     CHECK(!serviceOfKey(entryKey("e1")));
     CHECK(entryOfKey(entryKey("e1")) == "e1");
 }
+
+TEST_CASE("slow events betray a version whose answers begin in time")
+{
+    rollout_tracker tracker(0.15);
+    tracker.setOrder(exampleOrder());
+    tracker.setRow(rowAt(rollout_stage::trial));
+    for (int i = 0; i < 100; ++i)
+        tracker.observe("v1", "route", "m", answer_timing{milliseconds(100), milliseconds(80)});
+    for (int i = 0; i < 30; ++i) {
+        const milliseconds pause(i % 3 == 0 ? 600 : 80);
+        tracker.observe("v2", "route", "m", answer_timing{milliseconds(100), pause});
+    }
+    const auto next = tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3);
+    REQUIRE(next);
+    CHECK(next->stage == rollout_stage::reverted);
+}
+
+TEST_CASE("what no entry could tell alone, all tell together")
+{
+    const auto judge = [](bool together) {
+        rollout_tracker tracker(0.15);
+        tracker.setOrder(exampleOrder());
+        tracker.setRow(rowAt(rollout_stage::trial));
+        const auto good = std::optional<answer_timing>({milliseconds(100), {}});
+        for (int i = 0; i < 200; ++i)
+            tracker.observe("v1", "route", "m", good);
+        for (int i = 0; i < 9; ++i)
+            tracker.observe("v2", "route", "m", i % 3 == 0 ? std::nullopt : good);
+        const rollout_evidence seen{7, {{"route", {6, 3}}}};
+        for (int entry = 0; together && entry < 5; ++entry)
+            tracker.takeEvidence("e" + std::to_string(entry), seen);
+        return tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 6).has_value();
+    };
+    CHECK(!judge(false));
+    CHECK(judge(true));
+}
+
+TEST_CASE("evidence that comes twice, or of another order, counts once or not at all")
+{
+    rollout_tracker tracker(0.15);
+    tracker.setOrder(exampleOrder());
+    tracker.setRow(rowAt(rollout_stage::trial));
+    for (int i = 0; i < 50; ++i) {
+        tracker.takeEvidence("e1", {7, {{"route", {3, 1}}}});
+        tracker.takeEvidence("e2", {6, {{"route", {0, 9}}}});
+    }
+    CHECK(!tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3));
+}
+
+TEST_CASE("in doubt the old version is not let go")
+{
+    rollout_tracker tracker(0.15);
+    tracker.setOrder(exampleOrder());
+    tracker.setRow(rowAt(rollout_stage::full));
+    const auto good = std::optional<answer_timing>({milliseconds(100), {}});
+    for (int i = 0; i < 200; ++i)
+        tracker.observe("v1", "route", "m", good);
+    for (int i = 0; i < 10; ++i)
+        tracker.observe("v2", "route", "m", i % 3 == 0 ? std::nullopt : good);
+    CHECK(!tracker.nextRow(milliseconds(18000), {endpointOf("b", "v2")}, 3));
+    const auto next = tracker.nextRow(milliseconds(20500), {endpointOf("b", "v2")}, 3);
+    REQUIRE(next);
+    CHECK(next->stage == rollout_stage::reverted);
+}
+
+TEST_CASE("evidence survives the way to the store and back")
+{
+    const rollout_evidence evidence{7, {{"a", {3, 1}}, {"b", {0, 2}}}};
+    CHECK(decodeEvidence(encodeEvidence(evidence)).value() == evidence);
+    CHECK(evidence.bad() == 3);
+    CHECK(!decodeEvidence("{}"));
+    const auto place = evidenceOfKey(evidenceKey("edge-1", "pool"));
+    REQUIRE(place);
+    CHECK(place->entry == "edge-1");
+    CHECK(place->service == "pool");
+    CHECK(!evidenceOfKey("evidence/x"));
+}
--- a/unittests/Proxy/StoreSyncTests.cpp
+++ b/unittests/Proxy/StoreSyncTests.cpp
@@ -98,8 +98,8 @@
     {
         row_batch batch;
         batch.version = m_version;
-        batch.storeTime = std::chrono::duration_cast<milliseconds>(
-                m_runtime.now().time_since_epoch());
+        batch.storeTime
+                = std::chrono::duration_cast<milliseconds>(m_runtime.now().time_since_epoch());
         for (const auto &[key, row] : m_tables[table]) {
             if (row.version > since && (withRemoved || !row.removed))
                 batch.rows.push_back(row);
@@ -148,8 +148,8 @@
         contract.version = std::stoul(value);
         return contract;
     };
-    codec.decodeEndpoint = [](const std::string &key,
-                              const std::string &value) -> decoded<endpoint_record> {
+    codec.decodeEndpoint
+            = [](const std::string &key, const std::string &value) -> decoded<endpoint_record> {
         endpoint_record record;
         record.id = key;
         record.service = "pool";
@@ -178,8 +178,8 @@
     routing_state routing{{}, {}, 1};
     metric_registry metrics;
     unsigned contracts = 0;
-    store_sync<fake_store, manual_runtime> sync{store,   runtime,      routing, metrics,
-                                                plainCodec(), name, [this] { ++contracts; }};
+    store_sync<fake_store, manual_runtime> sync{
+            store, runtime, routing, metrics, plainCodec(), name, [this] { ++contracts; }};
 };
 
 } // namespace
@@ -291,10 +291,12 @@
     world.store.put("orders", "pool", "v2");
     world.sync.start();
     world.runtime.advance(seconds(2));
-    CHECK(world.store.valueOf("status", "pool") == "trial");
+    CHECK(world.store.valueOf("status", "pool") == "pilot");
     world.runtime.advance(seconds(5));
+    CHECK(world.store.valueOf("status", "pool") == "trial");
+    world.runtime.advance(milliseconds(1800));
     CHECK(world.store.valueOf("status", "pool") == "full");
-    world.runtime.advance(seconds(4));
+    world.runtime.advance(seconds(2));
     CHECK(world.store.valueOf("status", "pool") == "completed");
     const unsigned writes = world.store.writes;
     world.runtime.advance(seconds(30));
@@ -312,8 +314,8 @@
     world.store.put("laurelcroft", "rollout/pool", encodeRollout(row));
     world.sync.start();
     world.runtime.advance(seconds(3));
-    const auto eligible = world.routing.rollouts("pool").eligible(
-            world.routing.directory().usable("pool"), 0);
+    const auto eligible
+            = world.routing.rollouts("pool").eligible(world.routing.directory().usable("pool"), 0);
     REQUIRE(eligible.size() == 1);
     CHECK(eligible[0]->record().id == "a");
     CHECK(world.store.valueOf("status", "pool").empty());
