An entry that the store turns away reads the rows of another entry

Ruled out: full pools, cold endpoints (refusals came from one entry only, reason no_endpoint after not_sent). Change: entries serve what they last read, with the store's versions; a follower that fails asks one of them, and takes nothing older than it knows. Refused writes wait a second.

--- a/include/laurelcroft/Platform/RowFollower.h
+++ b/include/laurelcroft/Platform/RowFollower.h
@@ -31,6 +31,10 @@
     std::function<void(milliseconds away)> onRegained;
 };
 
+/// Another way to a whole table while the store can't be read; it may fail as well.
+using table_fallback
+        = std::function<void(const std::string &table, row_callback<row_batch> done)>;
+
 /// Follows one table.
 template <row_store_like Store, runtime_like Runtime>
 class row_follower
@@ -42,12 +46,13 @@
     static constexpr milliseconds longestRetry{800};
 
     row_follower(Store &store, Runtime &runtime, std::string table, follow_pace pace,
-                 follow_events events)
+                 follow_events events, table_fallback fallback = {})
         : m_store(store)
         , m_runtime(runtime)
         , m_table(std::move(table))
         , m_pace(pace)
         , m_events(std::move(events))
+        , m_fallback(std::move(fallback))
         , m_alive(std::make_shared<bool>(true))
     {
     }
@@ -118,6 +123,22 @@
         }
         readAfter(m_retry);
         m_retry = std::min(m_retry * 2, longestRetry);
+        if (m_fallback)
+            askElsewhere();
+    }
+
+    void askElsewhere()
+    {
+        m_fallback(m_table, [this, alive = m_alive](outcome<row_batch, row_failure> result) {
+            if (!*alive || !m_lost || !result)
+                return;
+            // What is known must never grow older.
+            row_batch batch = std::move(result.value());
+            if (batch.version <= m_since)
+                return;
+            m_since = batch.version;
+            m_events.onTable(std::move(batch));
+        });
     }
 
     Store &m_store;
@@ -125,6 +146,7 @@
     std::string m_table;
     follow_pace m_pace;
     follow_events m_events;
+    table_fallback m_fallback;
     std::shared_ptr<bool> m_alive;
     std::uint64_t m_since = 0;
     milliseconds m_retry = firstRetry;
--- a/include/laurelcroft/Policy/ServiceRollout.h
+++ b/include/laurelcroft/Policy/ServiceRollout.h
@@ -47,6 +47,8 @@
     std::chrono::milliseconds startedAt{0}; ///< on the store's clock
     std::chrono::milliseconds stageSince{0}; ///< on the store's clock
     double share = 0; ///< of the sessions, in pilot and trial
+
+    bool operator==(const rollout_row &) const = default;
 };
 
 /// What this entry knows at the moment.
--- a/include/laurelcroft/Proxy/RolloutRows.h
+++ b/include/laurelcroft/Proxy/RolloutRows.h
@@ -56,6 +56,11 @@
 /// \returns the place of an evidence row's key; nothing for other keys.
 std::optional<evidence_place> evidenceOfKey(std::string_view key);
 
+/// An entry's row tells where other entries may read its rows.
+std::string encodeEntry(const std::string &address);
+/// \returns the address; empty when the row has none.
+std::string entryAddress(const std::string &value);
+
 std::string encodeRollout(const rollout_row &row);
 outcome<rollout_row, std::string> decodeRollout(const std::string &value);
 
--- a/include/laurelcroft/Proxy/RolloutTracker.h
+++ b/include/laurelcroft/Proxy/RolloutTracker.h
@@ -42,8 +42,8 @@
     void setOrder(const rollout_order &order);
     void clearOrder() { m_order.reset(); }
 
-    /// Takes the row that all entries share.
-    void setRow(const rollout_row &row);
+    /// Takes the row that all entries share. \returns false when it says nothing new.
+    bool setRow(const rollout_row &row);
 
     const std::optional<rollout_order> &order() const { return m_order; }
     const std::optional<rollout_row> &row() const { return m_row; }
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -11,6 +11,7 @@
 #include "laurelcroft/Platform/RowFollower.h"
 #include "laurelcroft/Proxy/RolloutRows.h"
 #include "laurelcroft/Proxy/RoutingState.h"
+#include "laurelcroft/Proxy/RowMirror.h"
 #include "laurelcroft/Support/Log.h"
 #include "laurelcroft/Support/Metrics.h"
 
@@ -45,6 +46,16 @@
     std::function<row_write(const rollout_order &order, rollout_stage stage)> encodeStatus;
 };
 
+/// What a follower needs to know of the entries.
+struct entry_links
+{
+    std::string entry; ///< name of this entry
+    std::string address; ///< where other entries may read this one's rows; empty: nowhere
+    table_fallback readElsewhere; ///< asks another entry
+    std::function<void(std::vector<std::string> addresses)> onEntries;
+    std::function<void()> onContract; ///< another contract is in force
+};
+
 /// Follows the store for one entry.
 template <row_store_like Store, runtime_like Runtime>
 class store_sync
@@ -62,13 +73,14 @@
     static constexpr milliseconds stepEvery{200};
     static constexpr double stepChance = 0.5;
     static constexpr milliseconds announceRetry{1500};
+    /// After a write that the store did not take.
+    static constexpr milliseconds writeRetry{1000};
     /// Least time between two rows of evidence; it is written only when it tells of more bad
     /// answers.
     static constexpr milliseconds evidencePause{500};
 
-    /// \param onContract is called when another contract is in force.
-    store_sync(Store &store, Runtime &runtime, routing_state &state, metric_registry &metrics,
-               row_codec codec, std::string entryName, std::function<void()> onContract);
+    store_sync(Store &store, Runtime &runtime, routing_state &state, row_mirror &mirror,
+               metric_registry &metrics, row_codec codec, entry_links links);
 
     void start();
 
@@ -93,16 +105,17 @@
     Store &m_store;
     Runtime &m_runtime;
     routing_state &m_state;
+    row_mirror &m_mirror;
     metric_registry &m_metrics;
     row_codec m_codec;
-    std::string m_entryName;
-    std::function<void()> m_onContract;
+    entry_links m_links;
     std::vector<std::unique_ptr<follower>> m_followers;
     std::map<std::string, std::uint64_t> m_rowVersions; ///< of roll-out rows, by service
-    std::map<std::string, bool> m_entries;
+    std::map<std::string, std::string> m_entries; ///< addresses by name
     std::map<std::string, rollout_evidence> m_told; ///< by service
     bool m_writing = false;
     time_point m_toldAt{};
+    time_point m_nextWriteAt{};
     bool m_timeKnown = false;
     milliseconds m_storeTime{0};
     time_point m_storeTimeAt{};
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -12,15 +12,15 @@
 
 template <row_store_like Store, runtime_like Runtime>
 store_sync<Store, Runtime>::store_sync(Store &store, Runtime &runtime, routing_state &state,
-                                       metric_registry &metrics, row_codec codec,
-                                       std::string entryName, std::function<void()> onContract)
+                                       row_mirror &mirror, metric_registry &metrics,
+                                       row_codec codec, entry_links links)
     : m_store(store)
     , m_runtime(runtime)
     , m_state(state)
+    , m_mirror(mirror)
     , m_metrics(metrics)
     , m_codec(std::move(codec))
-    , m_entryName(std::move(entryName))
-    , m_onContract(std::move(onContract))
+    , m_links(std::move(links))
 {
 }
 
@@ -43,12 +43,14 @@
 {
     const bool listsEndpoints = table == m_codec.endpointTable;
     follow_events events;
-    events.onTable = [this, apply](row_batch &&batch) {
+    events.onTable = [this, table, apply](row_batch &&batch) {
         noteTime(batch);
+        m_mirror.take(table, batch, true, m_runtime.now());
         (this->*apply)(batch, true);
     };
-    events.onChanges = [this, apply](row_batch &&batch) {
+    events.onChanges = [this, table, apply](row_batch &&batch) {
         noteTime(batch);
+        m_mirror.take(table, batch, false, m_runtime.now());
         (this->*apply)(batch, false);
     };
     events.onLost = [this, table, listsEndpoints](row_failure why) {
@@ -63,7 +65,8 @@
         if (listsEndpoints)
             m_state.directory().storeRegained(m_runtime.now());
     };
-    return std::make_unique<follower>(m_store, m_runtime, table, pace, std::move(events));
+    return std::make_unique<follower>(m_store, m_runtime, table, pace, std::move(events),
+                                      m_links.readElsewhere);
 }
 
 template <row_store_like Store, runtime_like Runtime>
@@ -122,7 +125,7 @@
             {{"contract", std::int64_t(version)},
              {"routes", std::int64_t(taken->routes.size())},
              {"customers", std::int64_t(taken->customers.size())}});
-    m_onContract();
+    m_links.onContract();
 }
 
 template <row_store_like Store, runtime_like Runtime>
@@ -196,6 +199,12 @@
     for (const store_row &row : batch.rows)
         takeOwnRow(row);
     m_state.setEntries(std::max<std::size_t>(1, m_entries.size()));
+    std::vector<std::string> addresses;
+    for (const auto &[name, address] : m_entries) {
+        if (!address.empty())
+            addresses.push_back(address);
+    }
+    m_links.onEntries(std::move(addresses));
 }
 
 template <row_store_like Store, runtime_like Runtime>
@@ -205,7 +214,7 @@
         if (row.removed)
             m_entries.erase(*entry);
         else
-            m_entries[*entry] = true;
+            m_entries[*entry] = entryAddress(row.value);
         return;
     }
     if (const std::optional<evidence_place> place = evidenceOfKey(row.key)) {
@@ -213,7 +222,7 @@
         if (!evidence)
             logWarning(log_part::bundle, "evidence refused",
                        {{"entry", place->entry}, {"fault", evidence.error()}});
-        else if (place->entry != m_entryName)
+        else if (place->entry != m_links.entry)
             m_state.rollouts(place->service).takeEvidence(place->entry, evidence.value());
         return;
     }
@@ -229,7 +238,8 @@
                    {{"service", *service}, {"fault", value.error()}});
         return;
     }
-    m_state.rollouts(*service).setRow(value.value());
+    if (!m_state.rollouts(*service).setRow(value.value()))
+        return;
     logInfo(log_part::bundle, "roll-out stage",
             {{"service", *service},
              {"target", value.value().targetVersion},
@@ -251,7 +261,7 @@
     m_writing = true;
     m_toldAt = m_runtime.now();
     m_told[service] = own;
-    const row_write row{std::string(ownTable), evidenceKey(m_entryName, service),
+    const row_write row{std::string(ownTable), evidenceKey(m_links.entry, service),
                         encodeEvidence(own), std::nullopt};
     m_store.write({row}, [this, service](outcome<write_status, row_failure> result) {
         m_writing = false;
@@ -268,7 +278,8 @@
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::announce()
 {
-    const row_write row{std::string(ownTable), entryKey(m_entryName), "{}", std::nullopt};
+    const row_write row{std::string(ownTable), entryKey(m_links.entry),
+                        encodeEntry(m_links.address), std::nullopt};
     m_store.write({row}, [this](outcome<write_status, row_failure> result) {
         if (result)
             return;
@@ -282,7 +293,7 @@
 void store_sync<Store, Runtime>::step()
 {
     m_runtime.after(stepEvery, [this] { step(); });
-    if (m_writing || !m_timeKnown)
+    if (m_writing || !m_timeKnown || m_runtime.now() < m_nextWriteAt)
         return;
     for (auto &[service, tracker] : m_state.allRollouts()) {
         const std::optional<rollout_row> next = tracker.nextRow(
@@ -307,6 +318,8 @@
     const std::vector<row_write> writes{own, m_codec.encodeStatus(order, row.stage)};
     m_store.write(writes, [this, service, row](outcome<write_status, row_failure> result) {
         m_writing = false;
+        if (!result)
+            m_nextWriteAt = m_runtime.now() + writeRetry;
         const bool done = result && result.value() == write_status::done;
         const std::string_view came = !result ? textOf(result.error())
                 : done                        ? std::string_view("done")
--- a/lib/Proxy/RolloutRows.cpp
+++ b/lib/Proxy/RolloutRows.cpp
@@ -66,6 +66,18 @@
     return afterPrefix(key, entryPrefix);
 }
 
+std::string laurelcroft::encodeEntry(const std::string &address)
+{
+    return nlohmann::json{{"address", address}}.dump();
+}
+
+std::string laurelcroft::entryAddress(const std::string &value)
+{
+    // A row that can't be read counts as an entry without an address.
+    const nlohmann::json json = nlohmann::json::parse(value, nullptr, false);
+    return json.is_object() ? json.value("address", "") : "";
+}
+
 std::string laurelcroft::encodeRollout(const rollout_row &row)
 {
     return nlohmann::json{{"ordered_at", row.orderedAt},
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -42,11 +42,13 @@
     }
 }
 
-void rollout_tracker::setRow(const rollout_row &row)
+bool rollout_tracker::setRow(const rollout_row &row)
 {
     const bool older = m_row && m_row->orderedAt > row.orderedAt;
-    if (!older)
-        m_row = row;
+    if (older || m_row == row)
+        return false;
+    m_row = row;
+    return true;
 }
 
 bool rollout_tracker::isOver() const
--- a/unittests/Proxy/StoreSyncTests.cpp
+++ b/unittests/Proxy/StoreSyncTests.cpp
@@ -178,8 +178,27 @@
     routing_state routing{{}, {}, 1};
     metric_registry metrics;
     unsigned contracts = 0;
-    store_sync<fake_store, manual_runtime> sync{
-            store, runtime, routing, metrics, plainCodec(), name, [this] { ++contracts; }};
+    row_mirror mirror;
+    std::optional<row_batch> ordersOfPeer; ///< what another entry has
+    std::vector<std::string> peers;
+    store_sync<fake_store, manual_runtime> sync{store,   runtime,      routing, mirror,
+                                                metrics, plainCodec(), links()};
+
+    entry_links links()
+    {
+        entry_links links;
+        links.entry = name;
+        links.address = "10.0.0.1:5";
+        links.readElsewhere = [this](const std::string &table, row_callback<row_batch> done) {
+            if (ordersOfPeer && table == "orders")
+                done(*ordersOfPeer);
+            else
+                done(failure(row_failure::notDone));
+        };
+        links.onEntries = [this](std::vector<std::string> addresses) { peers = addresses; };
+        links.onContract = [this] { ++contracts; };
+        return links;
+    }
 };
 
 } // namespace
@@ -324,8 +343,75 @@
 TEST_CASE("entries count each other by their rows")
 {
     sync_world world("e1");
-    world.store.put("laurelcroft", "entry/e2", "{}");
+    world.store.put("laurelcroft", "entry/e2", encodeEntry("10.0.0.2:5"));
+    world.store.put("laurelcroft", "entry/e3", "nonsense");
     world.sync.start();
     world.runtime.advance(seconds(3));
-    CHECK(world.routing.entries() == 2);
+    CHECK(world.routing.entries() == 3);
+    CHECK(world.peers == std::vector<std::string>{"10.0.0.1:5", "10.0.0.2:5"});
+}
+
+TEST_CASE("an entry that the store turns away learns from another one, and never goes back")
+{
+    sync_world world;
+    world.store.put("orders", "contract", "3");
+    world.sync.start();
+    world.runtime.advance(milliseconds(10));
+    const std::uint64_t version = 50;
+    world.store.away = true;
+    world.ordersOfPeer = row_batch{{{"contract", "7", version, false}}, version, {}};
+    world.runtime.advance(seconds(4));
+    CHECK(world.routing.contract()->version == 7);
+    const unsigned contracts = world.contracts;
+    world.ordersOfPeer = row_batch{{{"contract", "9", 2, false}}, 2, {}};
+    world.runtime.advance(seconds(4));
+    CHECK(world.routing.contract()->version == 7);
+    CHECK(world.contracts == contracts);
+}
+
+TEST_CASE("an entry that starts while the store is away learns from another one")
+{
+    sync_world world;
+    world.store.away = true;
+    world.ordersOfPeer = row_batch{{{"contract", "7", 50, false}}, 50, {}};
+    world.sync.start();
+    world.runtime.advance(seconds(1));
+    REQUIRE(world.routing.contract());
+    CHECK(world.routing.contract()->version == 7);
+}
+
+TEST_CASE("writes that the store refuses are not repeated at every look")
+{
+    sync_world world;
+    world.store.put("endpoints", "b", "v2");
+    world.store.put("orders", "pool", "v2");
+    world.sync.start();
+    world.runtime.advance(milliseconds(100));
+    world.store.away = true;
+    const unsigned before = world.store.writes;
+    world.runtime.advance(seconds(10));
+    CHECK(world.store.writes - before <= 18);
+}
+
+TEST_CASE("a mirror gives away only what the store confirmed a moment ago")
+{
+    row_mirror mirror;
+    const time_point now{seconds(100)};
+    mirror.take("t", {{{"a", "1", 5, false}, {"b", "2", 6, false}}, 6, milliseconds(10)}, true, now);
+    mirror.take("t", {{{"a", "", 7, true}}, 7, milliseconds(20)}, false, now);
+    // An older batch changes nothing.
+    mirror.take("t", {{{"c", "3", 4, false}}, 4, milliseconds(5)}, false, now);
+    const auto batch = mirror.read("t", now + milliseconds(30));
+    REQUIRE(batch);
+    REQUIRE(batch->rows.size() == 1);
+    CHECK(batch->rows[0].key == "b");
+    CHECK(batch->version == 7);
+    CHECK(batch->storeTime == milliseconds(50));
+    CHECK(!mirror.read("t", now + seconds(3)));
+    CHECK(!mirror.read("u", now));
+    const auto back = decodeRows(encodeRows(*batch));
+    REQUIRE(back);
+    CHECK(back.value().rows[0].value == "2");
+    CHECK(back.value().version == 7);
+    CHECK(!decodeRows("{}"));
 }
