A bad version is found by failures alone, by all entries, and never completed by one that knows nothing

Three causes: slow answers, frequent for both versions, raised what the guard tolerates; an entry restarted a second before completed the roll-out without evidence; one that knew better lost its write to a row it had not read. Change: guards for failures and for slowness; 15 judged answers before a completion, none while anything speaks against it; a refused write brings the row that stands; evidence of an earlier life is taken up. Each with a test that was red.

--- a/include/laurelcroft/Platform/RowStore.h
+++ b/include/laurelcroft/Platform/RowStore.h
@@ -46,6 +46,13 @@
     milliseconds storeTime{0};
 };
 
+/// A row with the table it stands in.
+struct table_entry
+{
+    std::string table;
+    store_row row;
+};
+
 /// One row of a write.
 struct row_write
 {
@@ -57,7 +64,13 @@
 };
 
 /// What a conditional write came to.
-enum class write_status { done, conflict };
+struct conditional_write
+{
+    bool done = false;
+    /// After a conflict, the rows that had a condition as they stand now; a version of 0
+    /// means that there is none.
+    std::vector<table_entry> current;
+};
 
 template <class T>
 using row_callback = std::function<void(outcome<T, row_failure>)>;
@@ -67,7 +80,7 @@
 concept row_store_like
         = requires(S store, const std::string &table, std::uint64_t since, milliseconds wait,
                    std::vector<row_write> writes, row_callback<row_batch> onRows,
-                   row_callback<write_status> onWrite)
+                   row_callback<conditional_write> onWrite)
 {
     store.list(table, onRows);
     store.follow(table, since, wait, onRows);
--- a/include/laurelcroft/Policy/ServiceRollout.h
+++ b/include/laurelcroft/Policy/ServiceRollout.h
@@ -57,6 +57,7 @@
     std::chrono::milliseconds now{0}; ///< on the store's clock
     bool targetListed = false; ///< endpoints of the target version take requests
     bool foundBad = false; ///< by the guards of this entry
+    std::uint64_t judged = 0; ///< answers of the new version that the guards have seen
     bool suspected = false; ///< too much speaks against it to let the old version go
     double exposure = 0.1; ///< share of requests that the site tolerates on a bad version
     double requestsPerSecond = 0; ///< for the service, at all entries
--- a/include/laurelcroft/Proxy/RolloutRows.h
+++ b/include/laurelcroft/Proxy/RolloutRows.h
@@ -21,7 +21,11 @@
 struct version_answers
 {
     std::uint64_t good = 0;
-    std::uint64_t bad = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t slow = 0;
+
+    std::uint64_t bad() const { return failed + slow; }
+    std::uint64_t all() const { return good + failed + slow; }
     bool operator==(const version_answers &) const = default;
 };
 
--- a/include/laurelcroft/Proxy/RolloutTracker.h
+++ b/include/laurelcroft/Proxy/RolloutTracker.h
@@ -13,6 +13,7 @@
 #include "laurelcroft/Proxy/RolloutRows.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -81,11 +82,23 @@
         double milliseconds = 0;
         unsigned count = 0;
     };
+    /// Drop of the good share that makes a version bad, and the probability, for each guard,
+    /// of stopping a good one. A wrong stop costs one roll-out, a late one many bad answers.
+    static constexpr rollout_guard guardBounds{0.08, 0.002, 0};
+
+    /// Slow answers are more frequent than failures, also of a good version: counted together
+    /// they would hide each other.
+    struct guard_pair
+    {
+        version_guard failures{guardBounds};
+        version_guard slowness{guardBounds};
+    };
     bool isCurrent() const { return m_order && m_row && m_row->orderedAt == m_order->orderedAt; }
     bool wantsTarget(std::uint64_t session) const;
     void keepTrialEndpoints(std::vector<endpoint_ptr> &onTarget) const;
-    version_guard &guardOf(std::string_view name);
-    void judge(std::string_view name, bool onTarget, bool bad);
+    guard_pair &guardsOf(std::string_view route);
+    void judge(std::string_view route, bool onTarget, const version_answers &seen);
+    bool anyGuard(const std::function<bool(const version_guard &)> &test) const;
     std::string_view settledVersion(const std::vector<endpoint_ptr> &endpoints);
     bool isSlow(const std::string &kind, duration time, bool onTarget);
 
@@ -94,7 +107,8 @@
     std::optional<rollout_order> m_order;
     std::optional<rollout_row> m_row;
     /// One for each route, and one for all: a version may be bad for one route only.
-    std::map<std::string, version_guard, std::less<>> m_guards;
+    std::map<std::string, guard_pair, std::less<>> m_guards;
+    std::uint64_t m_judged = 0; ///< answers of the target version
     std::map<std::string, time_mean> m_times; ///< of the settled version
     rollout_evidence m_own;
     std::map<std::string, rollout_evidence> m_others; ///< by entry
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -10,6 +10,10 @@
 
 namespace laurelcroft {
 
+/// Under this name evidence counts that this entry wrote before it was restarted; no entry has
+/// an empty name.
+inline constexpr std::string_view earlierLife;
+
 template <row_store_like Store, runtime_like Runtime>
 store_sync<Store, Runtime>::store_sync(Store &store, Runtime &runtime, routing_state &state,
                                        row_mirror &mirror, metric_registry &metrics,
@@ -224,6 +228,9 @@
                        {{"entry", place->entry}, {"fault", evidence.error()}});
         else if (place->entry != m_links.entry)
             m_state.rollouts(place->service).takeEvidence(place->entry, evidence.value());
+        else if (m_told.count(place->service) == 0)
+            m_state.rollouts(place->service)
+                    .takeEvidence(std::string(earlierLife), evidence.value());
         return;
     }
     const std::optional<std::string> service = serviceOfKey(row.key);
@@ -261,14 +268,16 @@
     m_writing = true;
     m_toldAt = m_runtime.now();
     m_told[service] = own;
+    logInfo(log_part::bundle, "evidence told",
+            {{"service", service}, {"bad", std::int64_t(own.bad())}});
     const row_write row{std::string(ownTable), evidenceKey(m_links.entry, service),
                         encodeEvidence(own), std::nullopt};
-    m_store.write({row}, [this, service](outcome<write_status, row_failure> result) {
+    m_store.write({row}, [this, service](outcome<conditional_write, row_failure> result) {
         m_writing = false;
         if (result)
             return;
-        // The next bad answer, or the next look, tells it again.
-        m_told.erase(service);
+        // The next look tells it again.
+        m_told[service] = {};
         logWarning(log_part::platform, "evidence not written",
                    {{"service", service}, {"why", textOf(result.error())}});
     });
@@ -280,7 +289,7 @@
 {
     const row_write row{std::string(ownTable), entryKey(m_links.entry),
                         encodeEntry(m_links.address), std::nullopt};
-    m_store.write({row}, [this](outcome<write_status, row_failure> result) {
+    m_store.write({row}, [this](outcome<conditional_write, row_failure> result) {
         if (result)
             return;
         logWarning(log_part::platform, "entry not announced, trying again",
@@ -316,11 +325,11 @@
     const row_write own{std::string(ownTable), rolloutKey(service), encodeRollout(row),
                         m_rowVersions[service]};
     const std::vector<row_write> writes{own, m_codec.encodeStatus(order, row.stage)};
-    m_store.write(writes, [this, service, row](outcome<write_status, row_failure> result) {
+    m_store.write(writes, [this, service, row](outcome<conditional_write, row_failure> result) {
         m_writing = false;
         if (!result)
             m_nextWriteAt = m_runtime.now() + writeRetry;
-        const bool done = result && result.value() == write_status::done;
+        const bool done = result && result.value().done;
         const std::string_view came = !result ? textOf(result.error())
                 : done                        ? std::string_view("done")
                                               : std::string_view("conflict");
@@ -332,6 +341,13 @@
         // The row comes back by the feed; taking it at once saves a read's time.
         if (done)
             m_state.rollouts(service).setRow(row);
+        if (!result || done)
+            return;
+        // Somebody else was first: the next step goes on from that row.
+        for (const table_entry &entry : result.value().current) {
+            if (entry.table == ownTable)
+                takeOwnRow(entry.row);
+        }
     });
 }
 
--- a/lib/Policy/ServiceRollout.cpp
+++ b/lib/Policy/ServiceRollout.cpp
@@ -36,6 +36,9 @@
 /// The old version is let go this long before the deadline: a step, a slow write, and the
 /// time between the order and its first row.
 constexpr std::chrono::duration<double> beforeDeadline{1.0};
+/// Answers that this entry must know of before it lets the old version go; a restarted one
+/// knows nothing.
+constexpr std::uint64_t leastJudged = 15;
 /// Shortest time at full share before that, so that faults under full load show.
 constexpr std::chrono::duration<double> leastFull{1.2};
 
@@ -131,10 +134,13 @@
             return moved(*row, rollout_stage::full, view);
         break;
     default:
-        // The step can't be taken back: in doubt the new version goes.
-        if (elapsed >= window - beforeDeadline && inStage >= leastFull / 2)
-            return moved(*row, view.suspected ? rollout_stage::reverted : rollout_stage::completed,
-                         view);
+        if (elapsed < window - beforeDeadline || inStage < leastFull / 2)
+            break;
+        // Completion can't be taken back: in doubt the new version goes.
+        if (view.suspected)
+            return moved(*row, rollout_stage::reverted, view);
+        if (view.judged >= leastJudged)
+            return moved(*row, rollout_stage::completed, view);
         break;
     }
     return std::nullopt;
--- a/lib/Proxy/RolloutRows.cpp
+++ b/lib/Proxy/RolloutRows.cpp
@@ -43,7 +43,7 @@
 {
     std::uint64_t total = 0;
     for (const auto &[route, seen] : byRoute)
-        total += seen.bad;
+        total += seen.bad();
     return total;
 }
 
@@ -114,7 +114,7 @@
 {
     nlohmann::json routes = nlohmann::json::object();
     for (const auto &[route, seen] : evidence.byRoute)
-        routes[route] = {{"good", seen.good}, {"bad", seen.bad}};
+        routes[route] = {{"good", seen.good}, {"failed", seen.failed}, {"slow", seen.slow}};
     return nlohmann::json{{"ordered_at", evidence.orderedAt}, {"routes", routes}}.dump();
 }
 
@@ -126,7 +126,8 @@
         evidence.orderedAt = json.at("ordered_at").get<std::uint64_t>();
         for (const auto &[route, seen] : json.at("routes").items()) {
             evidence.byRoute[route]
-                    = {seen.at("good").get<std::uint64_t>(), seen.at("bad").get<std::uint64_t>()};
+                    = {seen.at("good").get<std::uint64_t>(), seen.at("failed").get<std::uint64_t>(),
+                       seen.at("slow").get<std::uint64_t>()};
         }
         return evidence;
     } catch (const nlohmann::json::exception &error) {
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-/// Drop of the good share that makes a version bad, and the probability, for each guard, of
-/// stopping a good one. A wrong stop costs one roll-out, a late one many bad answers.
-constexpr rollout_guard guardBounds{0.08, 0.002, 0};
 /// Evidence from which the old version is not let go. A good version seldom has it: half a
 /// percent of what stops one.
 constexpr double doubtfulEvidence = 5;
@@ -37,6 +34,7 @@
     m_order = order;
     if (isNew) {
         m_guards.clear();
+        m_judged = 0;
         m_own = {order.orderedAt, {}};
         m_others.clear();
     }
@@ -139,42 +137,53 @@
     onTarget.erase(end, onTarget.end());
 }
 
-version_guard &rollout_tracker::guardOf(std::string_view name)
+rollout_tracker::guard_pair &rollout_tracker::guardsOf(std::string_view route)
 {
-    const auto it = m_guards.find(name);
+    const auto it = m_guards.find(route);
     if (it != m_guards.end())
         return it->second;
-    return m_guards.emplace(name, version_guard(guardBounds)).first->second;
+    return m_guards.emplace(route, guard_pair()).first->second;
 }
 
-void rollout_tracker::judge(std::string_view name, bool onTarget, bool bad)
+void rollout_tracker::judge(std::string_view route, bool onTarget, const version_answers &seen)
 {
-    version_guard &guard = guardOf(name);
+    const std::uint64_t whole = seen.good + seen.slow;
+    for (const std::string_view name : {route, allRoutes}) {
+        guard_pair &guards = guardsOf(name);
+        if (onTarget) {
+            guards.failures.addRollout(whole, seen.failed);
+            guards.slowness.addRollout(seen.good, seen.slow);
+        } else {
+            guards.failures.addSettled(whole, seen.failed);
+            guards.slowness.addSettled(seen.good, seen.slow);
+        }
+    }
     if (onTarget)
-        guard.addRollout(bad ? 0 : 1, bad ? 1 : 0);
-    else
-        guard.addSettled(bad ? 0 : 1, bad ? 1 : 0);
+        m_judged += seen.all();
 }
 
 void rollout_tracker::observe(std::string_view version, std::string_view route,
                               std::string_view model, std::optional<answer_timing> timing)
 {
     const bool onTarget = m_order && version == m_order->targetVersion;
-    const std::string kind = std::string(route) + "/" + std::string(model);
-    bool bad = !timing;
-    if (timing) {
+    version_answers seen;
+    if (!timing) {
+        seen.failed = 1;
+    } else {
+        const std::string kind = std::string(route) + "/" + std::string(model);
         const bool slowStart = isSlow(kind, timing->wait, onTarget);
         const bool slowEvents = timing->pause && isSlow(kind + "/pause", *timing->pause, onTarget);
-        bad = slowStart || slowEvents;
+        ++(slowStart || slowEvents ? seen.slow : seen.good);
     }
     if (!m_order)
         return;
-    if (onTarget) {
-        version_answers &seen = m_own.byRoute[std::string(route)];
-        ++(bad ? seen.bad : seen.good);
-    }
-    judge(route, onTarget, bad);
-    judge(allRoutes, onTarget, bad);
+    judge(route, onTarget, seen);
+    if (!onTarget)
+        return;
+    version_answers &own = m_own.byRoute[std::string(route)];
+    own.good += seen.good;
+    own.failed += seen.failed;
+    own.slow += seen.slow;
 }
 
 void rollout_tracker::takeEvidence(const std::string &entry, const rollout_evidence &evidence)
@@ -185,14 +194,22 @@
     for (const auto &[route, seen] : evidence.byRoute) {
         version_answers &before = known.byRoute[route];
         // An entry that was restarted counts from 0 again.
-        const bool restarted = seen.good < before.good || seen.bad < before.bad;
+        const bool restarted
+                = seen.good < before.good || seen.failed < before.failed || seen.slow < before.slow;
         const version_answers base = restarted ? version_answers() : before;
-        for (const std::string_view guard : {std::string_view(route), allRoutes})
-            guardOf(guard).addRollout(seen.good - base.good, seen.bad - base.bad);
+        judge(route, true,
+              {seen.good - base.good, seen.failed - base.failed, seen.slow - base.slow});
         before = seen;
     }
 }
 
+bool rollout_tracker::anyGuard(const std::function<bool(const version_guard &)> &test) const
+{
+    return std::any_of(m_guards.begin(), m_guards.end(), [&](const auto &item) {
+        return test(item.second.failures) || test(item.second.slowness);
+    });
+}
+
 std::optional<rollout_row> rollout_tracker::nextRow(milliseconds storeNow,
                                                     const std::vector<endpoint_ptr> &endpoints,
                                                     std::size_t entries) const
@@ -203,11 +220,10 @@
     view.now = storeNow;
     view.exposure = m_exposure;
     view.requestsPerSecond = static_cast<double>(m_arrivals.size() * entries);
-    view.suspected = std::any_of(m_guards.begin(), m_guards.end(), [](const auto &item) {
-        return item.second.evidence() >= doubtfulEvidence;
-    });
-    view.foundBad = std::any_of(m_guards.begin(), m_guards.end(),
-                                [](const auto &item) { return item.second.isStopped(); });
+    view.judged = m_judged;
+    view.suspected = anyGuard(
+            [](const version_guard &guard) { return guard.evidence() >= doubtfulEvidence; });
+    view.foundBad = anyGuard([](const version_guard &guard) { return guard.isStopped(); });
     for (const endpoint_ptr &endpoint : endpoints) {
         const bool isTarget = endpoint->record().softwareVersion == m_order->targetVersion;
         view.targetListed = view.targetListed || isTarget;
--- a/unittests/Policy/DirectPolicyTests.cpp
+++ b/unittests/Policy/DirectPolicyTests.cpp
@@ -228,6 +228,7 @@
         view.exposure = 0.15;
         view.requestsPerSecond = 100;
         view.targetListed = true;
+        view.judged = 100;
         std::optional<rollout_row> row;
         double exposed = 0;
         double completedAt = 0;
--- a/unittests/Proxy/RolloutTests.cpp
+++ b/unittests/Proxy/RolloutTests.cpp
@@ -159,6 +159,8 @@
     rollout_tracker tracker(0.15);
     const std::vector<endpoint_ptr> both = {endpointOf("a", "v1"), endpointOf("b", "v2")};
     tracker.setOrder(exampleOrder());
+    for (int i = 0; i < 50; ++i)
+        tracker.observe("v2", "route", "m", answer_timing{milliseconds(100), {}});
     std::vector<rollout_stage> stages;
     for (milliseconds at(1000); at < milliseconds(21000); at += milliseconds(100)) {
         const auto next = tracker.nextRow(at, both, 3);
@@ -229,7 +231,7 @@
             tracker.observe("v1", "route", "m", good);
         for (int i = 0; i < 9; ++i)
             tracker.observe("v2", "route", "m", i % 3 == 0 ? std::nullopt : good);
-        const rollout_evidence seen{7, {{"route", {6, 3}}}};
+        const rollout_evidence seen{7, {{"route", {6, 3, 0}}}};
         for (int entry = 0; together && entry < 5; ++entry)
             tracker.takeEvidence("e" + std::to_string(entry), seen);
         return tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 6).has_value();
@@ -244,8 +246,8 @@
     tracker.setOrder(exampleOrder());
     tracker.setRow(rowAt(rollout_stage::trial));
     for (int i = 0; i < 50; ++i) {
-        tracker.takeEvidence("e1", {7, {{"route", {3, 1}}}});
-        tracker.takeEvidence("e2", {6, {{"route", {0, 9}}}});
+        tracker.takeEvidence("e1", {7, {{"route", {3, 1, 0}}}});
+        tracker.takeEvidence("e2", {6, {{"route", {0, 9, 0}}}});
     }
     CHECK(!tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3));
 }
@@ -268,7 +270,7 @@
 
 TEST_CASE("evidence survives the way to the store and back")
 {
-    const rollout_evidence evidence{7, {{"a", {3, 1}}, {"b", {0, 2}}}};
+    const rollout_evidence evidence{7, {{"a", {3, 1, 0}}, {"b", {0, 1, 1}}}};
     CHECK(decodeEvidence(encodeEvidence(evidence)).value() == evidence);
     CHECK(evidence.bad() == 3);
     CHECK(!decodeEvidence("{}"));
@@ -278,3 +280,26 @@
     CHECK(place->service == "pool");
     CHECK(!evidenceOfKey("evidence/x"));
 }
+
+TEST_CASE("slow answers of both versions don't hide the failures of the new one")
+{
+    rollout_tracker tracker(0.15);
+    tracker.setOrder(exampleOrder());
+    tracker.setRow(rowAt(rollout_stage::trial));
+    const auto at = [](int ms) { return std::optional<answer_timing>({milliseconds(ms), {}}); };
+    for (int i = 0; i < 300; ++i)
+        tracker.observe("v1", "route", "m", at(i % 5 == 0 ? 2000 : 50));
+    for (int i = 0; i < 24; ++i)
+        tracker.observe("v2", "route", "m", i % 3 == 0 ? std::nullopt : at(50));
+    const auto next = tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3);
+    REQUIRE(next);
+    CHECK(next->stage == rollout_stage::reverted);
+}
+
+TEST_CASE("an entry that has seen nothing of the new version doesn't let the old one go")
+{
+    rollout_tracker tracker(0.15);
+    tracker.setOrder(exampleOrder());
+    tracker.setRow(rowAt(rollout_stage::full));
+    CHECK(!tracker.nextRow(milliseconds(20900), {endpointOf("b", "v2")}, 3));
+}
--- a/unittests/Proxy/StoreSyncTests.cpp
+++ b/unittests/Proxy/StoreSyncTests.cpp
@@ -47,10 +47,10 @@
         });
     }
 
-    void write(const std::vector<row_write> &rows, row_callback<write_status> done)
+    void write(const std::vector<row_write> &rows, row_callback<conditional_write> done)
     {
         ++writes;
-        answer<write_status>(std::move(done), [this, rows] { return apply(rows); });
+        answer<conditional_write>(std::move(done), [this, rows] { return apply(rows); });
     }
 
     void put(const std::string &table, const std::string &key, const std::string &value)
@@ -107,7 +107,7 @@
         return batch;
     }
 
-    write_status apply(const std::vector<row_write> &rows)
+    conditional_write apply(const std::vector<row_write> &rows)
     {
         for (const row_write &row : rows) {
             const auto &known = m_tables[row.table];
@@ -115,12 +115,12 @@
             const std::uint64_t version
                     = it == known.end() || it->second.removed ? 0 : it->second.version;
             if (row.expected && *row.expected != version)
-                return write_status::conflict;
+                return {false, {{row.table, it == known.end() ? store_row() : it->second}}};
         }
         ++m_version;
         for (const row_write &row : rows)
             m_tables[row.table][row.key] = {row.key, row.value, m_version, false};
-        return write_status::done;
+        return {true, {}};
     }
 
     manual_runtime &m_runtime;
@@ -315,6 +315,8 @@
     CHECK(world.store.valueOf("status", "pool") == "trial");
     world.runtime.advance(milliseconds(1800));
     CHECK(world.store.valueOf("status", "pool") == "full");
+    for (int i = 0; i < 20; ++i)
+        world.routing.rollouts("pool").observe("v2", "route", "m", answer_timing{});
     world.runtime.advance(seconds(2));
     CHECK(world.store.valueOf("status", "pool") == "completed");
     const unsigned writes = world.store.writes;
@@ -397,7 +399,8 @@
 {
     row_mirror mirror;
     const time_point now{seconds(100)};
-    mirror.take("t", {{{"a", "1", 5, false}, {"b", "2", 6, false}}, 6, milliseconds(10)}, true, now);
+    mirror.take("t", {{{"a", "1", 5, false}, {"b", "2", 6, false}}, 6, milliseconds(10)}, true,
+                now);
     mirror.take("t", {{{"a", "", 7, true}}, 7, milliseconds(20)}, false, now);
     // An older batch changes nothing.
     mirror.take("t", {{{"c", "3", 4, false}}, 4, milliseconds(5)}, false, now);
@@ -415,3 +418,30 @@
     CHECK(back.value().version == 7);
     CHECK(!decodeRows("{}"));
 }
+
+TEST_CASE("an entry that lost a race goes on from the winner's row at once")
+{
+    sync_world world;
+    world.store.put("endpoints", "b", "v2");
+    world.store.put("orders", "pool", "v2");
+    world.sync.start();
+    world.runtime.advance(milliseconds(10));
+    // Another entry was first; this one's feed of the shared rows is slow to tell.
+    const rollout_row row{3, "v2", rollout_stage::reverted, milliseconds(1), milliseconds(1), 0};
+    world.store.put("laurelcroft", "rollout/pool", encodeRollout(row));
+    world.runtime.advance(milliseconds(1900));
+    REQUIRE(world.routing.rollouts("pool").row());
+    CHECK(world.routing.rollouts("pool").row()->stage == rollout_stage::reverted);
+}
+
+TEST_CASE("a restarted entry takes up what it had told before")
+{
+    sync_world world;
+    world.store.put("endpoints", "b", "v2");
+    world.store.put("orders", "pool", "v2");
+    const rollout_evidence before{3, {{"route", {10, 30}}}};
+    world.store.put("laurelcroft", evidenceKey("e1", "pool"), encodeEvidence(before));
+    world.sync.start();
+    world.runtime.advance(seconds(4));
+    CHECK(world.store.valueOf("status", "pool") == "reverted");
+}
