Logs on standard output, bounded by rate, with a count of what was left out

Lines for ordinary requests are bounded to 100 a second, others to 300; a reader that stops costs lines, counted, never time (test with a full pipe).

--- a/include/laurelcroft/Support/Log.h
+++ b/include/laurelcroft/Support/Log.h
@@ -1,6 +1,7 @@
 //===-- Support/Log.h - structured log lines ---------------------*- C++ -*-===//
 //
-// Short sentences with a fixed prefix for each part, as text or as JSON lines.
+// Short sentences with a fixed prefix for each part, as text or as JSON lines, on standard
+// output.
 // Boost.Log stays behind this header, in one private unit.
 //
 //===----------------------------------------------------------------------===//
@@ -65,6 +66,9 @@
 void logLine(log_level level, log_part part, std::string_view sentence,
              std::initializer_list<log_field> fields = {});
 
+/// \returns the lines that were lost since the last call because their reader was too slow.
+std::uint64_t takeDroppedLines();
+
 bool logEnabled(log_level level);
 
 inline void logInfo(log_part part, std::string_view sentence,
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -9,6 +9,7 @@
 #include "laurelcroft/Proxy/EndpointCaller.h"
 #include "laurelcroft/Proxy/RequestFlow.h"
 #include "laurelcroft/Support/Log.h"
+#include "laurelcroft/Support/LogLimiter.h"
 #include "laurelcroft/Support/Runtime.h"
 
 #include <asio/io_context.hpp>
@@ -31,6 +32,10 @@
 /// An entry opens at most this part of what an endpoint takes, divided by the entries: a
 /// new entry may not be known yet.
 constexpr double connectionPart = 0.8;
+/// Lines a second for requests that were served at the first try, and for all others. At about
+/// 350 bytes a line this bounds the log to 140 kB/s.
+constexpr double ordinaryLines = 100;
+constexpr double unusualLines = 300;
 /// At least this many, whatever the number of entries.
 constexpr std::size_t leastConnections = 4;
 
@@ -74,6 +79,8 @@
     void onRequest(message_head &&head, std::string &&body, caller_exchange exchange);
     void onReadyCheck(const message_head &head, caller_exchange &exchange);
     void finished(const flow_record &record);
+    void logFinished(const flow_record &record);
+    void logHeldLines();
     void attemptEnded(const flow_record &record, attempt_end end, next_step step);
     bool hasRoomAt(const service_endpoint &endpoint) const;
     bool isReady() const;
@@ -92,6 +99,8 @@
     caller_server readiness;
     caller_server metricsServer;
     std::unordered_set<std::shared_ptr<flow>> flows;
+    log_limiter ordinary{ordinaryLines};
+    log_limiter unusual{unusualLines};
     bool sweepPosted = false;
     bool draining = false;
     bool lastReady = false;
@@ -171,6 +180,20 @@
         metrics.add("escalations_total", record.escalations);
     if (record.resumes > 0)
         metrics.add("resumes_total", record.resumes);
+    const bool isOrdinary = record.reason == flow_reason::served && record.resumes == 0
+            && record.attempts == record.escalations + 1;
+    if ((isOrdinary ? ordinary : unusual).allows(runtime.now()))
+        logFinished(record);
+    // The flow is still on the stack: it is dropped afterwards.
+    if (sweepPosted)
+        return;
+    sweepPosted = true;
+    asio::post(context, [this] { removeDone(); });
+}
+
+void proxy_server::state::logFinished(const flow_record &record)
+{
+    const std::string_view reason = textOf(record.reason);
     logInfo(log_part::routing, "request ended",
             {{"request", record.request},
              {"reason", reason},
@@ -192,11 +215,21 @@
              {"events", std::int64_t(record.events)},
              {"first_ms", std::int64_t(record.firstPart.value_or(milliseconds(-1)).count())},
              {"total_ms", std::int64_t(record.total.count())}});
-    // The flow is still on the stack: it is dropped afterwards.
-    if (sweepPosted)
+}
+
+void proxy_server::state::logHeldLines()
+{
+    const std::uint64_t ordinaryHeld = ordinary.takeHeld();
+    const std::uint64_t unusualHeld = unusual.takeHeld();
+    const std::uint64_t lost = takeDroppedLines();
+    metrics.add("log_lines_held_total", ordinaryHeld + unusualHeld);
+    metrics.add("log_lines_lost_total", lost);
+    if (ordinaryHeld + unusualHeld + lost == 0)
         return;
-    sweepPosted = true;
-    asio::post(context, [this] { removeDone(); });
+    logWarning(log_part::routing, "log lines left out",
+               {{"ordinary", std::int64_t(ordinaryHeld)},
+                {"unusual", std::int64_t(unusualHeld)},
+                {"reader_too_slow", std::int64_t(lost)}});
 }
 
 void proxy_server::state::removeDone()
@@ -208,6 +241,8 @@
 void proxy_server::state::attemptEnded(const flow_record &record, attempt_end end, next_step step)
 {
     metrics.add("attempts_total{end=\"" + std::string(textOf(end)) + "\"}");
+    if (!unusual.allows(runtime.now()))
+        return;
     logInfo(log_part::routing, "attempt ended",
             {{"request", record.request},
              {"end", textOf(end)},
@@ -221,6 +256,7 @@
 void proxy_server::state::housekeep()
 {
     endpoints.sweep();
+    logHeldLines();
     routing.directory().expire(runtime.now());
     metrics.set("in_flight", static_cast<double>(flows.size()));
     metrics.set("caller_connections", static_cast<double>(callers.connections()));
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -9,9 +9,9 @@
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
+#include <boost/log/core/record_view.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
-#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -31,9 +31,30 @@
 namespace {
 
 constexpr std::size_t queuedLines = 8192;
-using sink_type
-        = sinks::asynchronous_sink<sinks::text_ostream_backend,
-                                   sinks::bounded_fifo_queue<queuedLines, sinks::drop_on_overflow>>;
+
+/// Overflow strategy of the queue: a line that finds it full is dropped and counted.
+class counting_drop
+{
+public:
+    static std::atomic<std::uint64_t> &dropped()
+    {
+        static std::atomic<std::uint64_t> count{0};
+        return count;
+    }
+
+protected:
+    template <class Lock>
+    static bool on_overflow(const boost::log::record_view &, Lock &)
+    {
+        ++dropped();
+        return false;
+    }
+    static void on_queue_space_available() { }
+    static void interrupt() { }
+};
+
+using sink_type = sinks::asynchronous_sink<sinks::text_ostream_backend,
+                                           sinks::bounded_fifo_queue<queuedLines, counting_drop>>;
 
 constexpr std::array<std::string_view, 12> partNames
         = {"start", "caller", "routing",  "agent",  "placement", "bundle",
@@ -78,7 +99,7 @@
     }
     state().json = json;
     auto backend = boost::make_shared<sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
     backend->auto_flush(true);
     state().sink = boost::make_shared<sink_type>(backend);
     boost::log::core::get()->add_sink(state().sink);
@@ -94,6 +115,11 @@
     state().sink.reset();
 }
 
+std::uint64_t laurelcroft::takeDroppedLines()
+{
+    return counting_drop::dropped().exchange(0);
+}
+
 bool laurelcroft::logEnabled(log_level level)
 {
     return state().sink && static_cast<int>(level) >= state().least;
--- a/unittests/Support/SupportTests.cpp
+++ b/unittests/Support/SupportTests.cpp
@@ -6,6 +6,8 @@
 #include "laurelcroft/Support/Breaker.h"
 #include "laurelcroft/Support/Crypto.h"
 #include "laurelcroft/Support/Duty.h"
+#include "laurelcroft/Support/Log.h"
+#include "laurelcroft/Support/LogLimiter.h"
 #include "laurelcroft/Support/Metrics.h"
 #include "laurelcroft/Support/Runtime.h"
 #include "laurelcroft/Support/Settings.h"
@@ -13,7 +15,11 @@
 #include <doctest/doctest.h>
 
 #include <cstdlib>
+#include <fcntl.h>
 #include <future>
+#include <iostream>
+#include <thread>
+#include <unistd.h>
 
 using namespace laurelcroft;
 
@@ -179,3 +185,53 @@
     item.succeeded();
     CHECK_FALSE(item.isOpen());
 }
+
+TEST_CASE("a limiter lets a second's lines pass and counts the rest")
+{
+    log_limiter limiter(10);
+    time_point now{seconds(100)};
+    unsigned passed = 0;
+    for (int i = 0; i < 25; ++i)
+        passed += limiter.allows(now) ? 1 : 0;
+    CHECK(passed == 10);
+    CHECK(limiter.takeHeld() == 15);
+    CHECK(limiter.takeHeld() == 0);
+    now += milliseconds(500);
+    passed = 0;
+    for (int i = 0; i < 25; ++i)
+        passed += limiter.allows(now) ? 1 : 0;
+    CHECK(passed == 5);
+}
+
+TEST_CASE("a reader that stops reading costs lines, never the writer's time")
+{
+    int ends[2];
+    REQUIRE(pipe(ends) == 0);
+    std::cout.flush();
+    const int before = dup(STDOUT_FILENO);
+    dup2(ends[1], STDOUT_FILENO);
+    startLog("info", false);
+    const std::string filler(200, 'x');
+    constexpr int lines = 20000; // far more than the pipe and the queue hold
+    const auto began = std::chrono::steady_clock::now();
+    for (int i = 0; i < lines; ++i)
+        logInfo(log_part::load, "line", {{"filler", filler}});
+    const auto took = std::chrono::steady_clock::now() - began;
+    const std::uint64_t lost = takeDroppedLines();
+    // The reader comes back, so that the log can end.
+    std::thread reader([&] {
+        char buffer[65536];
+        while (read(ends[0], buffer, sizeof(buffer)) > 0) {
+        }
+    });
+    stopLog();
+    dup2(before, STDOUT_FILENO);
+    close(ends[1]);
+    reader.join();
+    close(ends[0]);
+    close(before);
+    CHECK(lost > 0);
+    CHECK(lost < lines);
+    // A blocked writer would never have come here; this bounds its cost, too.
+    CHECK(took < std::chrono::seconds(20));
+}
