Two entries of a data centre read the store for the others there

Two readers, ranked by rendezvous hashing, and a relay that tells only what is new, with its age so that entries can't confirm each other; a relay that fails is passed over for the store at once. Sites with up to two entries a data centre read as before.

--- a/include/laurelcroft/Platform/RowFollower.h
+++ b/include/laurelcroft/Platform/RowFollower.h
@@ -31,9 +31,23 @@
     std::function<void(milliseconds away)> onRegained;
 };
 
-/// Another way to a whole table while the store can't be read; it may fail as well.
-using table_fallback
-        = std::function<void(const std::string &table, row_callback<row_batch> done)>;
+/// What is new in a table.
+struct row_news
+{
+    row_batch batch;
+    bool whole = false; ///< the batch is the whole table, otherwise changes to it
+};
+
+/// Another way to the rows: a process that reads the store gives them on.
+struct row_relay
+{
+    /// \returns true while the relay is asked first and the store only when it fails. Otherwise
+    /// it is the other way round.
+    std::function<bool()> isPreferred;
+    /// Reads what is new since a version; 0: the whole table. May fail.
+    std::function<void(const std::string &table, std::uint64_t since, row_callback<row_news> done)>
+            read;
+};
 
 /// Follows one table.
 template <row_store_like Store, runtime_like Runtime>
@@ -46,13 +60,13 @@
     static constexpr milliseconds longestRetry{800};
 
     row_follower(Store &store, Runtime &runtime, std::string table, follow_pace pace,
-                 follow_events events, table_fallback fallback = {})
+                 follow_events events, row_relay relay = {})
         : m_store(store)
         , m_runtime(runtime)
         , m_table(std::move(table))
         , m_pace(pace)
         , m_events(std::move(events))
-        , m_fallback(std::move(fallback))
+        , m_relay(std::move(relay))
         , m_alive(std::make_shared<bool>(true))
     {
     }
@@ -62,11 +76,50 @@
 
     void start() { read(); }
 
+    /// Time between two reads of a relay that is asked first. It is near and costs little; with
+    /// the store's own pace it stays within the time that a leaving endpoint allows.
+    static constexpr milliseconds relayPace{300};
+
     /// \returns when the last answer came; the clock's beginning when none has.
     time_point confirmedAt() const { return m_confirmedAt; }
 
 private:
     void read()
+    {
+        if (m_relay.read && m_relay.isPreferred())
+            readRelay();
+        else
+            readStore();
+    }
+
+    void readRelay()
+    {
+        m_relay.read(m_table, m_since,
+                     [this, alive = m_alive](outcome<row_news, row_failure> result) {
+                         if (!*alive)
+                             return;
+                         if (!result) {
+                             readStore();
+                             return;
+                         }
+                         takeNews(std::move(result.value()));
+                         readAfter(relayPace);
+                     });
+    }
+
+    /// Takes what a relay said; what is known never grows older.
+    void takeNews(row_news &&news)
+    {
+        if (news.batch.version <= m_since)
+            return;
+        m_since = news.batch.version;
+        if (news.whole)
+            m_events.onTable(std::move(news.batch));
+        else
+            m_events.onChanges(std::move(news.batch));
+    }
+
+    void readStore()
     {
         auto done = [this, alive = m_alive](outcome<row_batch, row_failure> result) {
             if (*alive)
@@ -123,22 +176,17 @@
         }
         readAfter(m_retry);
         m_retry = std::min(m_retry * 2, longestRetry);
-        if (m_fallback)
+        if (m_relay.read)
             askElsewhere();
     }
 
     void askElsewhere()
     {
-        m_fallback(m_table, [this, alive = m_alive](outcome<row_batch, row_failure> result) {
-            if (!*alive || !m_lost || !result)
-                return;
-            // What is known must never grow older.
-            row_batch batch = std::move(result.value());
-            if (batch.version <= m_since)
-                return;
-            m_since = batch.version;
-            m_events.onTable(std::move(batch));
-        });
+        m_relay.read(m_table, m_since,
+                     [this, alive = m_alive](outcome<row_news, row_failure> result) {
+                         if (*alive && m_lost && result)
+                             takeNews(std::move(result.value()));
+                     });
     }
 
     Store &m_store;
@@ -146,7 +194,7 @@
     std::string m_table;
     follow_pace m_pace;
     follow_events m_events;
-    table_fallback m_fallback;
+    row_relay m_relay;
     std::shared_ptr<bool> m_alive;
     std::uint64_t m_since = 0;
     milliseconds m_retry = firstRetry;
--- a/include/laurelcroft/Proxy/PeerRows.h
+++ b/include/laurelcroft/Proxy/PeerRows.h
@@ -1,7 +1,7 @@
 //===-- Proxy/PeerRows.h - rows from and for other entries -------*- C++ -*-===//
 //
-// Serves this entry's mirror to the others, and asks them when the store turns this
-// entry away. Used on one thread.
+// Serves this entry's mirror to the others, and asks them: when the store turns this entry
+// away, and always where enough others of its data centre read the store. One thread.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_PROXY_PEERROWS_H
@@ -9,14 +9,25 @@
 
 #include "laurelcroft/Http/Client.h"
 #include "laurelcroft/Proxy/CallerServer.h"
+#include "laurelcroft/Proxy/RolloutRows.h"
 #include "laurelcroft/Proxy/RowMirror.h"
 #include "laurelcroft/Support/Metrics.h"
 
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace laurelcroft {
 
+/// Entries of a data centre that read the store for the others there. Two, so that one may
+/// be gone.
+inline constexpr std::size_t readersOfDataCentre = 2;
+
+/// \returns the addresses of the entries that read the store for \p own; empty when it reads
+/// the store itself.
+std::vector<std::string> readersFor(const entry_map &entries, const std::string &own);
+
 /// The other entries, as sources of rows.
 class peer_rows
 {
@@ -31,13 +42,21 @@
     /// Peers by "host:port"; this entry's own address is left out.
     void setPeers(std::vector<std::string> peers);
 
-    const std::string &ownAddress() const { return m_ownAddress; }
+    /// The port in use, after open().
+    std::uint16_t port() const { return m_server.port(); }
+
+    /// Entries that read the store for this one; empty when it reads itself.
+    void setReaders(std::vector<std::string> readers) { m_readers = std::move(readers); }
+    bool hasReaders() const { return !m_readers.empty(); }
 
-    /// Asks one peer, another one each time.
-    void read(const std::string &table, row_callback<row_batch> done);
+    /// Asks a reader, or any peer when there is none; another one each time.
+    void read(const std::string &table, std::uint64_t since, row_callback<row_news> done);
 
 private:
+    std::optional<std::string> pick(const std::vector<std::string> &from);
     void serve(const message_head &head, caller_exchange &exchange);
+    outcome<row_news, row_failure> newsIn(const std::string &peer, const std::string &table,
+                                          const outcome<http_reply, http_error> &reply);
 
     caller_server m_server;
     http_client &m_http;
@@ -45,7 +64,9 @@
     metric_registry &m_metrics;
     std::string m_ownAddress;
     std::vector<std::string> m_peers;
+    std::vector<std::string> m_readers;
     std::size_t m_next = 0;
+    std::map<std::string, time_point> m_avoidedUntil; ///< peers that did not answer
 };
 
 } // namespace laurelcroft
--- a/include/laurelcroft/Proxy/RolloutRows.h
+++ b/include/laurelcroft/Proxy/RolloutRows.h
@@ -60,10 +60,17 @@
 /// \returns the place of an evidence row's key; nothing for other keys.
 std::optional<evidence_place> evidenceOfKey(std::string_view key);
 
-/// An entry's row tells where other entries may read its rows.
-std::string encodeEntry(const std::string &address);
-/// \returns the address; empty when the row has none.
-std::string entryAddress(const std::string &value);
+/// Where an entry is.
+struct entry_place
+{
+    std::string address; ///< "host:port" where other entries may read its rows; empty: nowhere
+    std::string dataCentre;
+};
+using entry_map = std::map<std::string, entry_place>; ///< by name
+
+std::string encodeEntry(const entry_place &place);
+/// \returns an empty place for a row that can't be read: it is an entry all the same.
+entry_place decodeEntry(const std::string &value);
 
 std::string encodeRollout(const rollout_row &row);
 outcome<rollout_row, std::string> decodeRollout(const std::string &value);
--- a/include/laurelcroft/Proxy/RolloutTracker.h
+++ b/include/laurelcroft/Proxy/RolloutTracker.h
@@ -111,7 +111,8 @@
     std::uint64_t m_judged = 0; ///< answers of the target version
     std::map<std::string, time_mean> m_times; ///< of the settled version
     rollout_evidence m_own;
-    std::map<std::string, rollout_evidence> m_others; ///< by entry
+    std::map<std::string, rollout_evidence> m_others; ///< by entry, as judged already
+    std::map<std::string, rollout_evidence> m_received; ///< by entry, as told last
     std::string m_settled; ///< version in force while there is no order
 };
 
--- a/include/laurelcroft/Proxy/RowMirror.h
+++ b/include/laurelcroft/Proxy/RowMirror.h
@@ -1,13 +1,14 @@
 //===-- Proxy/RowMirror.h - tables as this entry last read them --*- C++ -*-===//
 //
-// Kept so that an entry that the store turns away can read them here. Versions are the
-// store's own, so that nobody ever goes back.
+// Kept so that other entries can read them here: those that the store turns away, and those
+// that leave the reading to a few. Versions are the store's own, so that nobody ever goes
+// back; every answer tells its age, so that entries can't confirm each other.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_PROXY_ROWMIRROR_H
 #define LAURELCROFT_PROXY_ROWMIRROR_H
 
-#include "laurelcroft/Platform/RowStore.h"
+#include "laurelcroft/Platform/RowFollower.h"
 
 #include <map>
 #include <optional>
@@ -15,6 +16,13 @@
 
 namespace laurelcroft {
 
+/// News of a table and how old they are.
+struct aged_news
+{
+    row_news news;
+    milliseconds age{0}; ///< since the store confirmed them
+};
+
 /// Copies of tables.
 class row_mirror
 {
@@ -22,25 +30,35 @@
     /// A copy that the store has not confirmed for longer is not given away.
     static constexpr milliseconds freshness{2500};
 
-    /// Takes a whole table, or changes to it.
-    void take(const std::string &table, const row_batch &batch, bool whole, time_point now);
+    /// Removed rows that are remembered for each table; an entry that is further behind gets
+    /// the whole table.
+    static constexpr std::size_t mostRemoved = 500;
 
-    /// \returns the table; nothing when it is not known or not fresh.
-    std::optional<row_batch> read(const std::string &table, time_point now) const;
+    /// Takes a whole table, or changes to it. \param confirmedAt when the store said so.
+    void take(const std::string &table, const row_batch &batch, bool whole, time_point confirmedAt);
+
+    /// \returns what is new since a version, with its age; nothing when the table is not known
+    /// or not fresh.
+    std::optional<aged_news> read(const std::string &table, std::uint64_t since,
+                                  time_point now) const;
 
 private:
     struct copy
     {
         std::map<std::string, store_row> rows;
+        std::map<std::string, std::uint64_t> removed; ///< versions of the removals, by key
+        std::uint64_t changesFrom = 0; ///< changes since any later version are known
         std::uint64_t version = 0;
         milliseconds storeTime{0};
         time_point confirmedAt{};
     };
+    static void forgetRemoved(copy &known);
+
     std::map<std::string, copy> m_tables;
 };
 
-std::string encodeRows(const row_batch &batch);
-outcome<row_batch, std::string> decodeRows(const std::string &text);
+std::string encodeNews(const aged_news &news);
+outcome<aged_news, std::string> decodeNews(const std::string &text);
 
 } // namespace laurelcroft
 
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -50,9 +50,9 @@
 struct entry_links
 {
     std::string entry; ///< name of this entry
-    std::string address; ///< where other entries may read this one's rows; empty: nowhere
-    table_fallback readElsewhere; ///< asks another entry
-    std::function<void(std::vector<std::string> addresses)> onEntries;
+    entry_place place; ///< where other entries may read this one's rows
+    row_relay relay; ///< asks other entries
+    std::function<void(const entry_map &entries)> onEntries;
     std::function<void()> onContract; ///< another contract is in force
 };
 
@@ -109,9 +109,9 @@
     metric_registry &m_metrics;
     row_codec m_codec;
     entry_links m_links;
-    std::vector<std::unique_ptr<follower>> m_followers;
+    std::map<std::string, std::unique_ptr<follower>> m_followers; ///< by table
     std::map<std::string, std::uint64_t> m_rowVersions; ///< of roll-out rows, by service
-    std::map<std::string, std::string> m_entries; ///< addresses by name
+    entry_map m_entries;
     std::map<std::string, rollout_evidence> m_told; ///< by service
     bool m_writing = false;
     time_point m_toldAt{};
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -31,10 +31,13 @@
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::start()
 {
-    m_followers.push_back(follow(m_codec.endpointTable, endpointPace, &store_sync::applyEndpoints));
-    m_followers.push_back(follow(m_codec.operatorTable, operatorPace, &store_sync::applyOperator));
-    m_followers.push_back(follow(std::string(ownTable), ownPace, &store_sync::applyOwn));
-    for (const auto &item : m_followers)
+    const std::string own(ownTable);
+    m_followers[m_codec.endpointTable]
+            = follow(m_codec.endpointTable, endpointPace, &store_sync::applyEndpoints);
+    m_followers[m_codec.operatorTable]
+            = follow(m_codec.operatorTable, operatorPace, &store_sync::applyOperator);
+    m_followers[own] = follow(own, ownPace, &store_sync::applyOwn);
+    for (const auto &[table, item] : m_followers)
         item->start();
     announce();
     step();
@@ -49,12 +52,12 @@
     follow_events events;
     events.onTable = [this, table, apply](row_batch &&batch) {
         noteTime(batch);
-        m_mirror.take(table, batch, true, m_runtime.now());
+        m_mirror.take(table, batch, true, m_followers.at(table)->confirmedAt());
         (this->*apply)(batch, true);
     };
     events.onChanges = [this, table, apply](row_batch &&batch) {
         noteTime(batch);
-        m_mirror.take(table, batch, false, m_runtime.now());
+        m_mirror.take(table, batch, false, m_followers.at(table)->confirmedAt());
         (this->*apply)(batch, false);
     };
     events.onLost = [this, table, listsEndpoints](row_failure why) {
@@ -70,7 +73,7 @@
             m_state.directory().storeRegained(m_runtime.now());
     };
     return std::make_unique<follower>(m_store, m_runtime, table, pace, std::move(events),
-                                      m_links.readElsewhere);
+                                      m_links.relay);
 }
 
 template <row_store_like Store, runtime_like Runtime>
@@ -203,12 +206,7 @@
     for (const store_row &row : batch.rows)
         takeOwnRow(row);
     m_state.setEntries(std::max<std::size_t>(1, m_entries.size()));
-    std::vector<std::string> addresses;
-    for (const auto &[name, address] : m_entries) {
-        if (!address.empty())
-            addresses.push_back(address);
-    }
-    m_links.onEntries(std::move(addresses));
+    m_links.onEntries(m_entries);
 }
 
 template <row_store_like Store, runtime_like Runtime>
@@ -218,7 +216,7 @@
         if (row.removed)
             m_entries.erase(*entry);
         else
-            m_entries[*entry] = entryAddress(row.value);
+            m_entries[*entry] = decodeEntry(row.value);
         return;
     }
     if (const std::optional<evidence_place> place = evidenceOfKey(row.key)) {
@@ -287,8 +285,8 @@
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::announce()
 {
-    const row_write row{std::string(ownTable), entryKey(m_links.entry),
-                        encodeEntry(m_links.address), std::nullopt};
+    const row_write row{std::string(ownTable), entryKey(m_links.entry), encodeEntry(m_links.place),
+                        std::nullopt};
     m_store.write({row}, [this](outcome<conditional_write, row_failure> result) {
         if (result)
             return;
--- a/lib/Proxy/RolloutRows.cpp
+++ b/lib/Proxy/RolloutRows.cpp
@@ -66,16 +66,17 @@
     return afterPrefix(key, entryPrefix);
 }
 
-std::string laurelcroft::encodeEntry(const std::string &address)
+std::string laurelcroft::encodeEntry(const entry_place &place)
 {
-    return nlohmann::json{{"address", address}}.dump();
+    return nlohmann::json{{"address", place.address}, {"data_centre", place.dataCentre}}.dump();
 }
 
-std::string laurelcroft::entryAddress(const std::string &value)
+entry_place laurelcroft::decodeEntry(const std::string &value)
 {
-    // A row that can't be read counts as an entry without an address.
     const nlohmann::json json = nlohmann::json::parse(value, nullptr, false);
-    return json.is_object() ? json.value("address", "") : "";
+    if (!json.is_object())
+        return {};
+    return {json.value("address", ""), json.value("data_centre", "")};
 }
 
 std::string laurelcroft::encodeRollout(const rollout_row &row)
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -37,6 +37,10 @@
         m_judged = 0;
         m_own = {order.orderedAt, {}};
         m_others.clear();
+        // Rows of evidence may have been read before their order.
+        const auto received = m_received;
+        for (const auto &[entry, evidence] : received)
+            takeEvidence(entry, evidence);
     }
 }
 
@@ -188,6 +192,7 @@
 
 void rollout_tracker::takeEvidence(const std::string &entry, const rollout_evidence &evidence)
 {
+    m_received[entry] = evidence;
     if (!m_order || evidence.orderedAt != m_order->orderedAt)
         return;
     rollout_evidence &known = m_others[entry];
--- a/unittests/Proxy/StoreSyncTests.cpp
+++ b/unittests/Proxy/StoreSyncTests.cpp
@@ -179,8 +179,10 @@
     metric_registry metrics;
     unsigned contracts = 0;
     row_mirror mirror;
-    std::optional<row_batch> ordersOfPeer; ///< what another entry has
-    std::vector<std::string> peers;
+    std::optional<row_news> ordersOfPeer; ///< what another entry has
+    bool relayed = false; ///< another entry reads the store for this one
+    unsigned relayReads = 0;
+    entry_map entries;
     store_sync<fake_store, manual_runtime> sync{store,   runtime,      routing, mirror,
                                                 metrics, plainCodec(), links()};
 
@@ -188,14 +190,17 @@
     {
         entry_links links;
         links.entry = name;
-        links.address = "10.0.0.1:5";
-        links.readElsewhere = [this](const std::string &table, row_callback<row_batch> done) {
-            if (ordersOfPeer && table == "orders")
-                done(*ordersOfPeer);
-            else
-                done(failure(row_failure::notDone));
-        };
-        links.onEntries = [this](std::vector<std::string> addresses) { peers = addresses; };
+        links.place = {"10.0.0.1:5", "hall"};
+        links.relay.isPreferred = [this] { return relayed; };
+        links.relay.read
+                = [this](const std::string &table, std::uint64_t, row_callback<row_news> done) {
+                      ++relayReads;
+                      if (ordersOfPeer && table == "orders")
+                          done(*ordersOfPeer);
+                      else
+                          done(failure(row_failure::notDone));
+                  };
+        links.onEntries = [this](const entry_map &known) { entries = known; };
         links.onContract = [this] { ++contracts; };
         return links;
     }
@@ -345,12 +350,13 @@
 TEST_CASE("entries count each other by their rows")
 {
     sync_world world("e1");
-    world.store.put("laurelcroft", "entry/e2", encodeEntry("10.0.0.2:5"));
+    world.store.put("laurelcroft", "entry/e2", encodeEntry({"10.0.0.2:5", "hall"}));
     world.store.put("laurelcroft", "entry/e3", "nonsense");
     world.sync.start();
     world.runtime.advance(seconds(3));
     CHECK(world.routing.entries() == 3);
-    CHECK(world.peers == std::vector<std::string>{"10.0.0.1:5", "10.0.0.2:5"});
+    CHECK(world.entries.at("e1").address == "10.0.0.1:5");
+    CHECK(world.entries.at("e2").dataCentre == "hall");
 }
 
 TEST_CASE("an entry that the store turns away learns from another one, and never goes back")
@@ -361,11 +367,11 @@
     world.runtime.advance(milliseconds(10));
     const std::uint64_t version = 50;
     world.store.away = true;
-    world.ordersOfPeer = row_batch{{{"contract", "7", version, false}}, version, {}};
+    world.ordersOfPeer = row_news{{{{"contract", "7", version, false}}, version, {}}, true};
     world.runtime.advance(seconds(4));
     CHECK(world.routing.contract()->version == 7);
     const unsigned contracts = world.contracts;
-    world.ordersOfPeer = row_batch{{{"contract", "9", 2, false}}, 2, {}};
+    world.ordersOfPeer = row_news{{{{"contract", "9", 2, false}}, 2, {}}, true};
     world.runtime.advance(seconds(4));
     CHECK(world.routing.contract()->version == 7);
     CHECK(world.contracts == contracts);
@@ -375,7 +381,7 @@
 {
     sync_world world;
     world.store.away = true;
-    world.ordersOfPeer = row_batch{{{"contract", "7", 50, false}}, 50, {}};
+    world.ordersOfPeer = row_news{{{{"contract", "7", 50, false}}, 50, {}}, true};
     world.sync.start();
     world.runtime.advance(seconds(1));
     REQUIRE(world.routing.contract());
@@ -395,28 +401,74 @@
     CHECK(world.store.writes - before <= 18);
 }
 
-TEST_CASE("a mirror gives away only what the store confirmed a moment ago")
+TEST_CASE("an entry with readers asks them and leaves the store alone, until they fail")
+{
+    sync_world world;
+    world.relayed = true;
+    world.ordersOfPeer = row_news{{{{"contract", "7", 50, false}}, 50, {}}, true};
+    world.store.put("endpoints", "a", "v1");
+    world.sync.start();
+    world.runtime.advance(seconds(1));
+    REQUIRE(world.routing.contract());
+    CHECK(world.routing.contract()->version == 7);
+    // The peer has no endpoints: those are read from the store.
+    CHECK(world.routing.directory().usable("pool").size() == 1);
+    CHECK(world.store.lists == 2);
+}
+
+TEST_CASE("a mirror tells what is new since a version, removals included")
 {
     row_mirror mirror;
     const time_point now{seconds(100)};
     mirror.take("t", {{{"a", "1", 5, false}, {"b", "2", 6, false}}, 6, milliseconds(10)}, true,
                 now);
-    mirror.take("t", {{{"a", "", 7, true}}, 7, milliseconds(20)}, false, now);
+    mirror.take("t", {{{"a", "", 7, true}, {"c", "3", 8, false}}, 8, milliseconds(20)}, false, now);
     // An older batch changes nothing.
-    mirror.take("t", {{{"c", "3", 4, false}}, 4, milliseconds(5)}, false, now);
-    const auto batch = mirror.read("t", now + milliseconds(30));
-    REQUIRE(batch);
-    REQUIRE(batch->rows.size() == 1);
-    CHECK(batch->rows[0].key == "b");
-    CHECK(batch->version == 7);
-    CHECK(batch->storeTime == milliseconds(50));
-    CHECK(!mirror.read("t", now + seconds(3)));
-    CHECK(!mirror.read("u", now));
-    const auto back = decodeRows(encodeRows(*batch));
+    mirror.take("t", {{{"d", "4", 4, false}}, 4, milliseconds(5)}, false, now);
+    const auto changes = mirror.read("t", 6, now + milliseconds(30));
+    REQUIRE(changes);
+    CHECK(!changes->news.whole);
+    CHECK(changes->age == milliseconds(30));
+    CHECK(changes->news.batch.storeTime == milliseconds(50));
+    REQUIRE(changes->news.batch.rows.size() == 2);
+    CHECK(changes->news.batch.rows[0].key == "c");
+    CHECK(changes->news.batch.rows[1].removed);
+    const auto whole = mirror.read("t", 3, now);
+    REQUIRE(whole);
+    CHECK(whole->news.whole);
+    CHECK(whole->news.batch.rows.size() == 2);
+    const auto back = decodeNews(encodeNews(*changes));
     REQUIRE(back);
-    CHECK(back.value().rows[0].value == "2");
-    CHECK(back.value().version == 7);
-    CHECK(!decodeRows("{}"));
+    CHECK(back.value().news.batch.rows[0].value == "3");
+    CHECK(back.value().news.batch.version == 8);
+    CHECK(!decodeNews("{}"));
+}
+
+TEST_CASE("a mirror gives away only what the store confirmed a moment ago")
+{
+    row_mirror mirror;
+    const time_point now{seconds(100)};
+    mirror.take("t", {{}, 6, milliseconds(10)}, true, now);
+    CHECK(mirror.read("t", 0, now + seconds(2)));
+    CHECK(!mirror.read("t", 0, now + seconds(3)));
+    CHECK(!mirror.read("u", 0, now));
+    // What another entry gave on keeps its age: two of them can't confirm each other.
+    mirror.take("t", {{}, 6, milliseconds(10)}, false, now - seconds(1));
+    CHECK(!mirror.read("t", 0, now + seconds(3)));
+}
+
+TEST_CASE("a whole table that is read again leaves traces of what vanished")
+{
+    row_mirror mirror;
+    const time_point now{seconds(100)};
+    mirror.take("t", {{{"a", "1", 5, false}}, 6, {}}, true, now);
+    mirror.take("t", {{{"b", "1", 8, false}}, 9, {}}, true, now);
+    const auto news = mirror.read("t", 6, now);
+    REQUIRE(news);
+    CHECK(!news->news.whole);
+    REQUIRE(news->news.batch.rows.size() == 2);
+    CHECK(news->news.batch.rows[1].key == "a");
+    CHECK(news->news.batch.rows[1].removed);
 }
 
 TEST_CASE("an entry that lost a race goes on from the winner's row at once")
