A trial's failures are served by the settled version; a starting entry accepts when it is ready

Change: the settled version is tried when a trial's endpoints have failed; the port listens at once and accepts once there is a contract, 400 ms later at the latest.

--- a/include/laurelcroft/Proxy/CallerServer.h
+++ b/include/laurelcroft/Proxy/CallerServer.h
@@ -68,9 +68,13 @@
     caller_server(asio::io_context &context, caller_handler handler);
     ~caller_server();
 
-    /// \returns an empty string, or what failed.
+    /// Listens and accepts. \returns an empty string, or what failed.
     std::string open(const std::string &host, std::uint16_t port);
 
+    /// Listens only: callers may connect and send, and wait until accept() is called.
+    std::string listen(const std::string &host, std::uint16_t port);
+    void accept();
+
     /// The port in use, after open().
     std::uint16_t port() const;
 
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -82,8 +82,8 @@
 inline constexpr milliseconds progressCheck{400};
 /// Told to callers that are refused: about the time in which a place becomes free.
 inline constexpr milliseconds retryAfterFull{250};
-/// Told when there is no contract or no endpoint at all: a store read and a heartbeat.
-inline constexpr milliseconds retryAfterNothing{1000};
+/// Told when there is no contract or no endpoint at all: some reads of the store.
+inline constexpr milliseconds retryAfterNothing{600};
 /// Largest whole answer that is kept, bytes: what a body may be in either direction.
 inline constexpr std::size_t largestAnswer = 8U << 20;
 
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -80,6 +80,7 @@
     const weighted_service &pickService();
     void sendNext();
     std::optional<endpoint_ptr> pickEndpoint();
+    std::optional<endpoint_ptr> pickAmong(const std::vector<endpoint_ptr> &endpoints);
     void send(const endpoint_ptr &endpoint);
     call_events eventsFor(unsigned number);
     void watchProgress(unsigned number);
--- a/include/laurelcroft/Proxy/RequestFlowImpl.h
+++ b/include/laurelcroft/Proxy/RequestFlowImpl.h
@@ -117,12 +117,21 @@
 
 template <flow_environment Env>
 std::optional<endpoint_ptr> request_flow<Env>::pickEndpoint()
+{
+    routing_state &state = m_env.routing();
+    state.directory().expire(now());
+    rollout_tracker &rollouts = state.rollouts(m_service);
+    const std::vector<endpoint_ptr> usable = state.directory().usable(m_service);
+    const std::optional<endpoint_ptr> first = pickAmong(rollouts.eligible(usable, m_session));
+    // What failed on a trial's few endpoints is still served by the settled version.
+    return first ? first : pickAmong(rollouts.settled(usable));
+}
+
+template <flow_environment Env>
+std::optional<endpoint_ptr> request_flow<Env>::pickAmong(const std::vector<endpoint_ptr> &endpoints)
 {
     routing_state &state = m_env.routing();
     const time_point at = now();
-    state.directory().expire(at);
-    const std::vector<endpoint_ptr> endpoints
-            = state.rollouts(m_service).eligible(state.directory().usable(m_service), m_session);
     std::vector<direct_candidate> candidates;
     candidates.reserve(endpoints.size());
     for (const endpoint_ptr &endpoint : endpoints) {
--- a/include/laurelcroft/Proxy/RolloutTracker.h
+++ b/include/laurelcroft/Proxy/RolloutTracker.h
@@ -56,6 +56,9 @@
     std::vector<endpoint_ptr> eligible(const std::vector<endpoint_ptr> &endpoints,
                                        std::uint64_t session);
 
+    /// \returns those of \p endpoints with the old version, while it is in force; otherwise none.
+    std::vector<endpoint_ptr> settled(const std::vector<endpoint_ptr> &endpoints) const;
+
     /// A request for the service came in.
     void arrived(time_point now);
 
--- a/lib/Proxy/CallerServer.cpp
+++ b/lib/Proxy/CallerServer.cpp
@@ -448,6 +448,19 @@
 }
 
 std::string caller_server::open(const std::string &host, std::uint16_t port)
+{
+    const std::string fault = listen(host, port);
+    if (fault.empty())
+        accept();
+    return fault;
+}
+
+void caller_server::accept()
+{
+    m_state->accept();
+}
+
+std::string caller_server::listen(const std::string &host, std::uint16_t port)
 {
     asio::error_code error;
     const auto address = asio::ip::make_address(host, error);
@@ -462,10 +475,7 @@
         acceptor.bind(endpoint, error);
     if (!error)
         acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return error.message();
-    m_state->accept();
-    return {};
+    return error ? error.message() : std::string();
 }
 
 std::uint16_t caller_server::port() const
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -29,6 +29,10 @@
 constexpr milliseconds lastWords{400};
 /// How often an ending process looks whether it is done.
 constexpr milliseconds drainCheckEvery{100};
+/// A process that starts reads its contract within some tens of milliseconds. Callers that
+/// connect meanwhile are accepted just after; later than this they are refused at once.
+constexpr milliseconds startPatience{400};
+constexpr milliseconds startCheckEvery{5};
 /// An entry opens at most this part of what an endpoint takes, divided by the entries: a
 /// new entry may not be known yet.
 constexpr double connectionPart = 0.8;
@@ -86,6 +90,7 @@
     bool isReady() const;
     void housekeep();
     void removeDone();
+    void acceptWhenReady(time_point latest);
     void checkDrained(time_point giveUpAt);
 
     asio::io_context &context;
@@ -272,6 +277,17 @@
     runtime.after(housekeepingEvery, [this] { housekeep(); });
 }
 
+void proxy_server::state::acceptWhenReady(time_point latest)
+{
+    if (draining)
+        return;
+    if (isReady() || runtime.now() >= latest) {
+        callers.accept();
+        return;
+    }
+    runtime.after(startCheckEvery, [this, latest] { acceptWhenReady(latest); });
+}
+
 void proxy_server::state::checkDrained(time_point giveUpAt)
 {
     const bool late = runtime.now() >= giveUpAt;
@@ -303,7 +319,7 @@
 std::string proxy_server::open()
 {
     const proxy_options &options = m_state->options;
-    std::string fault = m_state->callers.open(options.host, options.port);
+    std::string fault = m_state->callers.listen(options.host, options.port);
     if (!fault.empty())
         return "callers' address: " + fault;
     fault = m_state->readiness.open(options.readyHost, options.readyPort);
@@ -315,6 +331,7 @@
             return "metrics address: " + fault;
     }
     m_state->housekeep();
+    m_state->acceptWhenReady(m_state->runtime.now() + startPatience);
     return {};
 }
 
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -126,6 +126,18 @@
     return slow;
 }
 
+std::vector<endpoint_ptr> rollout_tracker::settled(const std::vector<endpoint_ptr> &endpoints) const
+{
+    const bool onTrial = isCurrent()
+            && (m_row->stage == rollout_stage::pilot || m_row->stage == rollout_stage::trial);
+    std::vector<endpoint_ptr> onOld;
+    for (const endpoint_ptr &endpoint : endpoints) {
+        if (onTrial && endpoint->record().softwareVersion != m_order->targetVersion)
+            onOld.push_back(endpoint);
+    }
+    return onOld;
+}
+
 void rollout_tracker::keepTrialEndpoints(std::vector<endpoint_ptr> &onTarget) const
 {
     const bool few = m_row->stage == rollout_stage::pilot || m_row->stage == rollout_stage::trial;
--- a/unittests/Proxy/CallerServerTests.cpp
+++ b/unittests/Proxy/CallerServerTests.cpp
@@ -215,3 +215,23 @@
     CHECK(world.requests == 2);
     CHECK(world.head.target == "/b");
 }
+
+TEST_CASE("a caller that connects to a starting server is served once it accepts")
+{
+    asio::io_context context;
+    unsigned requests = 0;
+    caller_server server(context, [&](message_head &&, std::string &&, caller_exchange exchange) {
+        ++requests;
+        exchange.reply(200, {}, "");
+    });
+    REQUIRE(server.listen("127.0.0.1", 0).empty());
+    asio::ip::tcp::socket caller(context);
+    caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    asio::write(caller, asio::buffer(std::string_view("GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+    context.run_for(std::chrono::milliseconds(20));
+    CHECK(requests == 0);
+    server.accept();
+    context.restart();
+    context.run_for(std::chrono::milliseconds(20));
+    CHECK(requests == 1);
+}
