The only endpoint is asked again; an endpoint's own failure is passed on when nobody else is left

With two of three endpoints of the plain service away, a request that failed at the third (14 in 100 do) had nobody left to ask. It may be asked again; where it is gone, its own failure goes to the caller instead of a 502. The test of a stream that can't go on now lets its endpoint go first: the stream would be resumed there.

--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -138,6 +138,7 @@
     proxy_answer m_answer;
     bool m_answered = false; ///< the current attempt's head has come
     bool m_mayHaveRun = false; ///< at an earlier endpoint
+    bool m_hasFailure = false; ///< the last attempt brought an endpoint's own whole failure
     bool m_begun = false; ///< the caller has the head of a stream
     std::optional<std::uint64_t> m_lastEvent;
     std::string m_body;
--- a/include/laurelcroft/Proxy/RequestFlowImpl.h
+++ b/include/laurelcroft/Proxy/RequestFlowImpl.h
@@ -124,7 +124,14 @@
     const std::vector<endpoint_ptr> usable = state.directory().usable(m_service);
     const std::optional<endpoint_ptr> first = pickAmong(rollouts.eligible(usable, m_session));
     // What failed on a trial's few endpoints is still served by the settled version.
-    return first ? first : pickAmong(rollouts.settled(usable));
+    if (first)
+        return first;
+    const std::optional<endpoint_ptr> second = pickAmong(rollouts.settled(usable));
+    if (second || !m_mayHaveRun)
+        return second;
+    // All have been asked: one that failed once may well serve the request the next time.
+    m_tried.clear();
+    return pickAmong(rollouts.eligible(usable, m_session));
 }
 
 template <flow_environment Env>
@@ -168,6 +175,8 @@
     if (m_begun) {
         m_env.abort();
         finish(flow_reason::noEndpoint, 0);
+    } else if (m_hasFailure) {
+        deliver();
     } else if (m_mayHaveRun) {
         refuse(http_status::badGateway, flow_reason::noEndpoint, std::nullopt);
     } else {
@@ -509,6 +518,7 @@
     const next_step step = stepAfter(end, facts());
     const bool ran = end != attempt_end::notSent && end != attempt_end::refused;
     m_mayHaveRun = m_mayHaveRun || ran;
+    m_hasFailure = end == attempt_end::failed;
     if (step != next_step::deliver || end != attempt_end::answered)
         m_env.attemptEnded(m_record, end, step);
 
--- a/unittests/Proxy/FlowTests.cpp
+++ b/unittests/Proxy/FlowTests.cpp
@@ -213,6 +213,8 @@
     startFlow(world, requestFor(draftRoute()));
     world.answer(0, 200, 90);
     world.data(0, eventText(1) + "id: 2");
+    // Its only endpoint is gone, so that there is nobody to resume it at.
+    world.routing.directory().remove("e1", world.runtime.now());
     world.end(0, call_end::complete);
     CHECK(world.aborted);
     CHECK(!world.ended);
@@ -294,3 +296,32 @@
     REQUIRE(world.calls.size() == 2);
     CHECK(world.calls[1].attempt.endpoint->record().id == "old");
 }
+
+TEST_CASE("the only endpoint is asked again after a failure, and its own failure is passed on")
+{
+    flow_world world;
+    world.useRoute(lookupRoute());
+    world.addEndpoint("e1");
+    startFlow(world, requestFor(lookupRoute()));
+    world.answer(0, 500);
+    world.end(0, call_end::complete);
+    REQUIRE(world.calls.size() == 2);
+    CHECK(world.calls[1].attempt.endpoint->record().id == "e1");
+    world.answer(1, 500);
+    world.end(1, call_end::complete);
+    CHECK(world.status == 500);
+}
+
+TEST_CASE("a failure is passed on as it came when its endpoint has gone since")
+{
+    flow_world world;
+    world.useRoute(lookupRoute());
+    world.addEndpoint("e1");
+    startFlow(world, requestFor(lookupRoute()));
+    world.answer(0, 500);
+    world.data(0, "why");
+    world.routing.directory().remove("e1", world.runtime.now());
+    world.end(0, call_end::complete);
+    CHECK(world.status == 500);
+    CHECK(world.body == "why");
+}
