Patience follows the usual wait, and leaves time for another endpoint

Patience is now ten recent mean waits, bounded by the objective, the reading that is before it, and 35% of the route's timeout.

--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -66,18 +66,9 @@
 inline constexpr milliseconds leastForAttempt{30};
 /// Endpoints without a connection that one request tries before it is given up.
 inline constexpr unsigned mostUnreached = 4;
-/// A repeatable request moves on when nothing came in this many times its objective, if
-/// it may be sent once more.
-inline constexpr double patienceForWhole = 2.0;
-inline constexpr double patienceForFirstEvent = 0.8;
-/// A resumable stream moves on after this part of the longest pause that is in time.
-inline constexpr double patienceForNextEvent = 0.75;
 /// An endpoint that answers none of this entry's requests for this long seems dead. Several
 /// steps of a full batch, and the reading of a long prompt between two of them.
 inline constexpr milliseconds endpointSilence{700};
-/// An endpoint that goes on with other requests is busy rather than dead: a request waits
-/// this many times longer before it moves, since moving it means reading its prompt anew.
-inline constexpr double patienceWithBusy = 3.0;
 /// How often a wait is looked at.
 inline constexpr milliseconds progressCheck{400};
 /// Told to callers that are refused: about the time in which a place becomes free.
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -11,6 +11,7 @@
 #include "laurelcroft/Http/EventSplitter.h"
 #include "laurelcroft/Policy/AttemptOutcome.h"
 #include "laurelcroft/Policy/DirectChoice.h"
+#include "laurelcroft/Policy/Patience.h"
 #include "laurelcroft/Proxy/FlowTypes.h"
 #include "laurelcroft/Proxy/ProxyTypes.h"
 #include "laurelcroft/Proxy/RoutingState.h"
@@ -121,6 +122,7 @@
     std::uint64_t m_session = 0;
     std::vector<prompt_prefix> m_prefixes; ///< of the current model, shared ones only
     double m_readingMs = 0; ///< of the current attempt, until its first event
+    double m_expectedMs = 0; ///< reading that is before the first event of the current attempt
     unsigned m_readTokens = 0;
     time_point m_arrivedAt{};
     time_point m_deadline{};
--- a/include/laurelcroft/Proxy/RequestFlowImpl.h
+++ b/include/laurelcroft/Proxy/RequestFlowImpl.h
@@ -202,6 +202,7 @@
     m_endpoint->began();
     m_readTokens = tokensToRead(*endpoint);
     m_readingMs = state.promptRate(modelName()).expectedMs(m_readTokens);
+    m_expectedMs = m_endpoint->readingMs() + m_readingMs;
     m_endpoint->beganReading(m_readingMs);
     m_endpoint->prompts().note(m_prefixes);
     m_tried.push_back(endpoint->record().id);
@@ -273,15 +274,16 @@
 milliseconds request_flow<Env>::patienceNow() const
 {
     auto &self = const_cast<request_flow &>(*this);
-    const double stretch = self.seemsDead() ? 1.0 : flow_bounds::patienceWithBusy;
-    const auto part = [stretch](milliseconds whole, double share) {
-        return std::chrono::duration_cast<milliseconds>(whole * share * stretch);
-    };
-    if (m_route->form == answer_form::whole)
-        return part(m_route->objective, flow_bounds::patienceForWhole);
-    if (!m_progressed)
-        return part(m_route->objective, flow_bounds::patienceForFirstEvent);
-    return part(m_route->eventGap, flow_bounds::patienceForNextEvent);
+    patience_view view;
+    view.objective = m_route->objective;
+    view.eventGap = m_route->eventGap;
+    view.timeout = m_route->timeout;
+    view.meanWait = self.m_env.routing().waits(m_service).mean();
+    view.readingMs = m_expectedMs;
+    view.endpointSilent = self.seemsDead();
+    if (m_route->form == answer_form::events)
+        view.part = m_progressed ? awaited_part::nextEvent : awaited_part::firstEvent;
+    return patienceFor(view);
 }
 
 template <flow_environment Env>
--- /dev/null
+++ b/lib/Policy/Patience.cpp
@@ -0,0 +1,50 @@
+//===-- Patience.cpp - when to leave a silent endpoint ----------------------===//
+//
+// A wait is unusual when it is many times the recent mean. While requests wait longer
+// everywhere, the mean says so, and moving on would only make it worse.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Policy/Patience.h"
+
+#include <algorithm>
+
+using namespace laurelcroft;
+
+namespace {
+
+/// A wait of this many recent means is unusual: waits of prompts differ by an order.
+constexpr double unusual = 10;
+/// Shares of the objective between which that is bounded.
+constexpr double leastShare = 0.4;
+constexpr double mostShare = 2.4;
+/// The time that reading is thought to take may be this many times too low.
+constexpr double readingMargin = 3;
+/// At an endpoint that answers nobody, a wait ends at this share of the objective.
+constexpr double silentShare = 0.8;
+/// Part of the route's timeout after which a request moves in any case, so that another
+/// endpoint has the time to serve it.
+constexpr double latestShare = 0.35;
+/// Parts of the longest pause in time after which a stream moves, at a silent endpoint and at
+/// one that goes on with other requests. The second is late already: it is for endpoints that
+/// have lost just this request.
+constexpr double silentGapShare = 0.75;
+constexpr double busyGapShare = 2.25;
+
+} // namespace
+
+static std::chrono::milliseconds share(std::chrono::milliseconds whole, double part)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(whole * part);
+}
+
+std::chrono::milliseconds laurelcroft::patienceFor(const patience_view &view)
+{
+    if (view.part == awaited_part::nextEvent)
+        return share(view.eventGap, view.endpointSilent ? silentGapShare : busyGapShare);
+    const std::chrono::milliseconds latest = share(view.timeout, latestShare);
+    if (view.endpointSilent)
+        return std::min(latest, share(view.objective, silentShare));
+    const double usual = std::clamp(unusual * view.meanWait, leastShare, mostShare);
+    const std::chrono::milliseconds reading(static_cast<long>(view.readingMs * readingMargin));
+    return std::min(latest, share(view.objective, usual) + reading);
+}
--- a/unittests/Policy/DirectPolicyTests.cpp
+++ b/unittests/Policy/DirectPolicyTests.cpp
@@ -6,6 +6,7 @@
 #include "laurelcroft/Policy/AttemptOutcome.h"
 #include "laurelcroft/Policy/ConfidenceCascade.h"
 #include "laurelcroft/Policy/DirectChoice.h"
+#include "laurelcroft/Policy/Patience.h"
 #include "laurelcroft/Policy/SendBudget.h"
 #include "laurelcroft/Policy/ServiceRollout.h"
 
@@ -259,3 +260,31 @@
     CHECK(trialEndpoints(0.5, 1) == 1);
     CHECK(trialEndpoints(0.5, 0) == 0);
 }
+
+TEST_CASE("patience grows with the usual wait and ends in time for another endpoint")
+{
+    patience_view view;
+    view.part = awaited_part::firstEvent;
+    view.objective = milliseconds(1500);
+    view.timeout = milliseconds(20000);
+    view.meanWait = 0.05;
+    CHECK(patienceFor(view) < view.objective);
+    view.meanWait = 0.3;
+    CHECK(patienceFor(view) > view.objective);
+    view.readingMs = 500;
+    CHECK(patienceFor(view) > view.objective * 2);
+    view.timeout = milliseconds(5000);
+    CHECK(patienceFor(view) < milliseconds(2000));
+    view.endpointSilent = true;
+    CHECK(patienceFor(view) < view.objective);
+}
+
+TEST_CASE("a pause at a silent endpoint ends before it is late, at a busy one only after")
+{
+    patience_view view;
+    view.part = awaited_part::nextEvent;
+    view.eventGap = milliseconds(1200);
+    CHECK(patienceFor(view) > view.eventGap);
+    view.endpointSilent = true;
+    CHECK(patienceFor(view) < view.eventGap);
+}
--- /dev/null
+++ b/utils/request-story.py
@@ -0,0 +1,48 @@
+#!/usr/bin/env python3
+"""Prints one request's story from the logs of all entries, in order of time.
+
+Usage: request-story.py REQUEST_ID LOG...
+
+Beside the request's own lines come those that changed what the entry believed while it ran:
+contract, roll-outs, endpoints, store.
+"""
+import datetime
+import re
+import sys
+
+BELIEFS = ("contract in force", "contract refused", "roll-out", "endpoint is leaving",
+           "endpoint's record removed", "store lost", "store regained", "stopping", "started",
+           "ready", "evidence told")
+TIME = re.compile(r"(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d+)Z (\w+) (\w+): (.*)")
+BEFORE = datetime.timedelta(seconds=5)
+
+
+def read_lines(path):
+    """Yields time, entry's log, part and text of each line."""
+    with open(path, encoding="utf-8", errors="replace") as log:
+        for line in log:
+            found = TIME.search(line)
+            if found:
+                yield datetime.datetime.fromisoformat(found[1]), path, found[3], found[4]
+
+
+def main():
+    if len(sys.argv) < 3:
+        sys.exit(__doc__)
+    request = "request=" + sys.argv[1]
+    lines = sorted(item for path in sys.argv[2:] for item in read_lines(path))
+    own = [item for item in lines if request in item[3].split()]
+    if not own:
+        sys.exit(f"no line of {sys.argv[1]}: it may have been left out (see 'log lines left out')")
+    total = re.search(r"total_ms=(\d+)", own[-1][3])
+    length = datetime.timedelta(milliseconds=int(total[1]) if total else 0)
+    first = own[0][0] - length - BEFORE
+    for item in lines:
+        told = item in own
+        belief = item[1] == own[-1][1] and item[3].startswith(BELIEFS)
+        if first <= item[0] <= own[-1][0] and (told or belief):
+            print(item[0].time(), "*" if told else " ", item[2] + ":", item[3])
+
+
+if __name__ == "__main__":
+    main()
