--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -48,6 +48,8 @@
     std::string choice; ///< why that endpoint
     std::uint64_t contract = 0;
     unsigned attempts = 0;
+    milliseconds attemptTook{0}; ///< the last attempt
+    milliseconds left{0}; ///< of the deadline, when the last attempt ended
     unsigned resumes = 0;
     unsigned escalations = 0;
     std::optional<int> confidence;
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -48,6 +48,7 @@
     env.abort();
     env.finished(record);
     env.attemptEnded(record, attempt_end::notSent, next_step::refuse);
+    env.escalated(record, body);
 };
 
 /// One request. Keep it alive until \c isDone.
--- a/include/laurelcroft/Proxy/RequestFlowImpl.h
+++ b/include/laurelcroft/Proxy/RequestFlowImpl.h
@@ -375,6 +375,7 @@
         m_prefixes = prefixesOf(modelName());
         return false;
     }
+    m_env.escalated(m_record, modelName());
     closeAttempt(attempt_end::answered);
     m_env.cancel(m_call);
     m_mayHaveRun = true;
@@ -517,6 +518,8 @@
         --m_sends;
         ++m_unreached;
     }
+    m_record.attemptTook = std::chrono::duration_cast<milliseconds>(now() - m_attemptAt);
+    m_record.left = timeLeft();
     const next_step step = stepAfter(end, facts());
     const bool ran = end != attempt_end::notSent && end != attempt_end::refused;
     m_mayHaveRun = m_mayHaveRun || ran;
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -70,6 +70,10 @@
         void end() { exchange.end(); }
         void abort() { exchange.abort(); }
         void finished(const flow_record &record) { server->finished(record); }
+        void escalated(const flow_record &record, const std::string &model)
+        {
+            server->escalated(record, model);
+        }
         void attemptEnded(const flow_record &record, attempt_end end, next_step step)
         {
             server->attemptEnded(record, end, step);
@@ -86,6 +90,7 @@
     void logFinished(const flow_record &record);
     void logHeldLines();
     void attemptEnded(const flow_record &record, attempt_end end, next_step step);
+    void escalated(const flow_record &record, const std::string &model);
     bool hasRoomAt(const service_endpoint &endpoint) const;
     bool isReady() const;
     void housekeep();
@@ -255,9 +260,23 @@
              {"endpoint", record.endpoint},
              {"version", record.endpointVersion},
              {"attempt", std::int64_t(record.attempts)},
+             {"took_ms", std::int64_t(record.attemptTook.count())},
+             {"left_ms", std::int64_t(record.left.count())},
              {"events", std::int64_t(record.events)}});
 }
 
+void proxy_server::state::escalated(const flow_record &record, const std::string &model)
+{
+    if (!ordinary.allows(runtime.now()))
+        return;
+    logInfo(log_part::routing, "escalated",
+            {{"request", record.request},
+             {"from", record.model},
+             {"to", model},
+             {"confidence", std::int64_t(record.confidence.value_or(-1))},
+             {"service_wait_percent", std::lround(record.serviceWait * 100)}});
+}
+
 void proxy_server::state::housekeep()
 {
     endpoints.sweep();
