A fault soak: real entries, stand-ins of the platform, faults from outside

Proxies that delay, reset, silence or deafen links, signals (kill, pause, stop, reload), a store that is busy, lossy or forgetful, endpoints that crash, fail, lose answers, leave, and roll-outs. The auditor checks from what callers and endpoints saw, and has a test for each promise.

--- a/utils/check.sh
+++ b/utils/check.sh
@@ -40,6 +40,29 @@
 for program in build/unittests/*/*-tests build/platform/unittests/*-tests build/test/FaultMatrix/fault-matrix build/test/Golden/golden-tests build/test/Processes/process-tests; do
     [ -x "$program" ] && count "$program"
 done
+# countLast NAME COMMAND...: a program that is no doctest and ends with "N passed, N failed".
+countLast() {
+    local name=$1 log=build/check-$1.log
+    shift
+    "$@" > "$log" 2>&1
+    local line
+    line=$(grep -E '^[0-9]+ passed, [0-9]+ failed$' "$log" | tail -n 1)
+    if [ -z "$line" ]; then
+        echo "FAILED $name (no summary)"; tail -n 20 "$log"
+        failed=$((failed + 1)); return
+    fi
+    local good=${line%% *} bad
+    bad=$(echo "$line" | sed -E 's/.*, ([0-9]+) failed/\1/')
+    [ "$bad" = 0 ] || grep -v ' 0 broken' "$log" | head -n 60
+    passed=$((passed + good))
+    failed=$((failed + bad))
+    echo "$name: $good passed, $bad failed"
+}
+
+countLast soak-audit python3 platform/soak/test_audit.py
+seeds=$(sed -nE 's/^([0-9]+) .*/\1/p' platform/soak/seeds.txt | paste -sd,)
+countLast soak python3 platform/soak/soak.py --seeds "$seeds" --seconds 8 --jobs 4
+
 if [ -f KNOWN-RED.txt ]; then
     echo "known red:"; cat KNOWN-RED.txt
 fi
