--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -156,6 +156,7 @@
 
 } // namespace laurelcroft
 
-#include "laurelcroft/Proxy/RequestFlowImpl.h"
+#include "laurelcroft/Proxy/RequestFlowAnswering.h"
+#include "laurelcroft/Proxy/RequestFlowSending.h"
 
 #endif
--- /dev/null
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -0,0 +1,342 @@
+//===-- Proxy/RequestFlowAnswering.h - a flow's way to an answer -*- C++ -*-===//
+//
+// Members of request_flow from an endpoint's answer to the caller's. Included by
+// RequestFlow.h only.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_PROXY_REQUESTFLOWANSWERING_H
+#define LAURELCROFT_PROXY_REQUESTFLOWANSWERING_H
+
+#include "laurelcroft/Http/Message.h"
+
+namespace laurelcroft {
+
+template <flow_environment Env>
+bool request_flow<Env>::isValidSuccess() const
+{
+    const bool success = m_answer.status >= 200 && m_answer.status < 300;
+    return success && m_answer.signedByEndpoint && !m_answer.encoded;
+}
+
+template <flow_environment Env>
+void request_flow<Env>::onAnswer(proxy_answer &&answer)
+{
+    m_answer = std::move(answer);
+    m_answered = true;
+    endReading();
+    m_endpoint->progressed(now());
+    if (m_answer.load)
+        m_endpoint->reported(*m_answer.load, now());
+    const bool success = m_answer.status >= 200 && m_answer.status < 300;
+    if (success && !isValidSuccess()) {
+        endAttempt(attempt_end::broken);
+        return;
+    }
+    if (!success || m_begun)
+        return;
+    noteWait();
+    m_record.confidence = m_answer.confidence;
+    escalate();
+}
+
+template <flow_environment Env>
+void request_flow<Env>::noteWait()
+{
+    const std::chrono::duration<double, std::milli> wait = now() - m_attemptAt;
+    const std::chrono::duration<double, std::milli> objective = m_route->objective;
+    m_env.routing().waits(m_service).note(wait / objective);
+    if (m_answered)
+        m_env.routing().promptRate(m_record.model).note(m_readTokens, wait.count());
+    m_record.serviceWait = m_env.routing().waits(m_service).mean();
+}
+
+template <flow_environment Env>
+bool request_flow<Env>::escalate()
+{
+    if (!m_request->anyModel)
+        return false;
+    const attempt_facts now = facts();
+    cascade_view view;
+    view.model = m_model;
+    view.models = m_route->models.size();
+    view.confidence = m_answer.confidence;
+    view.wait = m_env.routing().waits(m_service).mean();
+    view.mayRunAgain = m_route->mayRepeat() && now.endpointsLeft && now.budgetLeft && now.timeLeft;
+    const std::optional<std::size_t> larger = escalatesTo(m_env.routing().cascade(), view);
+    if (!larger)
+        return false;
+    // The answer is dropped only when another endpoint stands ready for the larger model.
+    const std::vector<std::string> tried = std::exchange(m_tried, {});
+    const std::size_t smaller = std::exchange(m_model, *larger);
+    m_prefixes = prefixesOf(modelName());
+    const std::optional<endpoint_ptr> endpoint = pickEndpoint();
+    if (!endpoint) {
+        m_tried = tried;
+        m_model = smaller;
+        m_prefixes = prefixesOf(modelName());
+        return false;
+    }
+    m_env.escalated(m_record, modelName());
+    closeAttempt(attempt_end::answered);
+    m_env.cancel(m_call);
+    m_mayHaveRun = true;
+    ++m_record.escalations;
+    send(*endpoint);
+    return true;
+}
+
+template <flow_environment Env>
+void request_flow<Env>::onData(std::string_view data)
+{
+    if (isStream() && isValidSuccess()) {
+        const auto keep = this->shared_from_this();
+        const unsigned number = m_number;
+        m_splitter->feed(data, [&](const stream_event &event) {
+            if (!m_done && m_number == number)
+                onEvent(event);
+        });
+        return;
+    }
+    if (m_body.size() + data.size() > flow_bounds::largestAnswer) {
+        endAttempt(attempt_end::broken);
+        return;
+    }
+    m_body.append(data);
+}
+
+template <flow_environment Env>
+void request_flow<Env>::onEvent(const stream_event &event)
+{
+    m_progressAt = now();
+    m_endpoint->progressed(m_progressAt);
+    ++m_attemptEvents;
+    if (!std::exchange(m_progressed, true)) {
+        m_firstEventAt = m_progressAt;
+        // The next pause is bounded more tightly than the wait for the first event.
+        m_env.runtime().cancel(m_progressTimer);
+        watchProgress(m_number);
+    }
+    const bool repeated = event.id && m_lastEvent && *event.id <= *m_lastEvent;
+    if (repeated)
+        return;
+    if (!m_begun) {
+        m_begun = true;
+        m_record.firstPart = std::chrono::duration_cast<milliseconds>(now() - m_arrivedAt);
+        m_record.status = m_answer.status;
+        m_env.begin(m_answer.status, m_answer.headers);
+    }
+    if (event.id)
+        m_lastEvent = event.id;
+    ++m_record.events;
+    m_env.write(std::string(event.text));
+}
+
+template <flow_environment Env>
+void request_flow<Env>::onEnd(call_end end)
+{
+    if (m_answered && m_answer.notRun) {
+        endAttempt(attempt_end::refused);
+        return;
+    }
+    if (end != call_end::complete) {
+        endAttempt(end == call_end::notSent ? attempt_end::notSent : attempt_end::broken);
+        return;
+    }
+    if (!isValidSuccess())
+        endAttempt(attempt_end::failed);
+    else if (isStream() && !m_splitter->atBoundary())
+        endAttempt(attempt_end::broken);
+    else
+        endAttempt(attempt_end::answered);
+}
+
+template <flow_environment Env>
+answer_timing request_flow<Env>::timingNow()
+{
+    answer_timing timing;
+    timing.wait = (m_progressed ? m_firstEventAt : now()) - m_attemptAt;
+    if (m_attemptEvents > 1)
+        timing.pause = (m_progressAt - m_firstEventAt) / (m_attemptEvents - 1);
+    return timing;
+}
+
+template <flow_environment Env>
+void request_flow<Env>::closeAttempt(attempt_end end)
+{
+    const time_point at = now();
+    rollout_tracker &rollouts = m_env.routing().rollouts(m_service);
+    const std::string &version = m_endpoint->record().softwareVersion;
+    m_env.runtime().cancel(m_progressTimer);
+    endReading();
+    m_endpoint->ended();
+    switch (end) {
+    case attempt_end::answered:
+        m_endpoint->succeeded(at);
+        rollouts.observe(version, m_route->name, m_record.model, timingNow());
+        break;
+    case attempt_end::failed:
+    case attempt_end::broken:
+    case attempt_end::silent:
+        if (!m_answered)
+            noteWait();
+        m_endpoint->failed(at);
+        rollouts.observe(version, m_route->name, m_record.model, std::nullopt);
+        break;
+    case attempt_end::refused:
+        m_endpoint->full(at);
+        break;
+    case attempt_end::notSent:
+        m_endpoint->unreachable(at);
+        break;
+    }
+    m_endpoint = nullptr;
+}
+
+template <flow_environment Env>
+attempt_facts request_flow<Env>::facts() const
+{
+    auto &self = const_cast<request_flow &>(*this);
+    attempt_facts facts;
+    facts.mayRepeat = m_route->mayRepeat();
+    facts.passedOn = m_begun;
+    facts.resumable = m_route->resumable && (m_record.events == 0 || m_lastEvent);
+    facts.mayHaveRun = m_mayHaveRun;
+    facts.endpointsLeft
+            = m_sends < m_route->mostEndpoints && m_unreached < flow_bounds::mostUnreached;
+    facts.budgetLeft = self.m_env.routing().repeats(m_service).allows(
+            self.now(), self.m_env.routing().entries());
+    facts.timeLeft = self.timeLeft() >= flow_bounds::leastForAttempt;
+    return facts;
+}
+
+template <flow_environment Env>
+void request_flow<Env>::endAttempt(attempt_end end)
+{
+    closeAttempt(end);
+    // A call that is still under way must not run beside the next one.
+    m_env.cancel(m_call);
+    if (end == attempt_end::notSent) {
+        --m_sends;
+        ++m_unreached;
+    }
+    m_record.attemptTook = std::chrono::duration_cast<milliseconds>(now() - m_attemptAt);
+    m_record.left = timeLeft();
+    const next_step step = stepAfter(end, facts());
+    const bool ran = end != attempt_end::notSent && end != attempt_end::refused;
+    m_mayHaveRun = m_mayHaveRun || ran;
+    m_hasFailure = end == attempt_end::failed;
+    if (step != next_step::deliver || end != attempt_end::answered)
+        m_env.attemptEnded(m_record, end, step);
+
+    switch (step) {
+    case next_step::deliver:
+        deliver();
+        return;
+    case next_step::resumeElsewhere:
+        ++m_record.resumes;
+        sendNext();
+        return;
+    case next_step::tryElsewhere:
+        sendNext();
+        return;
+    case next_step::cut:
+        m_env.abort();
+        finish(end == attempt_end::silent ? flow_reason::silentEndpoint
+                                          : flow_reason::brokenAttempt,
+               0);
+        return;
+    case next_step::fail:
+        refuse(http_status::badGateway,
+               end == attempt_end::silent ? flow_reason::silentEndpoint
+                                          : flow_reason::brokenAttempt,
+               std::nullopt);
+        return;
+    case next_step::refuse:
+        refuse(http_status::unavailable,
+               end == attempt_end::refused ? flow_reason::refusedByEndpoints
+                                           : flow_reason::noEndpoint,
+               flow_bounds::retryAfterFull);
+        return;
+    }
+}
+
+template <flow_environment Env>
+void request_flow<Env>::deliver()
+{
+    const bool served = isValidSuccess();
+    const flow_reason why = served ? flow_reason::served : flow_reason::endpointFailure;
+    if (served && isStream()) {
+        if (!m_begun)
+            m_env.begin(m_answer.status, m_answer.headers);
+        m_env.end();
+        finish(why, m_answer.status);
+        return;
+    }
+    m_record.firstPart = std::chrono::duration_cast<milliseconds>(now() - m_arrivedAt);
+    m_env.reply(m_answer.status, m_answer.headers, std::move(m_body));
+    finish(why, m_answer.status);
+}
+
+template <flow_environment Env>
+void request_flow<Env>::refuse(int status, flow_reason why, std::optional<milliseconds> retryAfter)
+{
+    http_headers headers;
+    if (retryAfter) {
+        constexpr double perSecond = 1000.0;
+        headers.push_back({"Retry-After", std::to_string(retryAfter->count() / perSecond)});
+    }
+    const std::string text = std::string(textOf(why)) + "\n";
+    m_env.reply(status, headers, text);
+    finish(why, status);
+}
+
+template <flow_environment Env>
+void request_flow<Env>::onDeadline(flow_reason why)
+{
+    if (m_done)
+        return;
+    if (m_endpoint) {
+        const bool silent = now() - m_progressAt >= m_route->objective;
+        closeAttempt(silent ? attempt_end::silent : attempt_end::answered);
+        m_env.cancel(m_call);
+        m_mayHaveRun = true;
+    }
+    if (m_begun) {
+        m_env.abort();
+        finish(why, 0);
+    } else if (m_mayHaveRun) {
+        refuse(http_status::gatewayTimeout, why, std::nullopt);
+    } else {
+        refuse(http_status::unavailable, why, flow_bounds::retryAfterFull);
+    }
+}
+
+template <flow_environment Env>
+void request_flow<Env>::callerLeft()
+{
+    if (m_done)
+        return;
+    if (m_endpoint) {
+        endReading();
+        m_endpoint->ended();
+        m_endpoint = nullptr;
+        m_env.cancel(m_call);
+    }
+    finish(flow_reason::callerLeft, m_record.status);
+}
+
+template <flow_environment Env>
+void request_flow<Env>::finish(flow_reason why, int status)
+{
+    m_done = true;
+    m_env.runtime().cancel(m_deadlineTimer);
+    m_env.runtime().cancel(m_progressTimer);
+    m_record.reason = why;
+    m_record.status = status;
+    m_record.total = std::chrono::duration_cast<milliseconds>(now() - m_arrivedAt);
+    m_env.finished(m_record);
+}
+
+} // namespace laurelcroft
+
+#endif
