--- a/utils/demo.py
+++ b/utils/demo.py
@@ -66,8 +66,10 @@
 
 
 def in_force_everywhere():
+    # An entry that has just started may not know all others yet: all must be among those asked.
+    expected = len(FLEET["entries"]) + len(FLEET["endpoints"])
     code, status = operate("status")
-    return code == 0 and status.get("in_force") == status.get("instances")
+    return code == 0 and status.get("instances") == status.get("in_force") == expected
 
 
 def main(name):
--- a/utils/operator.sh
+++ b/utils/operator.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs the operators' command against the fleet that fleet.sh left running.
 #   utils/operator.sh COMMAND...        as the first operator
-#   utils/operator.sh in-force FILE     propose, sign by both operators, accept
+#   utils/operator.sh in-force FILE     propose, sign by both operators, accept, wait until all
+#                                       instances have it in force (at most 30 s)
 set -euo pipefail
 cd "$(dirname "$0")/.."
 fleet=build/fleet/fleet.json
@@ -22,6 +23,14 @@
     hash=$(build/bin/laurelcroft propose "$2" | sed -n 's/^proposed //p')
     build/bin/laurelcroft sign "$hash"
     build/bin/laurelcroft sign "$hash" --key-file "$(field key_files 1)"
-    exec build/bin/laurelcroft accept "$hash"
+    build/bin/laurelcroft accept "$hash"
+    expected=$(python3 -c 'import json,sys; f=json.load(open(sys.argv[1]))
+print(len(f["entries"]) + len(f["endpoints"]))' "$fleet")
+    for _ in $(seq 150); do
+        build/bin/laurelcroft status | grep -q "in force at $expected of $expected" && exit 0
+        sleep 0.2
+    done
+    echo "in-force: not all $expected instances have it in force" >&2
+    exit 1
 fi
 exec build/bin/laurelcroft "$@"
