--- a/include/laurelcroft/Agent/AgentCore.h
+++ b/include/laurelcroft/Agent/AgentCore.h
@@ -349,10 +349,12 @@
 
     bool isDuplicate(const wire::offer &offer, const attempt_key &key) const
     {
+        // A caller may bring a repeatable request to another entry under the same key, and
+        // entries number their attempts alike: only one that still runs is the same.
+        if (offer.repeatable())
+            return m_attempts.count(key) != 0;
         if (m_recent.count(key) != 0)
             return true;
-        if (offer.repeatable())
-            return false;
         // Any attempt of a request that may not be repeated counts, whatever its number.
         const auto it = m_recent.lower_bound({offer.request_id(), 0});
         return it != m_recent.end() && it->requestId == offer.request_id();
--- a/test/Processes/ProcessTests.cpp
+++ b/test/Processes/ProcessTests.cpp
@@ -238,6 +238,17 @@
     CHECK(site.isBilled(id));
 }
 
+TEST_CASE("processes: a repeatable request with one key is answered by each entry in turn")
+{
+    full_site site;
+    ask_options options;
+    options.idempotencyKey = "draft-1";
+    for (const char *entry : {"e1", "e2", "e1", "e2"}) {
+        options.entry = entry;
+        CHECK(site.askAndWait(options).complete());
+    }
+}
+
 TEST_CASE("processes: a session keeps its version while every instance is replaced")
 {
     full_site site;
