--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -32,6 +32,8 @@
     std::string softwareVersion;
     unsigned slots = 1; ///< requests that run at once
     bool leaving = false;
+
+    bool operator==(const endpoint_record &) const = default;
 };
 
 /// Running and waiting requests as an endpoint reported them.
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -89,6 +89,8 @@
 
     std::unique_ptr<follower> follow(const std::string &table, follow_pace pace,
                                      void (store_sync::*apply)(const row_batch &, bool whole));
+    /// \returns the rows that say more than that an endpoint still lives.
+    row_batch withoutHeartbeats(row_batch batch) const;
     void applyOperator(const row_batch &batch, bool whole);
     void applyEndpoints(const row_batch &batch, bool whole);
     void applyOwn(const row_batch &batch, bool whole);
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -55,9 +55,10 @@
         m_mirror.take(table, batch, true, m_followers.at(table)->confirmedAt());
         (this->*apply)(batch, true);
     };
-    events.onChanges = [this, table, apply](row_batch &&batch) {
+    events.onChanges = [this, table, apply, listsEndpoints](row_batch &&batch) {
         noteTime(batch);
-        m_mirror.take(table, batch, false, m_followers.at(table)->confirmedAt());
+        m_mirror.take(table, listsEndpoints ? withoutHeartbeats(batch) : batch, false,
+                      m_followers.at(table)->confirmedAt());
         (this->*apply)(batch, false);
     };
     events.onLost = [this, table, listsEndpoints](row_failure why) {
@@ -76,6 +77,20 @@
                                       m_links.relay);
 }
 
+template <row_store_like Store, runtime_like Runtime>
+row_batch store_sync<Store, Runtime>::withoutHeartbeats(row_batch batch) const
+{
+    const auto &known = m_state.directory().all();
+    std::erase_if(batch.rows, [&](const store_row &row) {
+        const auto it = known.find(row.key);
+        if (row.removed || it == known.end())
+            return false;
+        const decoded<endpoint_record> record = m_codec.decodeEndpoint(row.key, row.value);
+        return record && record.value() == it->second->record();
+    });
+    return batch;
+}
+
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::noteTime(const row_batch &batch)
 {
--- a/unittests/Support/SupportTests.cpp
+++ b/unittests/Support/SupportTests.cpp
@@ -221,8 +221,9 @@
     // The reader comes back, so that the log can end.
     std::thread reader([&] {
         char buffer[65536];
-        while (read(ends[0], buffer, sizeof(buffer)) > 0) {
-        }
+        ssize_t got = 1;
+        while (got > 0)
+            got = read(ends[0], buffer, sizeof(buffer));
     });
     stopLog();
     dup2(before, STDOUT_FILENO);
