--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -122,11 +122,11 @@
     state.directory().expire(now());
     rollout_tracker &rollouts = state.rollouts(m_service);
     const std::vector<endpoint_ptr> usable = state.directory().usable(m_service);
-    const std::optional<endpoint_ptr> first = pickAmong(rollouts.eligible(usable, m_session));
+    std::optional<endpoint_ptr> first = pickAmong(rollouts.eligible(usable, m_session));
     // What failed on a trial's few endpoints is still served by the settled version.
     if (first)
         return first;
-    const std::optional<endpoint_ptr> second = pickAmong(rollouts.settled(usable));
+    std::optional<endpoint_ptr> second = pickAmong(rollouts.settled(usable));
     if (second || !m_mayHaveRun)
         return second;
     // All have been asked: one that failed once may well serve the request the next time.
--- a/lib/Proxy/CallerServer.cpp
+++ b/lib/Proxy/CallerServer.cpp
@@ -49,7 +49,7 @@
 
 std::string caller_server::open(const std::string &host, std::uint16_t port)
 {
-    const std::string fault = listen(host, port);
+    std::string fault = listen(host, port);
     if (fault.empty())
         accept();
     return fault;
--- a/lib/Proxy/PeerRows.cpp
+++ b/lib/Proxy/PeerRows.cpp
@@ -111,7 +111,7 @@
         done(failure(row_failure::notDone));
         return;
     }
-    const std::string peer = *picked;
+    const std::string &peer = *picked;
     http_call call;
     call.url = "http://" + peer + std::string(rowsPath) + "?table=" + percentEncoded(table)
             + "&since=" + std::to_string(since);
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -32,7 +32,8 @@
 
 constexpr std::size_t queuedLines = 8192;
 
-/// Overflow strategy of the queue: a line that finds it full is dropped and counted.
+/// Overflow strategy of the queue: a line that finds it full is dropped and counted. The names
+/// of its functions are Boost.Log's.
 class counting_drop
 {
 public:
@@ -43,6 +44,7 @@
     }
 
 protected:
+    // NOLINTBEGIN(readability-identifier-naming)
     template <class Lock>
     static bool on_overflow(const boost::log::record_view &, Lock &)
     {
@@ -51,6 +53,7 @@
     }
     static void on_queue_space_available() { }
     static void interrupt() { }
+    // NOLINTEND(readability-identifier-naming)
 };
 
 using sink_type = sinks::asynchronous_sink<sinks::text_ostream_backend,
