--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -90,12 +90,12 @@
     std::string modelName() const;
     unsigned tokensToRead(service_endpoint &endpoint) const;
     void endReading();
-    milliseconds patienceNow() const;
+    milliseconds patienceNow();
     bool seemsDead();
 
     void onAnswer(proxy_answer &&answer);
     void noteWait();
-    bool escalate();
+    void escalate();
     void onData(std::string_view data);
     void onEvent(const stream_event &event);
     void onEnd(call_end end);
@@ -104,7 +104,7 @@
     void onDeadline(flow_reason why);
 
     answer_timing timingNow();
-    attempt_facts facts() const;
+    attempt_facts facts();
     bool isValidSuccess() const;
     void deliver();
     void refuse(int status, flow_reason why, std::optional<milliseconds> retryAfter);
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -51,10 +51,10 @@
 }
 
 template <flow_environment Env>
-bool request_flow<Env>::escalate()
+void request_flow<Env>::escalate()
 {
     if (!m_request->anyModel)
-        return false;
+        return;
     const attempt_facts now = facts();
     cascade_view view;
     view.model = m_model;
@@ -64,7 +64,7 @@
     view.mayRunAgain = m_route->mayRepeat() && now.endpointsLeft && now.budgetLeft && now.timeLeft;
     const std::optional<std::size_t> larger = escalatesTo(m_env.routing().cascade(), view);
     if (!larger)
-        return false;
+        return;
     // The answer is dropped only when another endpoint stands ready for the larger model.
     const std::vector<std::string> tried = std::exchange(m_tried, {});
     const std::size_t smaller = std::exchange(m_model, *larger);
@@ -74,7 +74,7 @@
         m_tried = tried;
         m_model = smaller;
         m_prefixes = prefixesOf(modelName());
-        return false;
+        return;
     }
     m_env.escalated(m_record, modelName());
     closeAttempt(attempt_end::answered);
@@ -82,7 +82,6 @@
     m_mayHaveRun = true;
     ++m_record.escalations;
     send(*endpoint);
-    return true;
 }
 
 template <flow_environment Env>
@@ -193,9 +192,8 @@
 }
 
 template <flow_environment Env>
-attempt_facts request_flow<Env>::facts() const
+attempt_facts request_flow<Env>::facts()
 {
-    auto &self = const_cast<request_flow &>(*this);
     attempt_facts facts;
     facts.mayRepeat = m_route->mayRepeat();
     facts.passedOn = m_begun;
@@ -203,9 +201,8 @@
     facts.mayHaveRun = m_mayHaveRun;
     facts.endpointsLeft
             = m_sends < m_route->mostEndpoints && m_unreached < flow_bounds::mostUnreached;
-    facts.budgetLeft = self.m_env.routing().repeats(m_service).allows(
-            self.now(), self.m_env.routing().entries());
-    facts.timeLeft = self.timeLeft() >= flow_bounds::leastForAttempt;
+    facts.budgetLeft = m_env.routing().repeats(m_service).allows(now(), m_env.routing().entries());
+    facts.timeLeft = timeLeft() >= flow_bounds::leastForAttempt;
     return facts;
 }
 
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -271,16 +271,15 @@
 }
 
 template <flow_environment Env>
-milliseconds request_flow<Env>::patienceNow() const
+milliseconds request_flow<Env>::patienceNow()
 {
-    auto &self = const_cast<request_flow &>(*this);
     patience_view view;
     view.objective = m_route->objective;
     view.eventGap = m_route->eventGap;
     view.timeout = m_route->timeout;
-    view.meanWait = self.m_env.routing().waits(m_service).mean();
+    view.meanWait = m_env.routing().waits(m_service).mean();
     view.readingMs = m_expectedMs;
-    view.endpointSilent = self.seemsDead();
+    view.endpointSilent = seemsDead();
     if (m_route->form == answer_form::events)
         view.part = m_progressed ? awaited_part::nextEvent : awaited_part::firstEvent;
     return patienceFor(view);
