--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -52,6 +52,7 @@
     std::string entry; ///< name of this entry
     entry_place place; ///< where other entries may read this one's rows
     row_relay relay; ///< asks other entries
+    milliseconds leaveBound{2000}; ///< in which a leaving endpoint must be left alone
     std::function<void(const entry_map &entries)> onEntries;
     std::function<void()> onContract; ///< another contract is in force
 };
@@ -61,9 +62,12 @@
 class store_sync
 {
 public:
-    /// Endpoints heartbeat all the time, so their feed is read at this pace: well within the
-    /// two seconds in which a leaving endpoint must be left alone.
-    static constexpr follow_pace endpointPace{milliseconds(800), milliseconds(0)};
+    /// Endpoints heartbeat all the time, so their feed is not held but read at a pace: after
+    /// this part of the time in which a leaving endpoint must be left alone, and within bounds
+    /// that keep the number of calls and the age of what is known in check.
+    static constexpr double paceOfLeaveBound = 0.4;
+    static constexpr milliseconds shortestEndpointPace{100};
+    static constexpr milliseconds longestEndpointPace{800};
     /// Operators' changes are rare: the store holds the call. A held call whose answer is
     /// lost costs this time once more.
     static constexpr follow_pace operatorPace{milliseconds(20), milliseconds(2000)};
@@ -87,6 +91,7 @@
 private:
     using follower = row_follower<Store, Runtime>;
 
+    follow_pace endpointPace() const;
     std::unique_ptr<follower> follow(const std::string &table, follow_pace pace,
                                      void (store_sync::*apply)(const row_batch &, bool whole));
     /// \returns the rows that say more than that an endpoint still lives.
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -6,6 +6,7 @@
 #ifndef LAURELCROFT_PROXY_STORESYNCIMPL_H
 #define LAURELCROFT_PROXY_STORESYNCIMPL_H
 
+#include <algorithm>
 #include <cmath>
 
 namespace laurelcroft {
@@ -33,7 +34,7 @@
 {
     const std::string own(ownTable);
     m_followers[m_codec.endpointTable]
-            = follow(m_codec.endpointTable, endpointPace, &store_sync::applyEndpoints);
+            = follow(m_codec.endpointTable, endpointPace(), &store_sync::applyEndpoints);
     m_followers[m_codec.operatorTable]
             = follow(m_codec.operatorTable, operatorPace, &store_sync::applyOperator);
     m_followers[own] = follow(own, ownPace, &store_sync::applyOwn);
@@ -43,6 +44,14 @@
     step();
 }
 
+template <row_store_like Store, runtime_like Runtime>
+follow_pace store_sync<Store, Runtime>::endpointPace() const
+{
+    const auto wanted
+            = std::chrono::duration_cast<milliseconds>(m_links.leaveBound * paceOfLeaveBound);
+    return {std::clamp(wanted, shortestEndpointPace, longestEndpointPace), milliseconds(0)};
+}
+
 template <row_store_like Store, runtime_like Runtime>
 std::unique_ptr<row_follower<Store, Runtime>>
 store_sync<Store, Runtime>::follow(const std::string &table, follow_pace pace,
--- a/unittests/Proxy/StoreSyncTests.cpp
+++ b/unittests/Proxy/StoreSyncTests.cpp
@@ -168,11 +168,14 @@
 
 struct sync_world
 {
-    explicit sync_world(const std::string &name = "e1")
+    explicit sync_world(const std::string &name = "e1",
+                        milliseconds leaveBound = milliseconds(2000))
         : name(name)
+        , leaveBound(leaveBound)
     {
     }
     std::string name;
+    milliseconds leaveBound;
     manual_runtime runtime;
     fake_store store{runtime};
     routing_state routing{{}, {}, 1};
@@ -191,6 +194,7 @@
         entry_links links;
         links.entry = name;
         links.place = {"10.0.0.1:5", "hall"};
+        links.leaveBound = leaveBound;
         links.relay.isPreferred = [this] { return relayed; };
         links.relay.read
                 = [this](const std::string &table, std::uint64_t, row_callback<row_news> done) {
@@ -256,6 +260,17 @@
     CHECK(world.routing.directory().usable("pool").empty());
 }
 
+TEST_CASE("a site that gives a leaving endpoint less time is read more often")
+{
+    sync_world world("e1", milliseconds(500));
+    world.store.put("endpoints", "a", "v1");
+    world.sync.start();
+    world.runtime.advance(milliseconds(10));
+    world.store.put("endpoints", "a", "v1-");
+    world.runtime.advance(milliseconds(250));
+    CHECK(world.routing.directory().usable("pool").empty());
+}
+
 TEST_CASE("history that is gone is read anew, removals included")
 {
     sync_world world;
