Changes of endpoints are applied in their order; one that has left stays away

The logs show 'record removed', then 'endpoint listed' of the same endpoint in one batch: removals were applied before the records of the batch, so that an endpoint listed and removed within one pace came back for good. Ruled out: the pace (unchanged here), the store (calm). A late heartbeat can't bring back an endpoint that had begun to leave either.

--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -148,6 +149,9 @@
     /// endpoint that lives is listed again within about two seconds.
     static constexpr milliseconds lapseGrace{2200};
 
+    /// Endpoints that have left are remembered, so many at most: weeks of replacements.
+    static constexpr std::size_t mostDeparted = 4096;
+
 private:
     struct lapse
     {
@@ -158,6 +162,7 @@
 
     std::map<std::string, endpoint_ptr, std::less<>> m_endpoints;
     std::vector<lapse> m_lapsed;
+    std::set<std::string, std::less<>> m_departed; ///< had begun to leave and are gone
     bool m_storeAway = false;
     time_point m_trustedFrom{};
 };
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -98,6 +98,8 @@
     row_batch withoutHeartbeats(row_batch batch) const;
     void applyOperator(const row_batch &batch, bool whole);
     void applyEndpoints(const row_batch &batch, bool whole);
+    std::optional<endpoint_record> endpointIn(const store_row &row) const;
+    void takeEndpoint(endpoint_record &&record);
     void applyOwn(const row_batch &batch, bool whole);
     void takeContract(const store_row &row);
     void takeOrder(const std::string &service, const store_row &row);
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -187,39 +187,51 @@
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::applyEndpoints(const row_batch &batch, bool whole)
 {
-    const time_point now = m_runtime.now();
-    std::vector<endpoint_record> records;
+    if (whole) {
+        std::vector<endpoint_record> records;
+        for (const store_row &row : batch.rows) {
+            if (std::optional<endpoint_record> record = endpointIn(row))
+                records.push_back(std::move(*record));
+        }
+        m_state.directory().replaceAll(std::move(records), m_runtime.now());
+        return;
+    }
+    // In order: one batch may list an endpoint and remove it again.
     for (const store_row &row : batch.rows) {
         if (row.removed) {
             logInfo(log_part::fleet, "endpoint's record removed", {{"endpoint", row.key}});
-            m_state.directory().remove(row.key, now);
-            continue;
+            m_state.directory().remove(row.key, m_runtime.now());
+        } else if (std::optional<endpoint_record> record = endpointIn(row)) {
+            takeEndpoint(std::move(*record));
         }
-        decoded<endpoint_record> record = m_codec.decodeEndpoint(row.key, row.value);
-        if (!record) {
-            logWarning(log_part::fleet, "endpoint's record refused",
-                       {{"endpoint", row.key}, {"fault", record.error()}});
-            continue;
-        }
-        records.push_back(std::move(record.value()));
-    }
-    if (whole) {
-        m_state.directory().replaceAll(std::move(records), now);
-        return;
     }
-    for (endpoint_record &record : records) {
-        const auto &all = m_state.directory().all();
-        const auto known = all.find(record.id);
-        const bool isNew = known == all.end();
-        if (isNew || known->second->record().leaving != record.leaving) {
-            logInfo(log_part::fleet, isNew ? "endpoint listed" : "endpoint is leaving",
-                    {{"endpoint", record.id},
-                     {"service", record.service},
-                     {"version", record.softwareVersion},
-                     {"leaving", record.leaving ? "yes" : "no"}});
-        }
-        m_state.directory().apply(std::move(record), now);
+}
+
+template <row_store_like Store, runtime_like Runtime>
+std::optional<endpoint_record> store_sync<Store, Runtime>::endpointIn(const store_row &row) const
+{
+    decoded<endpoint_record> record = m_codec.decodeEndpoint(row.key, row.value);
+    if (record)
+        return std::move(record.value());
+    logWarning(log_part::fleet, "endpoint's record refused",
+               {{"endpoint", row.key}, {"fault", record.error()}});
+    return std::nullopt;
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::takeEndpoint(endpoint_record &&record)
+{
+    const auto &all = m_state.directory().all();
+    const auto known = all.find(record.id);
+    const bool isNew = known == all.end();
+    if (isNew || known->second->record().leaving != record.leaving) {
+        logInfo(log_part::fleet, isNew ? "endpoint listed" : "endpoint is leaving",
+                {{"endpoint", record.id},
+                 {"service", record.service},
+                 {"version", record.softwareVersion},
+                 {"leaving", record.leaving ? "yes" : "no"}});
     }
+    m_state.directory().apply(std::move(record), m_runtime.now());
 }
 
 template <row_store_like Store, runtime_like Runtime>
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -87,6 +87,9 @@
 
 void service_directory::apply(endpoint_record record, time_point now)
 {
+    // A late heartbeat of an endpoint that has left.
+    if (m_departed.count(record.id) != 0)
+        return;
     std::erase_if(m_lapsed, [&](const lapse &item) { return item.id == record.id; });
     const auto it = m_endpoints.find(record.id);
     if (it != m_endpoints.end()) {
@@ -106,6 +109,11 @@
     if (it == m_endpoints.end())
         return;
     it->second->setGone();
+    if (it->second->record().leaving) {
+        if (m_departed.size() >= mostDeparted)
+            m_departed.erase(m_departed.begin());
+        m_departed.insert(it->first);
+    }
     m_endpoints.erase(it);
 }
 
--- a/unittests/Fleet/ServiceDirectoryTests.cpp
+++ b/unittests/Fleet/ServiceDirectoryTests.cpp
@@ -108,3 +108,17 @@
     CHECK(endpoint.isAvoided(start + milliseconds(3999)));
     CHECK(!endpoint.isAvoided(start + milliseconds(4000)));
 }
+
+TEST_CASE("a late heartbeat doesn't bring back an endpoint that has left")
+{
+    service_directory directory;
+    directory.apply(recordOf("a", true), start);
+    directory.remove("a", start);
+    directory.apply(recordOf("a"), start + seconds(1));
+    CHECK(directory.usable("pool").empty());
+    // One that only vanished may come back.
+    directory.apply(recordOf("b"), start);
+    directory.remove("b", start);
+    directory.apply(recordOf("b"), start + seconds(1));
+    CHECK(directory.usable("pool").size() == 1);
+}
--- /dev/null
+++ b/unittests/Proxy/FakeStore.h
@@ -0,0 +1,145 @@
+//===-- FakeStore.h - a store in memory --------------------------*- C++ -*-===//
+//
+// Loses answers, forgets its history and goes away when told to, under a paused clock.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_UNITTESTS_PROXY_FAKESTORE_H
+#define LAURELCROFT_UNITTESTS_PROXY_FAKESTORE_H
+
+#include "laurelcroft/Platform/RowStore.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace laurelcroft {
+
+/// Rows in memory; answers come after one millisecond.
+class fake_store
+{
+public:
+    explicit fake_store(manual_runtime &runtime)
+        : m_runtime(runtime)
+    {
+    }
+
+    void list(const std::string &table, row_callback<row_batch> done)
+    {
+        ++lists;
+        answer(std::move(done), [this, table] { return rowsOf(table, 0, false); });
+    }
+
+    void follow(const std::string &table, std::uint64_t since, milliseconds wait,
+                row_callback<row_batch> done)
+    {
+        if (forgetful) {
+            m_runtime.after(milliseconds(1), [done] { done(failure(row_failure::historyGone)); });
+            return;
+        }
+        const bool news = changedSince(table, since);
+        const milliseconds delay = news || wait.count() == 0 ? milliseconds(1) : wait;
+        m_runtime.after(delay, [this, table, since, done] {
+            if (away)
+                done(failure(row_failure::unknown));
+            else
+                done(rowsOf(table, since, true));
+        });
+    }
+
+    void write(const std::vector<row_write> &rows, row_callback<conditional_write> done)
+    {
+        ++writes;
+        answer<conditional_write>(std::move(done), [this, rows] { return apply(rows); });
+    }
+
+    void put(const std::string &table, const std::string &key, const std::string &value)
+    {
+        set(table, {key, value, ++m_version, false});
+    }
+
+    void remove(const std::string &table, const std::string &key)
+    {
+        set(table, {key, "", ++m_version, true});
+    }
+
+    std::string valueOf(const std::string &table, const std::string &key)
+    {
+        return m_tables[table][key].value;
+    }
+
+    bool away = false;
+    bool forgetful = false;
+    unsigned lists = 0;
+    unsigned writes = 0;
+
+private:
+    template <class T>
+    void answer(row_callback<T> done, std::function<T()> result)
+    {
+        m_runtime.after(milliseconds(1), [this, done, result] {
+            if (away)
+                done(failure(row_failure::unknown));
+            else
+                done(result());
+        });
+    }
+    void answer(row_callback<row_batch> done, std::function<row_batch()> result)
+    {
+        answer<row_batch>(std::move(done), std::move(result));
+    }
+
+    bool changedSince(const std::string &table, std::uint64_t since)
+    {
+        return !rowsOf(table, since, true).rows.empty();
+    }
+
+    void set(const std::string &table, const store_row &row)
+    {
+        m_tables[table][row.key] = row;
+        m_history[table].push_back(row);
+    }
+
+    /// The feed tells every change in order, also several of one row.
+    row_batch rowsOf(const std::string &table, std::uint64_t since, bool feed)
+    {
+        row_batch batch;
+        batch.version = m_version;
+        batch.storeTime
+                = std::chrono::duration_cast<milliseconds>(m_runtime.now().time_since_epoch());
+        for (const store_row &row : m_history[table]) {
+            if (feed && row.version > since)
+                batch.rows.push_back(row);
+        }
+        for (const auto &[key, row] : m_tables[table]) {
+            if (!feed && !row.removed)
+                batch.rows.push_back(row);
+        }
+        return batch;
+    }
+
+    conditional_write apply(const std::vector<row_write> &rows)
+    {
+        for (const row_write &row : rows) {
+            const auto &known = m_tables[row.table];
+            const auto it = known.find(row.key);
+            const std::uint64_t version
+                    = it == known.end() || it->second.removed ? 0 : it->second.version;
+            if (row.expected && *row.expected != version)
+                return {false, {{row.table, it == known.end() ? store_row() : it->second}}};
+        }
+        ++m_version;
+        for (const row_write &row : rows)
+            set(row.table, {row.key, row.value, m_version, false});
+        return {true, {}};
+    }
+
+    manual_runtime &m_runtime;
+    std::map<std::string, std::map<std::string, store_row>> m_tables;
+    std::map<std::string, std::vector<store_row>> m_history;
+    std::uint64_t m_version = 1;
+};
+
+} // namespace laurelcroft
+
+#endif
