One test of success, facts only when a wait is over, fields that nobody reads are gone

Read once more: the range of successful statuses stood three times; a watched request computed its budget at every look, needed or not; two decoded fields and two accessors had no reader. Behaviour as before: unit tests of Proxy, Http, Policy and the adapter pass with their assertions unchanged.

--- a/include/laurelcroft/Http/Message.h
+++ b/include/laurelcroft/Http/Message.h
@@ -65,6 +65,12 @@
 inline constexpr int gatewayTimeout = 504;
 } // namespace http_status
 
+/// \returns true for the statuses of success.
+constexpr bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
 } // namespace laurelcroft
 
 #endif
--- a/include/laurelcroft/Proxy/ProxyServer.h
+++ b/include/laurelcroft/Proxy/ProxyServer.h
@@ -55,11 +55,6 @@
     /// Begins to end. \param done is called once when nothing is left to do.
     void drain(std::function<void()> done);
 
-    bool isReady() const;
-
-    /// The callers' port in use.
-    std::uint16_t port() const;
-
 private:
     struct state;
     std::unique_ptr<state> m_state;
--- a/include/laurelcroft/Proxy/ProxyTypes.h
+++ b/include/laurelcroft/Proxy/ProxyTypes.h
@@ -46,8 +46,6 @@
     std::optional<std::uint64_t> afterEvent; ///< a stream goes on after this event id
     std::vector<prompt_part> promptParts; ///< in order; the last is the request's own
     unsigned promptTokens = 0;
-    unsigned outputTokens = 0; ///< at most
-    std::optional<unsigned> expectedTokens; ///< the caller's guess, often far off
 };
 
 /// One send of a request to an endpoint.
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -14,8 +14,7 @@
 template <flow_environment Env>
 bool request_flow<Env>::isValidSuccess() const
 {
-    const bool success = m_answer.status >= 200 && m_answer.status < 300;
-    return success && m_answer.signedByEndpoint && !m_answer.encoded;
+    return isSuccess(m_answer.status) && m_answer.signedByEndpoint && !m_answer.encoded;
 }
 
 template <flow_environment Env>
@@ -27,7 +26,7 @@
     m_endpoint->progressed(now());
     if (m_answer.load)
         m_endpoint->reported(*m_answer.load, now());
-    const bool success = m_answer.status >= 200 && m_answer.status < 300;
+    const bool success = isSuccess(m_answer.status);
     if (success && !isValidSuccess()) {
         endAttempt(attempt_end::broken);
         return;
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -300,12 +300,13 @@
                   if (!self || self->m_done || self->m_number != number || !self->m_endpoint)
                       return;
                   const bool silent = self->now() - self->m_progressAt >= self->patienceNow();
+                  if (!silent) {
+                      self->watchProgress(number);
+                      return;
+                  }
                   const attempt_facts facts = self->facts();
-                  const bool mayMove = facts.endpointsLeft && facts.budgetLeft && facts.timeLeft;
-                  if (silent && mayMove)
+                  if (facts.endpointsLeft && facts.budgetLeft && facts.timeLeft)
                       self->endAttempt(attempt_end::silent);
-                  else if (!silent)
-                      self->watchProgress(number);
               });
 }
 
--- a/lib/Proxy/EndpointConnection.cpp
+++ b/lib/Proxy/EndpointConnection.cpp
@@ -194,7 +194,7 @@
         return;
     if (answer.idleLife)
         m_idleLife = std::max<duration>(*answer.idleLife - idleMargin, milliseconds(0));
-    const bool success = answer.status >= 200 && answer.status < 300;
+    const bool success = isSuccess(answer.status);
     // A success that doesn't say whose it is belongs to nobody.
     if (success && answer.requestId.empty())
         answer.signedByEndpoint = false;
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -377,13 +377,3 @@
         m_state->checkDrained(giveUpAt);
     });
 }
-
-bool proxy_server::isReady() const
-{
-    return m_state->isReady();
-}
-
-std::uint16_t proxy_server::port() const
-{
-    return m_state->callers.port();
-}
