A roll-out goes on only by what all entries have found; slow answers are judged by what explains them

Cause: a trial's one endpoint is held up by one long prompt, all that wait beside it look slow, and those that were left as silent counted as failures. Now silence is slowness; waits are judged against the reading that was before them; slow answers within 300 ms count once; the slowness guard asks for more evidence; a bad share three deviations above the settled one's is not completed.

--- a/include/laurelcroft/Platform/RowFollower.h
+++ b/include/laurelcroft/Platform/RowFollower.h
@@ -83,6 +83,10 @@
     /// \returns when the last answer came; the clock's beginning when none has.
     time_point confirmedAt() const { return m_confirmedAt; }
 
+    /// \returns since when the store has answered without a failure; meaningless before its
+    /// first answer.
+    time_point steadySince() const { return m_steadySince; }
+
 private:
     void read()
     {
@@ -146,6 +150,8 @@
             return;
         }
         m_confirmedAt = m_runtime.now();
+        if (m_lost || m_steadySince == time_point())
+            m_steadySince = m_confirmedAt;
         m_retry = firstRetry;
         if (m_lost) {
             m_lost = false;
@@ -201,6 +207,7 @@
     bool m_lost = false;
     time_point m_lostAt{};
     time_point m_confirmedAt{};
+    time_point m_steadySince{};
 };
 
 } // namespace laurelcroft
--- a/include/laurelcroft/Policy/ServiceRollout.h
+++ b/include/laurelcroft/Policy/ServiceRollout.h
@@ -59,6 +59,9 @@
     bool foundBad = false; ///< by the guards of this entry
     std::uint64_t judged = 0; ///< answers of the new version that the guards have seen
     bool suspected = false; ///< too much speaks against it to let the old version go
+    /// What other entries have found is known up to a moment ago. Without it nothing more is
+    /// sent to the new version.
+    bool othersKnown = true;
     double exposure = 0.1; ///< share of requests that the site tolerates on a bad version
     double requestsPerSecond = 0; ///< for the service, at all entries
 };
--- a/include/laurelcroft/Policy/VersionGuard.h
+++ b/include/laurelcroft/Policy/VersionGuard.h
@@ -37,6 +37,20 @@
     /// speaks for it.
     double evidence() const;
 
+    /// \returns the evidence as a part of what stops a version.
+    double certainty() const { return evidence() * m_bounds.falseStop; }
+
+    /// \returns by how many standard deviations the bad share of the version under roll-out is
+    /// above the settled one's; 0 when it is not, or hardly anything is known.
+    double deviationsAbove() const;
+
+    /// \returns answers of the version under roll-out, the bad ones and all.
+    std::uint64_t rolloutBad() const { return static_cast<std::uint64_t>(m_rolloutBad); }
+    std::uint64_t rolloutAll() const
+    {
+        return static_cast<std::uint64_t>(m_rolloutGood + m_rolloutBad);
+    }
+
     /// The bad share that is tolerated: the settled one's, its margin and the guard's drop.
     double toleratedBadShare() const;
 
@@ -48,6 +62,8 @@
     rollout_guard m_bounds;
     double m_settledGood = 0;
     double m_settledBad = 0;
+    double m_rolloutGood = 0;
+    double m_rolloutBad = 0;
     std::array<double, bets> m_wealth{};
     std::uint64_t m_steps = 0;
     bool m_stopped = false;
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -153,6 +153,8 @@
 {
     answer_timing timing;
     timing.wait = (m_progressed ? m_firstEventAt : now()) - m_attemptAt;
+    timing.reading = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double, std::milli>(m_expectedMs));
     if (m_attemptEvents > 1)
         timing.pause = (m_progressAt - m_firstEventAt) / (m_attemptEvents - 1);
     return timing;
@@ -170,15 +172,20 @@
     switch (end) {
     case attempt_end::answered:
         m_endpoint->succeeded(at);
-        rollouts.observe(version, m_route->name, m_record.model, timingNow());
+        rollouts.observe(version, m_route->name, m_record.model, timingNow(), at);
         break;
     case attempt_end::failed:
     case attempt_end::broken:
+        if (!m_answered)
+            noteWait();
+        m_endpoint->failed(at);
+        rollouts.observe(version, m_route->name, m_record.model, std::nullopt, at);
+        break;
     case attempt_end::silent:
         if (!m_answered)
             noteWait();
         m_endpoint->failed(at);
-        rollouts.observe(version, m_route->name, m_record.model, std::nullopt);
+        rollouts.observeSilence(version, m_route->name, at);
         break;
     case attempt_end::refused:
         m_endpoint->full(at);
--- a/include/laurelcroft/Proxy/RolloutTracker.h
+++ b/include/laurelcroft/Proxy/RolloutTracker.h
@@ -27,6 +27,18 @@
 {
     duration wait{0}; ///< until its first part
     std::optional<duration> pause; ///< mean, between the events of a stream
+    duration reading{0}; ///< expected, of the prompts that were read before its first part
+};
+
+/// What speaks most against a version under roll-out.
+struct rollout_doubt
+{
+    std::string route; ///< "*" for all routes together
+    std::string_view fault; ///< "failures" or "slowness"
+    double evidence = 0; ///< of its guard
+    double deviations = 0; ///< bad share above the settled version's
+    std::uint64_t bad = 0; ///< answers of the new version
+    std::uint64_t all = 0;
 };
 
 /// The roll-out of one service.
@@ -65,45 +77,64 @@
     /// An attempt ended. \param route and \p model: answers of one pair are alike.
     /// \param timing of the answer; empty when it failed.
     void observe(std::string_view version, std::string_view route, std::string_view model,
-                 std::optional<answer_timing> timing);
+                 std::optional<answer_timing> timing, time_point now);
+
+    /// An attempt was left because nothing came for too long. That is a slow answer, not a
+    /// failure: a busy endpoint does it too.
+    void observeSilence(std::string_view version, std::string_view route, time_point now);
 
     /// Answers of the target version that this entry has seen since the order, by route.
     const rollout_evidence &ownEvidence() const { return m_own; }
 
     /// Takes what another entry has seen since the order.
-    void takeEvidence(const std::string &entry, const rollout_evidence &evidence);
+    void takeEvidence(const std::string &entry, const rollout_evidence &evidence, time_point now);
+
+    /// \returns the guard with the most evidence, for the log.
+    rollout_doubt strongestDoubt() const;
 
     /// \param entries the number of entries that serve callers.
+    /// \param othersKnown true when the other entries' evidence is known up to a moment ago.
     /// \returns the row to write next, if a step is due.
     std::optional<rollout_row> nextRow(milliseconds storeNow,
                                        const std::vector<endpoint_ptr> &endpoints,
-                                       std::size_t entries) const;
+                                       std::size_t entries, bool othersKnown = true) const;
+
+    /// Slow answers of the new version that are nearer to each other count as one. A trial has
+    /// few endpoints, and one long prompt holds up all that run beside it.
+    static constexpr milliseconds slownessApart{300};
 
 private:
-    struct time_mean
+    struct running_mean
     {
-        double milliseconds = 0;
+        double value = 0;
         unsigned count = 0;
     };
     /// Drop of the good share that makes a version bad, and the probability, for each guard,
     /// of stopping a good one. A wrong stop costs one roll-out, a late one many bad answers.
-    static constexpr rollout_guard guardBounds{0.08, 0.002, 0};
+    static constexpr rollout_guard failureBounds{0.08, 0.002, 0};
+    /// Slow answers come in groups (one long prompt, one full endpoint), and the guard takes them
+    /// for independent: two or three more in a row are asked for.
+    static constexpr rollout_guard slownessBounds{0.08, 0.0002, 0};
 
     /// Slow answers are more frequent than failures, also of a good version: counted together
     /// they would hide each other.
     struct guard_pair
     {
-        version_guard failures{guardBounds};
-        version_guard slowness{guardBounds};
+        version_guard failures{failureBounds};
+        version_guard slowness{slownessBounds};
     };
     bool isCurrent() const { return m_order && m_row && m_row->orderedAt == m_order->orderedAt; }
     bool wantsTarget(std::uint64_t session) const;
     void keepTrialEndpoints(std::vector<endpoint_ptr> &onTarget) const;
     guard_pair &guardsOf(std::string_view route);
+    void note(std::string_view version, std::string_view route, version_answers seen,
+              time_point now);
     void judge(std::string_view route, bool onTarget, const version_answers &seen);
+    std::uint64_t slownessThatCounts(std::uint64_t slow, time_point now);
     bool anyGuard(const std::function<bool(const version_guard &)> &test) const;
+    bool isFoundBad() const;
     std::string_view settledVersion(const std::vector<endpoint_ptr> &endpoints);
-    bool isSlow(const std::string &kind, duration time, bool onTarget);
+    bool isSlow(const std::string &kind, double slowness, bool onTarget);
 
     double m_exposure;
     std::deque<time_point> m_arrivals; ///< of the last second
@@ -112,7 +143,8 @@
     /// One for each route, and one for all: a version may be bad for one route only.
     std::map<std::string, guard_pair, std::less<>> m_guards;
     std::uint64_t m_judged = 0; ///< answers of the target version
-    std::map<std::string, time_mean> m_times; ///< of the settled version
+    std::optional<time_point> m_slowAt; ///< when the last slow answer counted
+    std::map<std::string, running_mean> m_slownesses; ///< of the settled version
     rollout_evidence m_own;
     std::map<std::string, rollout_evidence> m_others; ///< by entry, as judged already
     std::map<std::string, rollout_evidence> m_received; ///< by entry, as told last
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -83,6 +83,12 @@
     /// answers.
     static constexpr milliseconds evidencePause{500};
 
+    /// A roll-out goes on only where the rows of other entries were read this short a time ago
+    /// (a held call and its answer), and without a failure for so long that whoever could not
+    /// write meanwhile has done it: a call that hangs, a pause, and a call.
+    static constexpr milliseconds evidenceAge{3200};
+    static constexpr milliseconds evidenceGrace{2500};
+
     store_sync(Store &store, Runtime &runtime, routing_state &state, row_mirror &mirror,
                metric_registry &metrics, row_codec codec, entry_links links);
 
@@ -106,6 +112,8 @@
     void noteTime(const row_batch &batch);
     milliseconds storeNow();
     void announce();
+    /// \returns true when what other entries have found is known up to a moment ago.
+    bool othersKnown();
     void step();
     void write(const std::string &service, const rollout_order &order, const rollout_row &row);
     bool tellEvidence(const std::string &service, const rollout_tracker &tracker);
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -81,6 +81,8 @@
                 {{"table", table}, {"away_ms", std::int64_t(away.count())}});
         if (listsEndpoints)
             m_state.directory().storeRegained(m_runtime.now());
+        // What waited for the store goes out at once.
+        m_nextWriteAt = m_runtime.now();
     };
     return std::make_unique<follower>(m_store, m_runtime, table, pace, std::move(events),
                                       m_links.relay);
@@ -261,10 +263,11 @@
             logWarning(log_part::bundle, "evidence refused",
                        {{"entry", place->entry}, {"fault", evidence.error()}});
         else if (place->entry != m_links.entry)
-            m_state.rollouts(place->service).takeEvidence(place->entry, evidence.value());
+            m_state.rollouts(place->service)
+                    .takeEvidence(place->entry, evidence.value(), m_runtime.now());
         else if (m_told.count(place->service) == 0)
             m_state.rollouts(place->service)
-                    .takeEvidence(std::string(earlierLife), evidence.value());
+                    .takeEvidence(std::string(earlierLife), evidence.value(), m_runtime.now());
         return;
     }
     const std::optional<std::string> service = serviceOfKey(row.key);
@@ -332,6 +335,14 @@
     });
 }
 
+template <row_store_like Store, runtime_like Runtime>
+bool store_sync<Store, Runtime>::othersKnown()
+{
+    const follower &own = *m_followers.at(std::string(ownTable));
+    const time_point now = m_runtime.now();
+    return now - own.confirmedAt() <= evidenceAge && now - own.steadySince() >= evidenceGrace;
+}
+
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::step()
 {
@@ -340,7 +351,7 @@
         return;
     for (auto &[service, tracker] : m_state.allRollouts()) {
         const std::optional<rollout_row> next = tracker.nextRow(
-                storeNow(), m_state.directory().usable(service), m_state.entries());
+                storeNow(), m_state.directory().usable(service), m_state.entries(), othersKnown());
         const bool underWay = tracker.order() && tracker.row() && !tracker.isOver();
         if (!next && underWay && tellEvidence(service, tracker))
             return;
@@ -356,6 +367,17 @@
                                        const rollout_row &row)
 {
     m_writing = true;
+    const rollout_doubt doubt = m_state.rollouts(service).strongestDoubt();
+    logInfo(log_part::bundle, "roll-out step is due",
+            {{"service", service},
+             {"target", row.targetVersion},
+             {"stage", textOf(row.stage)},
+             {"doubt", doubt.fault},
+             {"route", doubt.route},
+             {"bad", std::int64_t(doubt.bad)},
+             {"answers", std::int64_t(doubt.all)},
+             {"evidence_percent", std::lround(doubt.evidence * 100)},
+             {"deviations_percent", std::lround(doubt.deviations * 100)}});
     const row_write own{std::string(ownTable), rolloutKey(service), encodeRollout(row),
                         m_rowVersions[service]};
     const std::vector<row_write> writes{own, m_codec.encodeStatus(order, row.stage)};
--- a/lib/Policy/ServiceRollout.cpp
+++ b/lib/Policy/ServiceRollout.cpp
@@ -39,7 +39,8 @@
 /// Answers that this entry must know of before it lets the old version go; a restarted one
 /// knows nothing.
 constexpr std::uint64_t leastJudged = 15;
-/// Shortest time at full share before that, so that faults under full load show.
+/// Shortest time at full share before that, so that faults under full load show, and what
+/// other entries see of them is told.
 constexpr std::chrono::duration<double> leastFull{1.2};
 
 constexpr std::array<std::pair<rollout_stage, std::string_view>, 5> stageNames = {{
@@ -118,7 +119,7 @@
         return std::nullopt;
     if (view.foundBad)
         return moved(*row, rollout_stage::reverted, view);
-    if (!view.targetListed)
+    if (!view.targetListed || !view.othersKnown)
         return std::nullopt;
 
     const std::chrono::duration<double> window = order.window;
@@ -134,7 +135,7 @@
             return moved(*row, rollout_stage::full, view);
         break;
     default:
-        if (elapsed < window - beforeDeadline || inStage < leastFull / 2)
+        if (elapsed < window - beforeDeadline || inStage < leastFull)
             break;
         // Completion can't be taken back: in doubt the new version goes.
         if (view.suspected)
--- a/lib/Policy/VersionGuard.cpp
+++ b/lib/Policy/VersionGuard.cpp
@@ -20,6 +20,8 @@
 constexpr double priorAnswers = 20;
 constexpr double priorBadShare = 0.03;
 constexpr double highestTolerated = 0.95;
+/// Bad answers that a share is reckoned from.
+constexpr double leastBad = 3;
 /// Shares of the largest bet that can't ruin the wealth.
 constexpr std::array<double, 4> betShares = {0.1, 0.25, 0.5, 0.8};
 
@@ -39,6 +41,17 @@
     return std::min(highestTolerated, share + 2 * deviation + m_bounds.worseBy / 2);
 }
 
+double version_guard::deviationsAbove() const
+{
+    const double count = m_rolloutGood + m_rolloutBad;
+    if (m_rolloutBad < leastBad)
+        return 0;
+    const double settled = m_settledGood + m_settledBad + priorAnswers;
+    const double expected = (m_settledBad + priorBadShare * priorAnswers) / settled;
+    const double deviation = std::sqrt(expected * (1 - expected) * (1 / count + 1 / settled));
+    return std::max(0.0, (m_rolloutBad / count - expected) / deviation);
+}
+
 double version_guard::evidence() const
 {
     return std::accumulate(m_wealth.begin(), m_wealth.end(), 0.0);
@@ -64,6 +77,8 @@
     // A batch has lost its order: the bad answers are spread evenly over it, because a
     // run of them at its end would look like a version that has just turned bad.
     const std::uint64_t count = good + bad;
+    m_rolloutGood += static_cast<double>(good);
+    m_rolloutBad += static_cast<double>(bad);
     std::uint64_t badSoFar = 0;
     for (std::uint64_t i = 1; i <= count; ++i) {
         const bool isBad = bad * i / count > badSoFar;
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -14,13 +14,20 @@
 
 namespace {
 
-/// Evidence from which the old version is not let go. A good version seldom has it: half a
-/// percent of what stops one.
-constexpr double doubtfulEvidence = 5;
+/// Part of the evidence that stops a version from which the old one is not let go. A good
+/// version seldom has it.
+constexpr double doubtfulPart = 0.01;
 /// Name of the guard over all routes; no route has it.
 constexpr std::string_view allRoutes = "*";
 /// An answer counts as bad when its first part takes this many times the settled mean.
-constexpr double slowFactor = 3.0;
+constexpr double slowFactor = 4.0;
+/// What no prompt explains: the way there and a step or two. A wait is compared with this
+/// and the reading that is before it, so that an endpoint with long prompts, or one that has to
+/// read anew what others keep, doesn't look slow for it.
+constexpr milliseconds leastWait{50};
+/// Standard deviations by which the bad share of the new version may be above the settled one's
+/// when the old version is let go.
+constexpr double doubtfulDeviations = 3;
 /// Answers of a kind from which its mean is known.
 constexpr unsigned answersForMean = 10;
 /// Weight of one answer in the running mean.
@@ -35,12 +42,13 @@
     if (isNew) {
         m_guards.clear();
         m_judged = 0;
+        m_slowAt.reset();
         m_own = {order.orderedAt, {}};
         m_others.clear();
         // Rows of evidence may have been read before their order.
         const auto received = m_received;
         for (const auto &[entry, evidence] : received)
-            takeEvidence(entry, evidence);
+            takeEvidence(entry, evidence, time_point());
     }
 }
 
@@ -63,7 +71,12 @@
 
 bool rollout_tracker::wantsTarget(std::uint64_t session) const
 {
-    return isCurrent() && startsOnTarget(m_row->stage, m_row->share, session);
+    if (!isCurrent())
+        return false;
+    // The row may be long in coming while the store is away: this entry stops at once.
+    if (m_row->stage != rollout_stage::completed && isFoundBad())
+        return false;
+    return startsOnTarget(m_row->stage, m_row->share, session);
 }
 
 void rollout_tracker::arrived(time_point now)
@@ -113,15 +126,14 @@
     return onTarget;
 }
 
-bool rollout_tracker::isSlow(const std::string &kind, duration time, bool onTarget)
+bool rollout_tracker::isSlow(const std::string &kind, double slowness, bool onTarget)
 {
-    const double value = std::chrono::duration<double, std::milli>(time).count();
-    time_mean &mean = m_times[kind];
-    const bool slow = mean.count >= answersForMean && value > slowFactor * mean.milliseconds;
+    running_mean &mean = m_slownesses[kind];
+    const bool slow = mean.count >= answersForMean && slowness > slowFactor * mean.value;
     if (!onTarget) {
         ++mean.count;
         const double weight = std::max(meanWeight, 1.0 / mean.count);
-        mean.milliseconds += weight * (value - mean.milliseconds);
+        mean.value += weight * (slowness - mean.value);
     }
     return slow;
 }
@@ -179,7 +191,8 @@
 }
 
 void rollout_tracker::observe(std::string_view version, std::string_view route,
-                              std::string_view model, std::optional<answer_timing> timing)
+                              std::string_view model, std::optional<answer_timing> timing,
+                              time_point now)
 {
     const bool onTarget = m_order && version == m_order->targetVersion;
     version_answers seen;
@@ -187,12 +200,29 @@
         seen.failed = 1;
     } else {
         const std::string kind = std::string(route) + "/" + std::string(model);
-        const bool slowStart = isSlow(kind, timing->wait, onTarget);
-        const bool slowEvents = timing->pause && isSlow(kind + "/pause", *timing->pause, onTarget);
+        const double start = timing->wait / (timing->reading + leastWait);
+        const bool slowStart = isSlow(kind, start, onTarget);
+        const bool slowEvents = timing->pause
+                && isSlow(kind + "/pause", *timing->pause / duration(leastWait), onTarget);
         ++(slowStart || slowEvents ? seen.slow : seen.good);
     }
+    note(version, route, seen, now);
+}
+
+void rollout_tracker::observeSilence(std::string_view version, std::string_view route,
+                                     time_point now)
+{
+    note(version, route, {0, 0, 1}, now);
+}
+
+void rollout_tracker::note(std::string_view version, std::string_view route, version_answers seen,
+                           time_point now)
+{
     if (!m_order)
         return;
+    const bool onTarget = version == m_order->targetVersion;
+    if (onTarget)
+        seen.slow = slownessThatCounts(seen.slow, now);
     judge(route, onTarget, seen);
     if (!onTarget)
         return;
@@ -202,7 +232,16 @@
     own.slow += seen.slow;
 }
 
-void rollout_tracker::takeEvidence(const std::string &entry, const rollout_evidence &evidence)
+std::uint64_t rollout_tracker::slownessThatCounts(std::uint64_t slow, time_point now)
+{
+    if (slow == 0 || (m_slowAt && now - *m_slowAt < slownessApart))
+        return 0;
+    m_slowAt = now;
+    return 1;
+}
+
+void rollout_tracker::takeEvidence(const std::string &entry, const rollout_evidence &evidence,
+                                   time_point now)
 {
     m_received[entry] = evidence;
     if (!m_order || evidence.orderedAt != m_order->orderedAt)
@@ -215,7 +254,8 @@
                 = seen.good < before.good || seen.failed < before.failed || seen.slow < before.slow;
         const version_answers base = restarted ? version_answers() : before;
         judge(route, true,
-              {seen.good - base.good, seen.failed - base.failed, seen.slow - base.slow});
+              {seen.good - base.good, seen.failed - base.failed,
+               std::min<std::uint64_t>(seen.slow - base.slow, 1)});
         before = seen;
     }
 }
@@ -227,9 +267,35 @@
     });
 }
 
+rollout_doubt rollout_tracker::strongestDoubt() const
+{
+    rollout_doubt strongest;
+    const auto consider
+            = [&](const std::string &route, std::string_view fault, const version_guard &guard) {
+                  if (guard.evidence() <= strongest.evidence)
+                      return;
+                  strongest = {route,
+                               fault,
+                               guard.evidence(),
+                               guard.deviationsAbove(),
+                               guard.rolloutBad(),
+                               guard.rolloutAll()};
+              };
+    for (const auto &[route, guards] : m_guards) {
+        consider(route, "failures", guards.failures);
+        consider(route, "slowness", guards.slowness);
+    }
+    return strongest;
+}
+
+bool rollout_tracker::isFoundBad() const
+{
+    return anyGuard([](const version_guard &guard) { return guard.isStopped(); });
+}
+
 std::optional<rollout_row> rollout_tracker::nextRow(milliseconds storeNow,
                                                     const std::vector<endpoint_ptr> &endpoints,
-                                                    std::size_t entries) const
+                                                    std::size_t entries, bool othersKnown) const
 {
     if (!m_order)
         return std::nullopt;
@@ -238,9 +304,11 @@
     view.exposure = m_exposure;
     view.requestsPerSecond = static_cast<double>(m_arrivals.size() * entries);
     view.judged = m_judged;
-    view.suspected = anyGuard(
-            [](const version_guard &guard) { return guard.evidence() >= doubtfulEvidence; });
-    view.foundBad = anyGuard([](const version_guard &guard) { return guard.isStopped(); });
+    view.suspected = anyGuard([](const version_guard &guard) {
+        return guard.certainty() >= doubtfulPart || guard.deviationsAbove() >= doubtfulDeviations;
+    });
+    view.foundBad = isFoundBad();
+    view.othersKnown = othersKnown;
     for (const endpoint_ptr &endpoint : endpoints) {
         const bool isTarget = endpoint->record().softwareVersion == m_order->targetVersion;
         view.targetListed = view.targetListed || isTarget;
--- a/unittests/Proxy/RolloutTests.cpp
+++ b/unittests/Proxy/RolloutTests.cpp
@@ -10,6 +10,14 @@
 
 using namespace laurelcroft;
 
+/// \returns moments far enough apart that each slow answer counts.
+static time_point nextMoment()
+{
+    static time_point moment{};
+    moment += seconds(1);
+    return moment;
+}
+
 static endpoint_ptr endpointOf(const std::string &id, const std::string &version)
 {
     endpoint_record record;
@@ -87,11 +95,12 @@
         tracker.setOrder(exampleOrder());
         tracker.setRow(rowAt(rollout_stage::trial));
         for (int i = 0; i < 100; ++i)
-            tracker.observe("v1", "route", "m", answer_timing{milliseconds(100), {}});
+            tracker.observe("v1", "route", "m", answer_timing{milliseconds(100), {}}, nextMoment());
         for (int i = 0; i < 12; ++i)
             tracker.observe("v2", "route", "m",
                             slow ? std::optional<answer_timing>({milliseconds(800), {}})
-                                 : std::nullopt);
+                                 : std::nullopt,
+                            nextMoment());
         const auto next = tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3);
         REQUIRE(next);
         CHECK(next->stage == rollout_stage::reverted);
@@ -106,9 +115,9 @@
     for (int i = 0; i < 300; ++i) {
         const auto wait
                 = i % 7 == 0 ? std::nullopt : std::optional<answer_timing>({milliseconds(100), {}});
-        tracker.observe("v1", "route", "m", wait);
+        tracker.observe("v1", "route", "m", wait, nextMoment());
         if (i % 3 == 0)
-            tracker.observe("v2", "route", "m", wait);
+            tracker.observe("v2", "route", "m", wait, nextMoment());
     }
     CHECK(!tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3));
 }
@@ -120,14 +129,14 @@
     tracker.setRow(rowAt(rollout_stage::trial));
     const auto good = std::optional<answer_timing>({milliseconds(100), {}});
     for (int i = 0; i < 200; ++i) {
-        tracker.observe("v1", "busy", "m", good);
-        tracker.observe("v1", "rare", "m", good);
+        tracker.observe("v1", "busy", "m", good, nextMoment());
+        tracker.observe("v1", "rare", "m", good, nextMoment());
     }
     for (int i = 0; i < 30; ++i) {
-        tracker.observe("v2", "busy", "m", good);
-        tracker.observe("v2", "busy", "m", good);
-        tracker.observe("v2", "busy", "m", good);
-        tracker.observe("v2", "rare", "m", i % 3 == 0 ? std::nullopt : good);
+        tracker.observe("v2", "busy", "m", good, nextMoment());
+        tracker.observe("v2", "busy", "m", good, nextMoment());
+        tracker.observe("v2", "busy", "m", good, nextMoment());
+        tracker.observe("v2", "rare", "m", i % 3 == 0 ? std::nullopt : good, nextMoment());
     }
     const auto next = tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3);
     REQUIRE(next);
@@ -160,7 +169,7 @@
     const std::vector<endpoint_ptr> both = {endpointOf("a", "v1"), endpointOf("b", "v2")};
     tracker.setOrder(exampleOrder());
     for (int i = 0; i < 50; ++i)
-        tracker.observe("v2", "route", "m", answer_timing{milliseconds(100), {}});
+        tracker.observe("v2", "route", "m", answer_timing{milliseconds(100), {}}, nextMoment());
     std::vector<rollout_stage> stages;
     for (milliseconds at(1000); at < milliseconds(21000); at += milliseconds(100)) {
         const auto next = tracker.nextRow(at, both, 3);
@@ -210,10 +219,11 @@
     tracker.setOrder(exampleOrder());
     tracker.setRow(rowAt(rollout_stage::trial));
     for (int i = 0; i < 100; ++i)
-        tracker.observe("v1", "route", "m", answer_timing{milliseconds(100), milliseconds(80)});
+        tracker.observe("v1", "route", "m", answer_timing{milliseconds(100), milliseconds(80)},
+                        nextMoment());
     for (int i = 0; i < 30; ++i) {
         const milliseconds pause(i % 3 == 0 ? 600 : 80);
-        tracker.observe("v2", "route", "m", answer_timing{milliseconds(100), pause});
+        tracker.observe("v2", "route", "m", answer_timing{milliseconds(100), pause}, nextMoment());
     }
     const auto next = tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3);
     REQUIRE(next);
@@ -228,12 +238,12 @@
         tracker.setRow(rowAt(rollout_stage::trial));
         const auto good = std::optional<answer_timing>({milliseconds(100), {}});
         for (int i = 0; i < 200; ++i)
-            tracker.observe("v1", "route", "m", good);
+            tracker.observe("v1", "route", "m", good, nextMoment());
         for (int i = 0; i < 9; ++i)
-            tracker.observe("v2", "route", "m", i % 3 == 0 ? std::nullopt : good);
+            tracker.observe("v2", "route", "m", i % 3 == 0 ? std::nullopt : good, nextMoment());
         const rollout_evidence seen{7, {{"route", {6, 3, 0}}}};
         for (int entry = 0; together && entry < 5; ++entry)
-            tracker.takeEvidence("e" + std::to_string(entry), seen);
+            tracker.takeEvidence("e" + std::to_string(entry), seen, nextMoment());
         return tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 6).has_value();
     };
     CHECK(!judge(false));
@@ -246,8 +256,8 @@
     tracker.setOrder(exampleOrder());
     tracker.setRow(rowAt(rollout_stage::trial));
     for (int i = 0; i < 50; ++i) {
-        tracker.takeEvidence("e1", {7, {{"route", {3, 1, 0}}}});
-        tracker.takeEvidence("e2", {6, {{"route", {0, 9, 0}}}});
+        tracker.takeEvidence("e1", {7, {{"route", {3, 1, 0}}}}, nextMoment());
+        tracker.takeEvidence("e2", {6, {{"route", {0, 9, 0}}}}, nextMoment());
     }
     CHECK(!tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3));
 }
@@ -259,9 +269,9 @@
     tracker.setRow(rowAt(rollout_stage::full));
     const auto good = std::optional<answer_timing>({milliseconds(100), {}});
     for (int i = 0; i < 200; ++i)
-        tracker.observe("v1", "route", "m", good);
+        tracker.observe("v1", "route", "m", good, nextMoment());
     for (int i = 0; i < 10; ++i)
-        tracker.observe("v2", "route", "m", i % 3 == 0 ? std::nullopt : good);
+        tracker.observe("v2", "route", "m", i % 3 == 0 ? std::nullopt : good, nextMoment());
     CHECK(!tracker.nextRow(milliseconds(18000), {endpointOf("b", "v2")}, 3));
     const auto next = tracker.nextRow(milliseconds(20500), {endpointOf("b", "v2")}, 3);
     REQUIRE(next);
@@ -288,9 +298,9 @@
     tracker.setRow(rowAt(rollout_stage::trial));
     const auto at = [](int ms) { return std::optional<answer_timing>({milliseconds(ms), {}}); };
     for (int i = 0; i < 300; ++i)
-        tracker.observe("v1", "route", "m", at(i % 5 == 0 ? 2000 : 50));
+        tracker.observe("v1", "route", "m", at(i % 5 == 0 ? 2000 : 50), nextMoment());
     for (int i = 0; i < 24; ++i)
-        tracker.observe("v2", "route", "m", i % 3 == 0 ? std::nullopt : at(50));
+        tracker.observe("v2", "route", "m", i % 3 == 0 ? std::nullopt : at(50), nextMoment());
     const auto next = tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3);
     REQUIRE(next);
     CHECK(next->stage == rollout_stage::reverted);
@@ -303,3 +313,113 @@
     tracker.setRow(rowAt(rollout_stage::full));
     CHECK(!tracker.nextRow(milliseconds(20900), {endpointOf("b", "v2")}, 3));
 }
+
+TEST_CASE("an entry that is sure stops sending before the shared row says so")
+{
+    rollout_tracker tracker(0.15);
+    const std::vector<endpoint_ptr> both = {endpointOf("a", "v1"), endpointOf("b", "v2")};
+    tracker.setOrder(exampleOrder());
+    for (const rollout_stage stage : {rollout_stage::trial, rollout_stage::full}) {
+        tracker.setRow(rowAt(stage));
+        CHECK(onTarget(tracker, both) > 0);
+    }
+    for (int i = 0; i < 20; ++i)
+        tracker.observe("v2", "route", "m", std::nullopt, nextMoment());
+    CHECK(onTarget(tracker, both) == 0);
+    // Once the old version may end, nothing else is left to send to.
+    tracker.setRow(rowAt(rollout_stage::completed));
+    CHECK(onTarget(tracker, both) == 100);
+}
+
+TEST_CASE("slow answers that one long prompt explains count once")
+{
+    const auto judge = [](milliseconds apart, bool silent) {
+        rollout_tracker tracker(0.15);
+        tracker.setOrder(exampleOrder());
+        tracker.setRow(rowAt(rollout_stage::trial));
+        const auto at = [](int ms) { return std::optional<answer_timing>({milliseconds(ms), {}}); };
+        for (int i = 0; i < 100; ++i)
+            tracker.observe("v1", "route", "m", at(100), nextMoment());
+        time_point now = nextMoment();
+        for (int i = 0; i < 20; ++i) {
+            now += apart;
+            if (silent)
+                tracker.observeSilence("v2", "route", now);
+            else
+                tracker.observe("v2", "route", "m", at(1500), now);
+        }
+        return tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3).has_value();
+    };
+    for (const bool silent : {false, true}) {
+        CHECK(!judge(milliseconds(30), silent));
+        CHECK(judge(milliseconds(600), silent));
+    }
+}
+
+TEST_CASE("of the slow answers that an entry tells of at once, one counts")
+{
+    rollout_tracker tracker(0.15);
+    tracker.setOrder(exampleOrder());
+    tracker.setRow(rowAt(rollout_stage::trial));
+    tracker.takeEvidence("e1", {7, {{"route", {4, 0, 30}}}}, nextMoment());
+    CHECK(tracker.strongestDoubt().bad == 1);
+    CHECK(tracker.strongestDoubt().fault == "slowness");
+    tracker.takeEvidence("e2", {7, {{"route", {4, 3, 0}}}}, nextMoment());
+    CHECK(tracker.strongestDoubt().bad == 3);
+    CHECK(tracker.strongestDoubt().fault == "failures");
+}
+
+TEST_CASE("a wait that long prompts explain is not slow")
+{
+    const auto judge = [](milliseconds reading) {
+        rollout_tracker tracker(0.15);
+        tracker.setOrder(exampleOrder());
+        tracker.setRow(rowAt(rollout_stage::trial));
+        for (int i = 0; i < 100; ++i)
+            tracker.observe("v1", "route", "m", answer_timing{milliseconds(100), {}, {}},
+                            nextMoment());
+        for (int i = 0; i < 20; ++i)
+            tracker.observe("v2", "route", "m", answer_timing{milliseconds(900), {}, reading},
+                            nextMoment());
+        return tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3).has_value();
+    };
+    CHECK(judge(milliseconds(0)));
+    CHECK(!judge(milliseconds(500)));
+}
+
+TEST_CASE("a version whose bad share is clearly above the settled one's is not completed")
+{
+    const auto stageAfter = [](int every) {
+        rollout_tracker tracker(0.15);
+        tracker.setOrder(exampleOrder());
+        tracker.setRow(rowAt(rollout_stage::full));
+        const auto at = [](int ms) { return answer_timing{milliseconds(ms), {}, {}}; };
+        for (int i = 0; i < 400; ++i)
+            tracker.observe("v1", "route", "m", at(i % 10 == 0 ? 900 : 50), nextMoment());
+        for (int i = 1; i <= 60; ++i)
+            tracker.observe("v2", "route", "m", at(i % every == 0 ? 900 : 50), nextMoment());
+        return tracker.nextRow(milliseconds(20500), {endpointOf("b", "v2")}, 3).value().stage;
+    };
+    CHECK(stageAfter(10) == rollout_stage::completed);
+    CHECK(stageAfter(4) == rollout_stage::reverted);
+}
+
+TEST_CASE("without the others' word a roll-out goes back, but not on")
+{
+    rollout_tracker tracker(0.15);
+    const std::vector<endpoint_ptr> both = {endpointOf("a", "v1"), endpointOf("b", "v2")};
+    tracker.setOrder(exampleOrder());
+    for (int i = 0; i < 50; ++i)
+        tracker.observe("v2", "route", "m", answer_timing{milliseconds(100), {}}, nextMoment());
+    for (const rollout_stage stage :
+         {rollout_stage::pilot, rollout_stage::trial, rollout_stage::full}) {
+        tracker.setRow(rowAt(stage));
+        CHECK(tracker.nextRow(milliseconds(30000), both, 3, true));
+        CHECK(!tracker.nextRow(milliseconds(30000), both, 3, false));
+    }
+    for (int i = 0; i < 30; ++i)
+        tracker.observe("v2", "route", "m", std::nullopt, nextMoment());
+    const auto next = tracker.nextRow(milliseconds(3000), both, 3, false);
+    REQUIRE(next);
+    CHECK(next->stage == rollout_stage::reverted);
+}
--- a/unittests/Proxy/StoreSyncTests.cpp
+++ b/unittests/Proxy/StoreSyncTests.cpp
@@ -239,7 +239,8 @@
     world.runtime.advance(milliseconds(1800));
     CHECK(world.store.valueOf("status", "pool") == "full");
     for (int i = 0; i < 20; ++i)
-        world.routing.rollouts("pool").observe("v2", "route", "m", answer_timing{});
+        world.routing.rollouts("pool").observe("v2", "route", "m", answer_timing{},
+                                               world.runtime.now());
     world.runtime.advance(seconds(2));
     CHECK(world.store.valueOf("status", "pool") == "completed");
     const unsigned writes = world.store.writes;
@@ -247,6 +248,63 @@
     CHECK(world.store.writes == writes);
 }
 
+TEST_CASE("after an outage a roll-out waits for what the other entries have found")
+{
+    sync_world world;
+    world.store.put("endpoints", "a", "v1");
+    world.store.put("endpoints", "b", "v2");
+    world.store.put("orders", "pool", "v2");
+    world.sync.start();
+    world.runtime.advance(seconds(6));
+    CHECK(world.store.valueOf("status", "pool") == "trial");
+    for (int i = 0; i < 20; ++i)
+        world.routing.rollouts("pool").observe("v2", "route", "m", answer_timing{},
+                                               world.runtime.now());
+    // The deadline passes meanwhile; another entry has found the version bad and writes it late.
+    world.store.away = true;
+    world.runtime.advance(seconds(9));
+    world.store.away = false;
+    world.runtime.advance(seconds(2));
+    CHECK(world.store.valueOf("status", "pool") == "trial");
+    const std::uint64_t order = world.routing.rollouts("pool").order()->orderedAt;
+    world.store.put("laurelcroft", evidenceKey("e2", "pool"),
+                    encodeEvidence({order, {{"route", {10, 30, 0}}}}));
+    world.runtime.advance(seconds(3));
+    CHECK(world.store.valueOf("status", "pool") == "reverted");
+}
+
+/// \returns how long after the store's return a version that was found bad meanwhile is reverted.
+static milliseconds revertedAfter(milliseconds outage)
+{
+    sync_world world;
+    world.store.put("endpoints", "b", "v2");
+    world.store.put("orders", "pool", "v2");
+    world.sync.start();
+    world.runtime.advance(seconds(2));
+    world.store.away = true;
+    for (int i = 0; i < 30; ++i)
+        world.routing.rollouts("pool").observe("v2", "route", "m", std::nullopt,
+                                               world.runtime.now());
+    world.runtime.advance(outage);
+    world.store.away = false;
+    milliseconds waited{0};
+    while (world.store.valueOf("status", "pool") != "reverted" && waited < seconds(5)) {
+        world.runtime.advance(milliseconds(50));
+        waited += milliseconds(50);
+    }
+    return waited;
+}
+
+TEST_CASE("a finding that could not be written goes out when the store is back")
+{
+    milliseconds sum{0};
+    constexpr int outages = 20;
+    for (int i = 0; i < outages; ++i)
+        sum += revertedAfter(milliseconds(2500 + 70 * i));
+    // Half of a read's longest retry and two looks, not half of the pause after a refused write.
+    CHECK(sum / outages <= milliseconds(500));
+}
+
 TEST_CASE("an entry that starts in the middle of a roll-out goes on from the row")
 {
     sync_world world;
