Entries tell each other of long prompts; under long waits ever fewer answers are asked for again

Now an entry tells those in the endpoint's data centre when it sends a prompt that takes 30 ms or more to read: a datagram of 20 bytes, 2 KB/s at most.

--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -67,6 +67,12 @@
     void beganReading(double ms) { m_readingMs += ms; }
     void endedReading(double ms) { m_readingMs -= ms; }
 
+    /// Another entry sent it a prompt that takes \p reading.
+    void beganElsewhere(milliseconds reading, time_point now);
+
+    /// \returns how much longer it reads prompts of other entries, as far as they have told.
+    double readingElsewhereMs(time_point now) const;
+
     /// Prefixes that it is thought to keep.
     prompt_memory &prompts() { return m_prompts; }
 
@@ -104,6 +110,7 @@
     endpoint_record m_record;
     unsigned m_running = 0;
     double m_readingMs = 0;
+    time_point m_readsElsewhereUntil{}; ///< prompts of other entries, one after the other
     prompt_memory m_prompts;
     time_point m_progressedAt{};
     double m_others = 0; ///< requests of other callers at the last report
--- a/include/laurelcroft/Policy/ConfidenceCascade.h
+++ b/include/laurelcroft/Policy/ConfidenceCascade.h
@@ -23,6 +23,8 @@
     /// calm, and from which as busy; the threshold moves between them.
     double calmWait = 0.08;
     double busyWait = 0.35;
+    /// Wait from which no larger model is asked any more; between busy and full, ever fewer are.
+    double fullWait = 0.6;
 };
 
 /// What is known when the head of an answer comes.
@@ -33,6 +35,7 @@
     std::optional<int> confidence; ///< percent
     bool mayRunAgain = false; ///< endpoints, budget and time allow one more run
     double wait = 0; ///< recent mean wait for a first part, as a share of the objective
+    double draw = 0; ///< of this request, uniform from 0 to 1
 };
 
 /// A recent mean that follows its samples within a second or two.
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -60,6 +60,7 @@
     view.models = m_route->models.size();
     view.confidence = m_answer.confidence;
     view.wait = m_env.routing().waits(m_service).mean();
+    view.draw = m_env.routing().random().uniform();
     view.mayRunAgain = m_route->mayRepeat() && now.endpointsLeft && now.budgetLeft && now.timeLeft;
     const std::optional<std::size_t> larger = escalatesTo(m_env.routing().cascade(), view);
     if (!larger)
--- a/include/laurelcroft/Proxy/RolloutTracker.h
+++ b/include/laurelcroft/Proxy/RolloutTracker.h
@@ -87,7 +87,7 @@
     const rollout_evidence &ownEvidence() const { return m_own; }
 
     /// Takes what another entry has seen since the order.
-    void takeEvidence(const std::string &entry, const rollout_evidence &evidence, time_point now);
+    void takeEvidence(const std::string &entry, const rollout_evidence &evidence);
 
     /// \returns the guard with the most evidence, for the log.
     rollout_doubt strongestDoubt() const;
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -15,6 +15,7 @@
 #include "laurelcroft/Proxy/RolloutTracker.h"
 #include "laurelcroft/Support/Random.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -61,6 +62,15 @@
     /// How fast \p model reads prompts.
     prompt_rate &promptRate(std::string_view model);
 
+    /// Is told of each send, with the time that its prompt is thought to take to read.
+    using send_listener = std::function<void(const service_endpoint &endpoint, double readingMs)>;
+    void setSendListener(send_listener listener) { m_onSend = std::move(listener); }
+    void noteSend(const service_endpoint &endpoint, double readingMs) const
+    {
+        if (m_onSend)
+            m_onSend(endpoint, readingMs);
+    }
+
     /// Entries that share the budgets, this one included.
     std::size_t entries() const { return m_entries; }
     void setEntries(std::size_t count) { m_entries = count; }
@@ -76,6 +86,7 @@
     std::map<std::string, recent_wait, std::less<>> m_waits;
     std::map<std::string, prompt_rate, std::less<>> m_promptRates;
     std::size_t m_entries = 1;
+    send_listener m_onSend;
 };
 
 } // namespace laurelcroft
--- /dev/null
+++ b/include/laurelcroft/Proxy/SendNotices.h
@@ -0,0 +1,81 @@
+//===-- Proxy/SendNotices.h - entries tell each other of sends ---*- C++ -*-===//
+//
+// An endpoint says how full it is only with its answers, and a long prompt holds up all that
+// run beside it. So an entry tells the others that use an endpoint when it sends a long prompt
+// there: one small datagram each. What gets lost costs a worse choice, nothing more.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_PROXY_SENDNOTICES_H
+#define LAURELCROFT_PROXY_SENDNOTICES_H
+
+#include "laurelcroft/Proxy/RolloutRows.h"
+#include "laurelcroft/Support/Metrics.h"
+#include "laurelcroft/Support/Runtime.h"
+
+#include <asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace laurelcroft {
+
+/// A prompt that an entry has just sent.
+struct send_notice
+{
+    std::string endpoint; ///< its id
+    milliseconds reading{0}; ///< that the prompt is thought to take
+
+    bool operator==(const send_notice &) const = default;
+};
+
+std::string encodeNotice(const send_notice &notice);
+/// \returns nothing for bytes that are no notice, or one with a reading out of range.
+std::optional<send_notice> decodeNotice(std::string_view bytes);
+
+/// The datagrams between entries. One thread.
+class send_notices
+{
+public:
+    /// Shorter readings are not told: they are over before they would change a choice.
+    static constexpr milliseconds leastReading{30};
+    /// Longer ones are not believed: no prompt takes that long.
+    static constexpr milliseconds longestReading{10'000};
+    /// Entries of one data centre that are told at most; the same ones each time.
+    static constexpr std::size_t mostListeners = 12;
+    /// Bytes a second, headers included, that telling may cost: what the users' first letter
+    /// gives a node for control.
+    static constexpr double bytesPerSecond = 2000;
+
+    using notice_handler = std::function<void(const send_notice &notice)>;
+
+    /// \param ownAddress "host:port" that \c open listens on.
+    send_notices(asio::io_context &context, metric_registry &metrics, std::string ownAddress,
+                 notice_handler onNotice);
+    ~send_notices();
+    send_notices(const send_notices &) = delete;
+    send_notices &operator=(const send_notices &) = delete;
+
+    /// \returns an empty string, or what failed.
+    std::string open();
+
+    /// The port in use, after open().
+    std::uint16_t port() const;
+
+    /// Entries by name; \p own is left out.
+    void setEntries(const entry_map &entries, const std::string &own);
+
+    /// Tells the entries of \p dataCentre, where the endpoint is.
+    void tell(const send_notice &notice, const std::string &dataCentre);
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace laurelcroft
+
+#endif
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -46,6 +46,17 @@
     return m_running + m_others * faded(now - m_reportedAt, reportHalfLife);
 }
 
+void service_endpoint::beganElsewhere(milliseconds reading, time_point now)
+{
+    m_readsElsewhereUntil = std::max(m_readsElsewhereUntil, now) + reading;
+}
+
+double service_endpoint::readingElsewhereMs(time_point now) const
+{
+    const std::chrono::duration<double, std::milli> left = m_readsElsewhereUntil - now;
+    return std::max(0.0, left.count());
+}
+
 void service_endpoint::decay(time_point now)
 {
     const double keep = faded(now - m_countedAt, failureHalfLife);
--- a/lib/Policy/ConfidenceCascade.cpp
+++ b/lib/Policy/ConfidenceCascade.cpp
@@ -26,6 +26,15 @@
     return static_cast<int>(std::lround(settings.keepFrom + busy * range));
 }
 
+/// \returns the share of doubtful answers that are asked for again at this mean wait.
+static double escalatedShare(const cascade_settings &settings, double wait)
+{
+    const double span = settings.fullWait - settings.busyWait;
+    if (span <= 0)
+        return wait < settings.busyWait ? 1 : 0;
+    return std::clamp((settings.fullWait - wait) / span, 0.0, 1.0);
+}
+
 std::optional<std::size_t> laurelcroft::escalatesTo(const cascade_settings &settings,
                                                     const cascade_view &view)
 {
@@ -34,5 +43,7 @@
         return std::nullopt;
     if (*view.confidence >= keptFrom(settings, view.wait))
         return std::nullopt;
+    if (view.draw >= escalatedShare(settings, view.wait))
+        return std::nullopt;
     return view.models - 1;
 }
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -48,7 +48,7 @@
         // Rows of evidence may have been read before their order.
         const auto received = m_received;
         for (const auto &[entry, evidence] : received)
-            takeEvidence(entry, evidence, time_point());
+            takeEvidence(entry, evidence);
     }
 }
 
@@ -240,8 +240,7 @@
     return 1;
 }
 
-void rollout_tracker::takeEvidence(const std::string &entry, const rollout_evidence &evidence,
-                                   time_point now)
+void rollout_tracker::takeEvidence(const std::string &entry, const rollout_evidence &evidence)
 {
     m_received[entry] = evidence;
     if (!m_order || evidence.orderedAt != m_order->orderedAt)
--- /dev/null
+++ b/lib/Proxy/SendNotices.cpp
@@ -0,0 +1,206 @@
+//===-- SendNotices.cpp - entries tell each other of sends ------------------===//
+//
+// A notice is a MessagePack array: id, milliseconds. Nothing waits: a datagram that can't go
+// out at once is left out.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/SendNotices.h"
+
+#include "laurelcroft/Fleet/Ranking.h"
+#include "laurelcroft/Support/Log.h"
+#include "laurelcroft/Support/Settings.h"
+
+#include <asio/ip/udp.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <vector>
+
+using namespace laurelcroft;
+using asio::ip::udp;
+using nlohmann::json;
+
+namespace {
+
+/// IP and UDP headers of a datagram.
+constexpr double headerBytes = 28;
+/// An endpoint's id is shorter.
+constexpr std::size_t longestId = 200;
+/// Savings of the byte budget last for a burst of about this long.
+constexpr double burstSeconds = 1;
+
+} // namespace
+
+std::string laurelcroft::encodeNotice(const send_notice &notice)
+{
+    const std::vector<std::uint8_t> bytes
+            = json::to_msgpack(json::array({notice.endpoint, notice.reading.count()}));
+    return {bytes.begin(), bytes.end()};
+}
+
+std::optional<send_notice> laurelcroft::decodeNotice(std::string_view bytes)
+{
+    constexpr bool strict = true;
+    constexpr bool throws = false;
+    const json item = json::from_msgpack(bytes.begin(), bytes.end(), strict, throws);
+    const bool hasForm = item.is_array() && item.size() == 2 && item[0].is_string()
+            && item[1].is_number_unsigned();
+    if (!hasForm)
+        return std::nullopt;
+    const auto reading = item[1].get<std::uint64_t>();
+    if (reading > static_cast<std::uint64_t>(send_notices::longestReading.count()))
+        return std::nullopt;
+    send_notice notice{item[0].get<std::string>(), milliseconds(reading)};
+    if (notice.endpoint.empty() || notice.endpoint.size() > longestId)
+        return std::nullopt;
+    return notice;
+}
+
+struct send_notices::state
+{
+    state(asio::io_context &context, metric_registry &metrics, std::string ownAddress,
+          notice_handler onNotice)
+        : socket(context)
+        , metrics(metrics)
+        , ownAddress(std::move(ownAddress))
+        , onNotice(std::move(onNotice))
+    {
+    }
+
+    void receive();
+    void take(std::string_view bytes);
+    bool spend(double bytes);
+
+    udp::socket socket;
+    metric_registry &metrics;
+    std::string ownAddress;
+    notice_handler onNotice;
+    std::map<std::string, std::vector<udp::endpoint>> listeners; ///< by data centre
+    double savedBytes = bytesPerSecond * burstSeconds;
+    time_point savedAt = bootNow();
+    udp::endpoint from;
+    std::array<char, 512> buffer{};
+};
+
+send_notices::send_notices(asio::io_context &context, metric_registry &metrics,
+                           std::string ownAddress, notice_handler onNotice)
+    : m_state(std::make_unique<state>(context, metrics, std::move(ownAddress), std::move(onNotice)))
+{
+}
+
+send_notices::~send_notices() = default;
+
+std::string send_notices::open()
+{
+    std::string host;
+    std::uint16_t port = 0;
+    if (!splitAddress(m_state->ownAddress, host, port))
+        return "not of the form host:port";
+    asio::error_code error;
+    const auto address = asio::ip::make_address(host, error);
+    if (error)
+        return error.message();
+    m_state->socket.open(udp::v4(), error);
+    if (!error)
+        m_state->socket.bind({address, port}, error);
+    if (!error)
+        m_state->socket.non_blocking(true, error);
+    if (error)
+        return error.message();
+    m_state->receive();
+    return {};
+}
+
+std::uint16_t send_notices::port() const
+{
+    asio::error_code error;
+    return m_state->socket.local_endpoint(error).port();
+}
+
+void send_notices::state::receive()
+{
+    socket.async_receive_from(asio::buffer(buffer), from,
+                              [this](const asio::error_code &error, std::size_t size) {
+                                  if (error == asio::error::operation_aborted)
+                                      return;
+                                  // Others' errors come from a listener that is gone.
+                                  if (error)
+                                      metrics.add("send_notices_total{way=\"unreachable\"}");
+                                  else
+                                      take({buffer.data(), size});
+                                  receive();
+                              });
+}
+
+void send_notices::state::take(std::string_view bytes)
+{
+    const std::optional<send_notice> notice = decodeNotice(bytes);
+    if (!notice) {
+        metrics.add("send_notices_total{way=\"refused\"}");
+        logDebug(log_part::fleet, "datagram is no notice",
+                 {{"from", from.address().to_string()}, {"bytes", std::int64_t(bytes.size())}});
+        return;
+    }
+    metrics.add("send_notices_total{way=\"received\"}");
+    onNotice(*notice);
+}
+
+bool send_notices::state::spend(double bytes)
+{
+    const time_point now = bootNow();
+    const std::chrono::duration<double> since = now - savedAt;
+    savedAt = now;
+    savedBytes
+            = std::min(bytesPerSecond * burstSeconds, savedBytes + since.count() * bytesPerSecond);
+    if (savedBytes < bytes)
+        return false;
+    savedBytes -= bytes;
+    return true;
+}
+
+void send_notices::setEntries(const entry_map &entries, const std::string &own)
+{
+    std::map<std::string, std::vector<std::string>> names;
+    for (const auto &[name, place] : entries) {
+        if (name != own && !place.address.empty())
+            names[place.dataCentre].push_back(name);
+    }
+    m_state->listeners.clear();
+    for (const auto &[dataCentre, others] : names) {
+        // Each entry ranks them in its own way, so that all are told by some.
+        for (const std::string &name : rankFirst(others, own, mostListeners)) {
+            std::string host;
+            std::uint16_t port = 0;
+            asio::error_code error;
+            if (!splitAddress(entries.at(name).address, host, port))
+                continue;
+            const auto address = asio::ip::make_address(host, error);
+            if (!error)
+                m_state->listeners[dataCentre].emplace_back(address, port);
+        }
+    }
+}
+
+void send_notices::tell(const send_notice &notice, const std::string &dataCentre)
+{
+    if (notice.reading < leastReading)
+        return;
+    const auto it = m_state->listeners.find(dataCentre);
+    if (it == m_state->listeners.end())
+        return;
+    const std::string bytes
+            = encodeNotice({notice.endpoint, std::min(notice.reading, longestReading)});
+    for (const udp::endpoint &listener : it->second) {
+        if (!m_state->spend(static_cast<double>(bytes.size()) + headerBytes)) {
+            m_state->metrics.add("send_notices_total{way=\"held\"}");
+            return;
+        }
+        asio::error_code error;
+        m_state->socket.send_to(asio::buffer(bytes), listener, 0, error);
+        m_state->metrics.add(error ? "send_notices_total{way=\"failed\"}"
+                                   : "send_notices_total{way=\"sent\"}");
+    }
+}
--- a/unittests/Fleet/ServiceDirectoryTests.cpp
+++ b/unittests/Fleet/ServiceDirectoryTests.cpp
@@ -122,3 +122,15 @@
     directory.apply(recordOf("b"), start + seconds(1));
     CHECK(directory.usable("pool").size() == 1);
 }
+
+TEST_CASE("prompts that other entries sent are read one after the other, and done in time")
+{
+    service_endpoint endpoint(recordOf("a"));
+    CHECK(endpoint.readingElsewhereMs(start) == 0);
+    endpoint.beganElsewhere(milliseconds(400), start);
+    endpoint.beganElsewhere(milliseconds(200), start + milliseconds(100));
+    CHECK(endpoint.readingElsewhereMs(start + milliseconds(100)) == doctest::Approx(500));
+    CHECK(endpoint.readingElsewhereMs(start + milliseconds(600)) == 0);
+    endpoint.beganElsewhere(milliseconds(200), start + seconds(5));
+    CHECK(endpoint.readingElsewhereMs(start + seconds(5)) == doctest::Approx(200));
+}
--- a/unittests/Policy/DirectPolicyTests.cpp
+++ b/unittests/Policy/DirectPolicyTests.cpp
@@ -207,6 +207,24 @@
     CHECK(firstModel({0, 50}, 0) == 0);
 }
 
+TEST_CASE("the longer requests wait, the fewer doubtful answers are asked for again, down to none")
+{
+    const cascade_settings settings;
+    const auto escalated = [&](double wait) {
+        unsigned count = 0;
+        for (int i = 0; i < 100; ++i) {
+            const cascade_view view{0, 3, 0, true, wait, i / 100.0};
+            count += escalatesTo(settings, view) ? 1 : 0;
+        }
+        return count;
+    };
+    CHECK(escalated(settings.calmWait) == 100);
+    CHECK(escalated(settings.busyWait) == 100);
+    CHECK(escalated((settings.busyWait + settings.fullWait) / 2) == 50);
+    CHECK(escalated(settings.fullWait) == 0);
+    CHECK(escalated(5) == 0);
+}
+
 TEST_CASE("a trial is no larger than its evidence needs, and never beyond the exposure")
 {
     rollout_view view;
--- a/unittests/Proxy/FlowTests.cpp
+++ b/unittests/Proxy/FlowTests.cpp
@@ -325,3 +325,23 @@
     CHECK(world.status == 500);
     CHECK(world.body == "why");
 }
+
+TEST_CASE("an endpoint that reads another entry's long prompt is passed over, and sends are told")
+{
+    for (const char *busy : {"e1", "e2"}) {
+        flow_world world;
+        world.useRoute(lookupRoute());
+        world.addEndpoint("e1");
+        world.addEndpoint("e2");
+        std::vector<std::string> told;
+        world.routing.setSendListener([&](const service_endpoint &endpoint, double) {
+            told.push_back(endpoint.record().id);
+        });
+        const auto &all = world.routing.directory().all();
+        all.at(busy)->beganElsewhere(milliseconds(400), world.runtime.now());
+        startFlow(world, requestFor(lookupRoute()));
+        REQUIRE(world.calls.size() == 1);
+        CHECK(world.calls[0].attempt.endpoint->record().id != busy);
+        CHECK(told == std::vector<std::string>{world.calls[0].attempt.endpoint->record().id});
+    }
+}
--- a/unittests/Proxy/RolloutTests.cpp
+++ b/unittests/Proxy/RolloutTests.cpp
@@ -243,7 +243,7 @@
             tracker.observe("v2", "route", "m", i % 3 == 0 ? std::nullopt : good, nextMoment());
         const rollout_evidence seen{7, {{"route", {6, 3, 0}}}};
         for (int entry = 0; together && entry < 5; ++entry)
-            tracker.takeEvidence("e" + std::to_string(entry), seen, nextMoment());
+            tracker.takeEvidence("e" + std::to_string(entry), seen);
         return tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 6).has_value();
     };
     CHECK(!judge(false));
@@ -256,8 +256,8 @@
     tracker.setOrder(exampleOrder());
     tracker.setRow(rowAt(rollout_stage::trial));
     for (int i = 0; i < 50; ++i) {
-        tracker.takeEvidence("e1", {7, {{"route", {3, 1, 0}}}}, nextMoment());
-        tracker.takeEvidence("e2", {6, {{"route", {0, 9, 0}}}}, nextMoment());
+        tracker.takeEvidence("e1", {7, {{"route", {3, 1, 0}}}});
+        tracker.takeEvidence("e2", {6, {{"route", {0, 9, 0}}}});
     }
     CHECK(!tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3));
 }
@@ -361,10 +361,10 @@
     rollout_tracker tracker(0.15);
     tracker.setOrder(exampleOrder());
     tracker.setRow(rowAt(rollout_stage::trial));
-    tracker.takeEvidence("e1", {7, {{"route", {4, 0, 30}}}}, nextMoment());
+    tracker.takeEvidence("e1", {7, {{"route", {4, 0, 30}}}});
     CHECK(tracker.strongestDoubt().bad == 1);
     CHECK(tracker.strongestDoubt().fault == "slowness");
-    tracker.takeEvidence("e2", {7, {{"route", {4, 3, 0}}}}, nextMoment());
+    tracker.takeEvidence("e2", {7, {{"route", {4, 3, 0}}}});
     CHECK(tracker.strongestDoubt().bad == 3);
     CHECK(tracker.strongestDoubt().fault == "failures");
 }
--- /dev/null
+++ b/unittests/Proxy/SendNoticesTests.cpp
@@ -0,0 +1,91 @@
+//===-- SendNoticesTests.cpp - entries tell each other of sends -------------===//
+//
+// The datagram, and entries on loopback sockets.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/SendNotices.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace laurelcroft;
+
+namespace {
+
+struct one_entry
+{
+    explicit one_entry(asio::io_context &context)
+        : notices(context, metrics, "127.0.0.1:0",
+                  [this](const send_notice &notice) { heard.push_back(notice); })
+    {
+    }
+    metric_registry metrics;
+    std::vector<send_notice> heard;
+    send_notices notices;
+};
+
+entry_place placeOf(const one_entry &entry, const std::string &dataCentre)
+{
+    return {"127.0.0.1:" + std::to_string(entry.notices.port()), dataCentre};
+}
+
+} // namespace
+
+TEST_CASE("a notice survives the way; other bytes are refused")
+{
+    const send_notice notice{"i-7f3a91c2", milliseconds(420)};
+    const std::string bytes = encodeNotice(notice);
+    CHECK(bytes.size() < 20);
+    CHECK(decodeNotice(bytes) == notice);
+    for (std::size_t cut = 0; cut < bytes.size(); ++cut)
+        CHECK(!decodeNotice(std::string_view(bytes).substr(0, cut)));
+    CHECK(!decodeNotice(bytes + "x"));
+    CHECK(!decodeNotice(encodeNotice({"", milliseconds(420)})));
+    CHECK(!decodeNotice(encodeNotice({std::string(300, 'i'), milliseconds(420)})));
+    CHECK(!decodeNotice(encodeNotice({"i-1", milliseconds(-1)})));
+    CHECK(!decodeNotice(encodeNotice({"i-1", send_notices::longestReading + milliseconds(1)})));
+}
+
+TEST_CASE("the entries where an endpoint is hear of a long prompt, others and short ones not")
+{
+    asio::io_context context;
+    one_entry teller(context);
+    one_entry near(context);
+    one_entry far(context);
+    for (one_entry *entry : {&teller, &near, &far})
+        REQUIRE(entry->notices.open().empty());
+    const entry_map entries{{"teller", placeOf(teller, "a")},
+                            {"near", placeOf(near, "a")},
+                            {"far", placeOf(far, "b")},
+                            {"nowhere", {"", "a"}},
+                            {"wrong", {"host:1", "a"}}};
+    teller.notices.setEntries(entries, "teller");
+    teller.notices.tell({"long", milliseconds(400)}, "a");
+    teller.notices.tell({"short", milliseconds(5)}, "a");
+    teller.notices.tell({"lost", milliseconds(400)}, "c");
+    context.run_for(milliseconds(100));
+    REQUIRE(near.heard.size() == 1);
+    CHECK(near.heard[0] == send_notice{"long", milliseconds(400)});
+    CHECK(far.heard.empty());
+    CHECK(teller.heard.empty());
+}
+
+TEST_CASE("telling stays within its bytes")
+{
+    asio::io_context context;
+    one_entry teller(context);
+    one_entry near(context);
+    REQUIRE(teller.notices.open().empty());
+    REQUIRE(near.notices.open().empty());
+    teller.notices.setEntries({{"near", placeOf(near, "a")}}, "teller");
+    constexpr unsigned tries = 500;
+    for (unsigned i = 0; i < tries; ++i)
+        teller.notices.tell({"i-7f3a91c2", milliseconds(400)}, "a");
+    context.run_for(milliseconds(100));
+    const double bytes
+            = static_cast<double>(encodeNotice({"i-7f3a91c2", milliseconds(400)}).size() + 28);
+    // A second's worth that was saved up, and the little that this loop takes.
+    CHECK(static_cast<double>(near.heard.size()) * bytes <= 1.2 * send_notices::bytesPerSecond);
+    CHECK(!near.heard.empty());
+}
