Two endpoints on trial at least; small sites tell all entries of long prompts

Now a trial has two endpoints at least, entries of a site of up to 13 tell all the others, and the test before completion compares with the tolerated share.

--- a/include/laurelcroft/Policy/ServiceRollout.h
+++ b/include/laurelcroft/Policy/ServiceRollout.h
@@ -70,7 +70,7 @@
 double shareOf(rollout_stage stage, const rollout_view &view);
 
 /// \returns how many of \p endpoints of the new version take the sessions of a pilot or a
-/// trial: so few that each is about as loaded as it will be at full share.
+/// trial: so few that each is about as loaded as it will be at full share, but two at least.
 std::size_t trialEndpoints(double share, std::size_t endpoints);
 
 /// \returns the row to write next; nothing when there is no step to take.
--- a/include/laurelcroft/Policy/VersionGuard.h
+++ b/include/laurelcroft/Policy/VersionGuard.h
@@ -41,7 +41,7 @@
     double certainty() const { return evidence() * m_bounds.falseStop; }
 
     /// \returns by how many standard deviations the bad share of the version under roll-out is
-    /// above the settled one's; 0 when it is not, or hardly anything is known.
+    /// above what is tolerated; 0 when it is not, or hardly anything is known.
     double deviationsAbove() const;
 
     /// \returns answers of the version under roll-out, the bad ones and all.
--- a/include/laurelcroft/Proxy/RolloutTracker.h
+++ b/include/laurelcroft/Proxy/RolloutTracker.h
@@ -36,7 +36,7 @@
     std::string route; ///< "*" for all routes together
     std::string_view fault; ///< "failures" or "slowness"
     double evidence = 0; ///< of its guard
-    double deviations = 0; ///< bad share above the settled version's
+    double deviations = 0; ///< bad share above what is tolerated
     std::uint64_t bad = 0; ///< answers of the new version
     std::uint64_t all = 0;
 };
--- a/include/laurelcroft/Proxy/SendNotices.h
+++ b/include/laurelcroft/Proxy/SendNotices.h
@@ -44,7 +44,7 @@
     static constexpr milliseconds leastReading{30};
     /// Longer ones are not believed: no prompt takes that long.
     static constexpr milliseconds longestReading{10'000};
-    /// Entries of one data centre that are told at most; the same ones each time.
+    /// Entries that are told at most; the same ones each time.
     static constexpr std::size_t mostListeners = 12;
     /// Bytes a second, headers included, that telling may cost: what the users' first letter
     /// gives a node for control.
@@ -68,7 +68,7 @@
     /// Entries by name; \p own is left out.
     void setEntries(const entry_map &entries, const std::string &own);
 
-    /// Tells the entries of \p dataCentre, where the endpoint is.
+    /// Tells the entries of \p dataCentre, where the endpoint is; on a site of few entries all.
     void tell(const send_notice &notice, const std::string &dataCentre);
 
 private:
--- a/lib/Policy/ServiceRollout.cpp
+++ b/lib/Policy/ServiceRollout.cpp
@@ -43,6 +43,10 @@
 /// other entries see of them is told.
 constexpr std::chrono::duration<double> leastFull{1.2};
 
+/// Endpoints of a pilot or a trial at least: what goes wrong at one alone is that endpoint's
+/// fault as likely as the version's.
+constexpr std::size_t fewestTrialEndpoints = 2;
+
 constexpr std::array<std::pair<rollout_stage, std::string_view>, 5> stageNames = {{
         {rollout_stage::pilot, "pilot"},
         {rollout_stage::trial, "trial"},
@@ -86,7 +90,7 @@
 std::size_t laurelcroft::trialEndpoints(double share, std::size_t endpoints)
 {
     const auto part = static_cast<std::size_t>(std::lround(share * static_cast<double>(endpoints)));
-    return std::min(endpoints, std::max<std::size_t>(1, part));
+    return std::min(endpoints, std::max(fewestTrialEndpoints, part));
 }
 
 /// \returns when, from the order on, full share begins for a trial of \p share.
--- a/lib/Policy/VersionGuard.cpp
+++ b/lib/Policy/VersionGuard.cpp
@@ -46,10 +46,9 @@
     const double count = m_rolloutGood + m_rolloutBad;
     if (m_rolloutBad < leastBad)
         return 0;
-    const double settled = m_settledGood + m_settledBad + priorAnswers;
-    const double expected = (m_settledBad + priorBadShare * priorAnswers) / settled;
-    const double deviation = std::sqrt(expected * (1 - expected) * (1 / count + 1 / settled));
-    return std::max(0.0, (m_rolloutBad / count - expected) / deviation);
+    const double tolerated = toleratedBadShare();
+    const double deviation = std::sqrt(tolerated * (1 - tolerated) / count);
+    return std::max(0.0, (m_rolloutBad / count - tolerated) / deviation);
 }
 
 double version_guard::evidence() const
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -25,9 +25,9 @@
 /// and the reading that is before it, so that an endpoint with long prompts, or one that has to
 /// read anew what others keep, doesn't look slow for it.
 constexpr milliseconds leastWait{50};
-/// Standard deviations by which the bad share of the new version may be above the settled one's
+/// Standard deviations by which the bad share of the new version may be above what is tolerated
 /// when the old version is let go.
-constexpr double doubtfulDeviations = 3;
+constexpr double doubtfulDeviations = 2;
 /// Answers of a kind from which its mean is known.
 constexpr unsigned answersForMean = 10;
 /// Weight of one answer in the running mean.
--- a/lib/Proxy/SendNotices.cpp
+++ b/lib/Proxy/SendNotices.cpp
@@ -165,10 +165,20 @@
 {
     std::map<std::string, std::vector<std::string>> names;
     for (const auto &[name, place] : entries) {
+        // A data centre counts although this entry is the only one in it.
+        std::vector<std::string> &there = names[place.dataCentre];
         if (name != own && !place.address.empty())
-            names[place.dataCentre].push_back(name);
+            there.push_back(name);
     }
     m_state->listeners.clear();
+    // A small site is told as a whole: its entries send across data centres, too.
+    if (entries.size() <= mostListeners + 1) {
+        std::vector<std::string> all;
+        for (const auto &[dataCentre, others] : names)
+            all.insert(all.end(), others.begin(), others.end());
+        for (auto &[dataCentre, others] : names)
+            others = all;
+    }
     for (const auto &[dataCentre, others] : names) {
         // Each entry ranks them in its own way, so that all are told by some.
         for (const std::string &name : rankFirst(others, own, mostListeners)) {
