Two entries read the store for a whole site; a relay that answers tells that the store is back

Now two readers for a site, one for each sixteen entries on a large one; those of the own data centre are asked first; an entry with readers asks them often and the store seldom while both are away. A held call lasts 1 s and rows older than 1.5 s are not given on, so that two readers that are cut off delay nobody beyond the two seconds of the site's bounds.

Found by reading: an entry that had lost the store and then learned by a relay never saw it as regained, so that endpoints which lapsed meanwhile stayed usable for good. Red test first ("a relay that answers again tells that the store is back").

--- a/include/laurelcroft/Platform/RowFollower.h
+++ b/include/laurelcroft/Platform/RowFollower.h
@@ -58,6 +58,8 @@
     /// which a change must be in force after the store's return.
     static constexpr milliseconds firstRetry{100};
     static constexpr milliseconds longestRetry{800};
+    /// The same where a relay is asked first: it tells of the store's return by itself.
+    static constexpr milliseconds longestRetryBesideRelay{2400};
 
     row_follower(Store &store, Runtime &runtime, std::string table, follow_pace pace,
                  follow_events events, row_relay relay = {})
@@ -88,9 +90,11 @@
     time_point steadySince() const { return m_steadySince; }
 
 private:
+    bool asksRelayFirst() const { return m_relay.read && m_relay.isPreferred(); }
+
     void read()
     {
-        if (m_relay.read && m_relay.isPreferred())
+        if (asksRelayFirst())
             readRelay();
         else
             readStore();
@@ -102,18 +106,19 @@
                      [this, alive = m_alive](outcome<row_news, row_failure> result) {
                          if (!*alive)
                              return;
-                         if (!result) {
-                             readStore();
-                             return;
-                         }
-                         takeNews(std::move(result.value()));
+                         if (result)
+                             takeNews(std::move(result.value()));
+                         else if (!m_lost || m_runtime.now() >= m_storeDueAt)
+                             return readStore();
                          readAfter(relayPace);
                      });
     }
 
-    /// Takes what a relay said; what is known never grows older.
+    /// Takes what a relay said; what is known never grows older. A relay answers only with what
+    /// the store has confirmed a moment ago: the store is not away.
     void takeNews(row_news &&news)
     {
+        noteRegained();
         if (news.batch.version <= m_since)
             return;
         m_since = news.batch.version;
@@ -152,12 +157,7 @@
         m_confirmedAt = m_runtime.now();
         if (m_lost || m_steadySince == time_point())
             m_steadySince = m_confirmedAt;
-        m_retry = firstRetry;
-        if (m_lost) {
-            m_lost = false;
-            const auto away = m_confirmedAt - m_lostAt;
-            m_events.onRegained(std::chrono::duration_cast<milliseconds>(away));
-        }
+        noteRegained();
         row_batch batch = std::move(result.value());
         const bool whole = m_since == 0;
         m_since = std::max(m_since, batch.version);
@@ -168,6 +168,16 @@
         readAfter(m_pace.between);
     }
 
+    void noteRegained()
+    {
+        m_retry = firstRetry;
+        if (!m_lost)
+            return;
+        m_lost = false;
+        const auto away = m_runtime.now() - m_lostAt;
+        m_events.onRegained(std::chrono::duration_cast<milliseconds>(away));
+    }
+
     void onFailure(row_failure why)
     {
         if (why == row_failure::historyGone) {
@@ -180,9 +190,11 @@
             m_lostAt = m_runtime.now();
             m_events.onLost(why);
         }
-        readAfter(m_retry);
-        m_retry = std::min(m_retry * 2, longestRetry);
-        if (m_relay.read)
+        m_storeDueAt = m_runtime.now() + m_retry;
+        const bool relayFirst = asksRelayFirst();
+        readAfter(relayFirst ? relayPace : m_retry);
+        m_retry = std::min(m_retry * 2, relayFirst ? longestRetryBesideRelay : longestRetry);
+        if (m_relay.read && !relayFirst)
             askElsewhere();
     }
 
@@ -205,6 +217,7 @@
     std::uint64_t m_since = 0;
     milliseconds m_retry = firstRetry;
     bool m_lost = false;
+    time_point m_storeDueAt{}; ///< next call of the store while it is lost
     time_point m_lostAt{};
     time_point m_confirmedAt{};
     time_point m_steadySince{};
--- a/include/laurelcroft/Proxy/PeerRows.h
+++ b/include/laurelcroft/Proxy/PeerRows.h
@@ -1,7 +1,7 @@
 //===-- Proxy/PeerRows.h - rows from and for other entries -------*- C++ -*-===//
 //
 // Serves this entry's mirror to the others, and asks them: when the store turns this entry
-// away, and always where enough others of its data centre read the store. One thread.
+// away, and always where enough others read the store. One thread.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_PROXY_PEERROWS_H
@@ -20,12 +20,14 @@
 
 namespace laurelcroft {
 
-/// Entries of a data centre that read the store for the others there. Two, so that one may
-/// be gone.
-inline constexpr std::size_t readersOfDataCentre = 2;
+/// Entries that read the store for the others. Calls to it have a price, and two may be
+/// asked by turns, so that one may be gone or cut off.
+inline constexpr std::size_t fewestReaders = 2;
+/// Entries for each reader at most: each asks three times a second for each of three tables.
+inline constexpr std::size_t entriesOfReader = 16;
 
-/// \returns the addresses of the entries that read the store for \p own; empty when it reads
-/// the store itself.
+/// \returns the addresses of two entries that read the store for \p own, those of its own data
+/// centre first; empty when it reads the store itself.
 std::vector<std::string> readersFor(const entry_map &entries, const std::string &own);
 
 /// The other entries, as sources of rows.
--- a/include/laurelcroft/Proxy/RowMirror.h
+++ b/include/laurelcroft/Proxy/RowMirror.h
@@ -28,7 +28,7 @@
 {
 public:
     /// A copy that the store has not confirmed for longer is not given away.
-    static constexpr milliseconds freshness{2500};
+    static constexpr milliseconds freshness{1500};
 
     /// Removed rows that are remembered for each table; an entry that is further behind gets
     /// the whole table.
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -70,8 +70,8 @@
     static constexpr milliseconds longestEndpointPace{800};
     /// Operators' changes are rare: the store holds the call. A held call whose answer is
     /// lost costs this time once more.
-    static constexpr follow_pace operatorPace{milliseconds(20), milliseconds(2000)};
-    static constexpr follow_pace ownPace{milliseconds(300), milliseconds(2000)};
+    static constexpr follow_pace operatorPace{milliseconds(20), milliseconds(1000)};
+    static constexpr follow_pace ownPace{milliseconds(300), milliseconds(1000)};
     /// How often roll-outs are looked at; each entry takes a due step with this chance, so
     /// that seldom two write at once.
     static constexpr milliseconds stepEvery{200};
@@ -86,7 +86,7 @@
     /// A roll-out goes on only where the rows of other entries were read this short a time ago
     /// (a held call and its answer), and without a failure for so long that whoever could not
     /// write meanwhile has done it: a call that hangs, a pause, and a call.
-    static constexpr milliseconds evidenceAge{3200};
+    static constexpr milliseconds evidenceAge{2500};
     static constexpr milliseconds evidenceGrace{2500};
 
     store_sync(Store &store, Runtime &runtime, routing_state &state, row_mirror &mirror,
--- a/lib/Proxy/PeerRows.cpp
+++ b/lib/Proxy/PeerRows.cpp
@@ -29,18 +29,29 @@
     const auto self = entries.find(own);
     if (self == entries.end())
         return {};
-    std::vector<std::string> near;
+    std::vector<std::string> names;
     for (const auto &[name, place] : entries) {
-        if (place.dataCentre == self->second.dataCentre && !place.address.empty())
-            near.push_back(name);
+        if (!place.address.empty())
+            names.push_back(name);
     }
-    std::vector<std::string> readers;
-    for (const std::string &name : rankFirst(near, "store reader", readersOfDataCentre)) {
+    const std::size_t count
+            = std::max(fewestReaders, (names.size() + entriesOfReader - 1) / entriesOfReader);
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const std::string &name : rankFirst(names, "store reader", count)) {
         if (name == own)
             return {};
-        readers.push_back(entries.at(name).address);
+        const bool isNear = entries.at(name).dataCentre == self->second.dataCentre;
+        (isNear ? near : far).push_back(name);
     }
-    return readers;
+    // Ranked by the asking entry, so that the readers share the others between them.
+    std::vector<std::string> asked = rankFirst(near, own, fewestReaders);
+    for (std::string &name : rankFirst(far, own, fewestReaders - asked.size()))
+        asked.push_back(std::move(name));
+    std::vector<std::string> addresses;
+    for (const std::string &name : asked)
+        addresses.push_back(entries.at(name).address);
+    return addresses;
 }
 
 peer_rows::peer_rows(asio::io_context &context, http_client &http, row_mirror &mirror,
--- /dev/null
+++ b/unittests/Platform/RowFollowerTests.cpp
@@ -0,0 +1,118 @@
+//===-- RowFollowerTests.cpp - keeps up with one table ----------------------===//
+//
+// The store, a relay that is asked first, and what happens when either is away.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Platform/RowFollower.h"
+#include "laurelcroft/Support/Runtime.h"
+
+#include <doctest/doctest.h>
+
+using namespace laurelcroft;
+
+namespace {
+
+/// Answers at once, or fails.
+struct plain_store
+{
+    void list(const std::string &, row_callback<row_batch> done) { answer(std::move(done)); }
+    void follow(const std::string &, std::uint64_t, milliseconds, row_callback<row_batch> done)
+    {
+        answer(std::move(done));
+    }
+    void write(const std::vector<row_write> &, row_callback<conditional_write>) { }
+
+    void answer(row_callback<row_batch> done)
+    {
+        ++calls;
+        if (away)
+            done(failure(row_failure::unknown));
+        else
+            done(row_batch{{}, 1, {}});
+    }
+    bool away = false;
+    unsigned calls = 0;
+};
+
+struct follower_world
+{
+    manual_runtime runtime;
+    plain_store store;
+    bool relayFirst = true;
+    bool relayAway = false;
+    unsigned relayReads = 0;
+    unsigned lost = 0;
+    unsigned regained = 0;
+    row_follower<plain_store, manual_runtime> follower{
+            store, runtime, "table", {milliseconds(800), milliseconds(0)}, events(), relay()};
+
+    follow_events events()
+    {
+        follow_events events;
+        events.onTable = [](row_batch &&) {};
+        events.onChanges = [](row_batch &&) {};
+        events.onLost = [this](row_failure) { ++lost; };
+        events.onRegained = [this](milliseconds) { ++regained; };
+        return events;
+    }
+
+    row_relay relay()
+    {
+        row_relay relay;
+        relay.isPreferred = [this] { return relayFirst; };
+        relay.read = [this](const std::string &, std::uint64_t, row_callback<row_news> done) {
+            ++relayReads;
+            if (relayAway)
+                done(failure(row_failure::notDone));
+            else
+                done(row_news{{{}, 1, {}}, false});
+        };
+        return relay;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a relay that answers again tells that the store is back")
+{
+    follower_world world;
+    world.relayAway = true;
+    world.store.away = true;
+    world.follower.start();
+    world.runtime.advance(seconds(1));
+    CHECK(world.lost == 1);
+    CHECK(world.regained == 0);
+    world.relayAway = false;
+    world.runtime.advance(seconds(1));
+    CHECK(world.regained == 1);
+    const unsigned calls = world.store.calls;
+    world.runtime.advance(seconds(10));
+    CHECK(world.store.calls == calls);
+}
+
+TEST_CASE("while both are away the relay is asked often and the store seldom")
+{
+    follower_world world;
+    world.relayAway = true;
+    world.store.away = true;
+    world.follower.start();
+    world.runtime.advance(seconds(20));
+    CHECK(world.store.calls <= 13);
+    CHECK(world.relayReads >= 50);
+    world.store.away = false;
+    world.runtime.advance(milliseconds(2700));
+    CHECK(world.regained == 1);
+}
+
+TEST_CASE("without a relay that is asked first the store's return is noticed within a second")
+{
+    follower_world world;
+    world.relayFirst = false;
+    world.relayAway = true;
+    world.store.away = true;
+    world.follower.start();
+    world.runtime.advance(seconds(20));
+    world.store.away = false;
+    world.runtime.advance(seconds(1));
+    CHECK(world.regained == 1);
+}
