Rows of entries that are gone leave the store; whoever lives renews its own

Cause: an entry's row stayed for good.

Now each entry writes its row anew every five minutes with the store's time; a row that was not renewed three times is removed by whoever sees it first, under its version; an entry whose row was removed although it lives writes it again. Ruled out: removing it at SIGTERM, since the share of an entry that restarts would be spent by the others too.

Tests: EntryRosterTests, "rows of entries that are gone are removed...".

--- a/include/laurelcroft/Platform/RowStore.h
+++ b/include/laurelcroft/Platform/RowStore.h
@@ -61,6 +61,7 @@
     std::string value;
     /// The version that must stand there; 0: no row. Empty: any.
     std::optional<std::uint64_t> expected;
+    bool remove = false; ///< drops the row instead
 };
 
 /// What a conditional write came to.
--- /dev/null
+++ b/include/laurelcroft/Proxy/EntryRoster.h
@@ -0,0 +1,63 @@
+//===-- Proxy/EntryRoster.h - which entries there are ------------*- C++ -*-===//
+//
+// Entries share budgets and read the store for each other, so each keeps a row with its place
+// and writes it anew now and then. A row that was not renewed for three such times belongs to
+// an entry that is gone; whoever sees it first removes it. An entry whose row was removed
+// although it lives writes it again.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_PROXY_ENTRYROSTER_H
+#define LAURELCROFT_PROXY_ENTRYROSTER_H
+
+#include "laurelcroft/Proxy/RolloutRows.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace laurelcroft {
+
+/// An entry's row as the store has it.
+struct listed_entry
+{
+    std::string name;
+    std::uint64_t version = 0;
+};
+
+/// The entries' rows.
+class entry_roster
+{
+public:
+    /// Rows of 380 entries that are renewed this often are 1.3 writes a second, and 200 bytes a
+    /// second at whoever follows them.
+    static constexpr milliseconds renewEvery{std::chrono::minutes(5)};
+    static constexpr milliseconds life = 3 * renewEvery;
+
+    explicit entry_roster(std::string own)
+        : m_own(std::move(own))
+    {
+    }
+
+    void clear();
+    void take(const std::string &name, entry_place place, std::uint64_t version);
+    void remove(const std::string &name);
+
+    const entry_map &entries() const { return m_entries; }
+
+    /// \param storeNow the store's clock.
+    /// \returns true when the own row is not listed, or has to be renewed.
+    bool isOwnDue(milliseconds storeNow) const;
+
+    /// \returns an entry that is gone, if there is one.
+    std::optional<listed_entry> expired(milliseconds storeNow) const;
+
+private:
+    std::string m_own;
+    entry_map m_entries;
+    std::map<std::string, std::uint64_t> m_versions;
+};
+
+} // namespace laurelcroft
+
+#endif
--- a/include/laurelcroft/Proxy/RolloutRows.h
+++ b/include/laurelcroft/Proxy/RolloutRows.h
@@ -8,6 +8,7 @@
 
 #include "laurelcroft/Policy/ServiceRollout.h"
 #include "laurelcroft/Support/Outcome.h"
+#include "laurelcroft/Support/Runtime.h"
 
 #include <cstdint>
 #include <map>
@@ -65,6 +66,7 @@
 {
     std::string address; ///< "host:port" where other entries may read its rows; empty: nowhere
     std::string dataCentre;
+    milliseconds writtenAt{0}; ///< on the store's clock
 };
 using entry_map = std::map<std::string, entry_place>; ///< by name
 
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -9,6 +9,7 @@
 #define LAURELCROFT_PROXY_STORESYNC_H
 
 #include "laurelcroft/Platform/RowFollower.h"
+#include "laurelcroft/Proxy/EntryRoster.h"
 #include "laurelcroft/Proxy/RolloutRows.h"
 #include "laurelcroft/Proxy/RoutingState.h"
 #include "laurelcroft/Proxy/RowMirror.h"
@@ -76,7 +77,9 @@
     /// that seldom two write at once.
     static constexpr milliseconds stepEvery{200};
     static constexpr double stepChance = 0.5;
-    static constexpr milliseconds announceRetry{1500};
+    /// From one write of an entry's row to the next: the time in which it comes back by the feed,
+    /// or a call that hangs has ended.
+    static constexpr milliseconds announcePause{2500};
     /// After a write that the store did not take.
     static constexpr milliseconds writeRetry{1000};
     /// Least time between two rows of evidence; it is written only when it tells of more bad
@@ -111,7 +114,9 @@
     void takeOrder(const std::string &service, const store_row &row);
     void noteTime(const row_batch &batch);
     milliseconds storeNow();
+    void keepListed();
     void announce();
+    void dropGone(const listed_entry &entry);
     /// \returns true when what other entries have found is known up to a moment ago.
     bool othersKnown();
     void step();
@@ -128,9 +133,11 @@
     entry_links m_links;
     std::map<std::string, std::unique_ptr<follower>> m_followers; ///< by table
     std::map<std::string, std::uint64_t> m_rowVersions; ///< of roll-out rows, by service
-    entry_map m_entries;
+    entry_roster m_roster;
     std::map<std::string, rollout_evidence> m_told; ///< by service
+    bool m_ownTableRead = false;
     bool m_writing = false;
+    time_point m_nextAnnounceAt{};
     time_point m_toldAt{};
     time_point m_nextWriteAt{};
     bool m_timeKnown = false;
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -26,6 +26,7 @@
     , m_metrics(metrics)
     , m_codec(std::move(codec))
     , m_links(std::move(links))
+    , m_roster(m_links.entry)
 {
 }
 
@@ -40,7 +41,6 @@
     m_followers[own] = follow(own, ownPace, &store_sync::applyOwn);
     for (const auto &[table, item] : m_followers)
         item->start();
-    announce();
     step();
 }
 
@@ -239,12 +239,13 @@
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::applyOwn(const row_batch &batch, bool whole)
 {
+    m_ownTableRead = true;
     if (whole)
-        m_entries.clear();
+        m_roster.clear();
     for (const store_row &row : batch.rows)
         takeOwnRow(row);
-    m_state.setEntries(std::max<std::size_t>(1, m_entries.size()));
-    m_links.onEntries(m_entries);
+    m_state.setEntries(std::max<std::size_t>(1, m_roster.entries().size()));
+    m_links.onEntries(m_roster.entries());
 }
 
 template <row_store_like Store, runtime_like Runtime>
@@ -252,9 +253,9 @@
 {
     if (const std::optional<std::string> entry = entryOfKey(row.key)) {
         if (row.removed)
-            m_entries.erase(*entry);
+            m_roster.remove(*entry);
         else
-            m_entries[*entry] = decodeEntry(row.value);
+            m_roster.take(*entry, decodeEntry(row.value), row.version);
         return;
     }
     if (const std::optional<evidence_place> place = evidenceOfKey(row.key)) {
@@ -320,17 +321,52 @@
     return true;
 }
 
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::keepListed()
+{
+    if (!m_timeKnown || !m_ownTableRead || m_runtime.now() < m_nextAnnounceAt)
+        return;
+    if (m_roster.isOwnDue(storeNow())) {
+        announce();
+        return;
+    }
+    const std::optional<listed_entry> gone = m_roster.expired(storeNow());
+    // Any entry may do it; the chance keeps most of them from doing it at once.
+    const double chance = 1.0 / static_cast<double>(m_state.entries());
+    if (gone && m_state.random().chance(chance))
+        dropGone(*gone);
+}
+
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::announce()
 {
-    const row_write row{std::string(ownTable), entryKey(m_links.entry), encodeEntry(m_links.place),
+    // The own row comes back by the feed; until then it is not written again.
+    m_nextAnnounceAt = m_runtime.now() + announcePause;
+    entry_place place = m_links.place;
+    place.writtenAt = storeNow();
+    const row_write row{std::string(ownTable), entryKey(m_links.entry), encodeEntry(place),
                         std::nullopt};
-    m_store.write({row}, [this](outcome<conditional_write, row_failure> result) {
-        if (result)
-            return;
-        logWarning(log_part::platform, "entry not announced, trying again",
-                   {{"why", textOf(result.error())}});
-        m_runtime.after(announceRetry, [this] { announce(); });
+    m_store.write({row}, [](outcome<conditional_write, row_failure> result) {
+        if (!result)
+            logWarning(log_part::platform, "entry not announced, trying again",
+                       {{"why", textOf(result.error())}});
+    });
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::dropGone(const listed_entry &entry)
+{
+    m_nextAnnounceAt = m_runtime.now() + announcePause;
+    const std::string own(ownTable);
+    std::vector<row_write> removals{{own, entryKey(entry.name), "", entry.version, true}};
+    for (const auto &[service, tracker] : m_state.allRollouts())
+        removals.push_back({own, evidenceKey(entry.name, service), "", std::nullopt, true});
+    m_store.write(removals, [name = entry.name](outcome<conditional_write, row_failure> result) {
+        const std::string_view came = !result ? textOf(result.error())
+                : result.value().done         ? std::string_view("done")
+                                              : std::string_view("conflict");
+        logInfo(log_part::fleet, "row of an entry that is gone removed",
+                {{"entry", name}, {"result", came}});
     });
 }
 
@@ -346,6 +382,7 @@
 void store_sync<Store, Runtime>::step()
 {
     m_runtime.after(stepEvery, [this] { step(); });
+    keepListed();
     if (m_writing || !m_timeKnown || m_runtime.now() < m_nextWriteAt)
         return;
     for (auto &[service, tracker] : m_state.allRollouts()) {
--- /dev/null
+++ b/lib/Proxy/EntryRoster.cpp
@@ -0,0 +1,43 @@
+//===-- EntryRoster.cpp - which entries there are ---------------------------===//
+//
+// Times are the store's: no clock of an instance is compared with another's.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/EntryRoster.h"
+
+using namespace laurelcroft;
+
+void entry_roster::clear()
+{
+    m_entries.clear();
+    m_versions.clear();
+}
+
+void entry_roster::take(const std::string &name, entry_place place, std::uint64_t version)
+{
+    m_entries[name] = std::move(place);
+    m_versions[name] = version;
+}
+
+void entry_roster::remove(const std::string &name)
+{
+    m_entries.erase(name);
+    m_versions.erase(name);
+}
+
+bool entry_roster::isOwnDue(milliseconds storeNow) const
+{
+    const auto own = m_entries.find(m_own);
+    return own == m_entries.end() || storeNow - own->second.writtenAt >= renewEvery;
+}
+
+std::optional<listed_entry> entry_roster::expired(milliseconds storeNow) const
+{
+    for (const auto &[name, place] : m_entries) {
+        // A row without a time was written by an earlier release, which doesn't renew it.
+        const bool hasTime = place.writtenAt.count() > 0;
+        if (name != m_own && hasTime && storeNow - place.writtenAt >= life)
+            return listed_entry{name, m_versions.at(name)};
+    }
+    return std::nullopt;
+}
--- a/lib/Proxy/RolloutRows.cpp
+++ b/lib/Proxy/RolloutRows.cpp
@@ -68,7 +68,10 @@
 
 std::string laurelcroft::encodeEntry(const entry_place &place)
 {
-    return nlohmann::json{{"address", place.address}, {"data_centre", place.dataCentre}}.dump();
+    return nlohmann::json{{"address", place.address},
+                          {"data_centre", place.dataCentre},
+                          {"written_ms", place.writtenAt.count()}}
+            .dump();
 }
 
 entry_place laurelcroft::decodeEntry(const std::string &value)
@@ -76,7 +79,12 @@
     const nlohmann::json json = nlohmann::json::parse(value, nullptr, false);
     if (!json.is_object())
         return {};
-    return {json.value("address", ""), json.value("data_centre", "")};
+    try {
+        return {json.value("address", ""), json.value("data_centre", ""),
+                milliseconds(json.value("written_ms", std::int64_t(0)))};
+    } catch (const nlohmann::json::exception &) {
+        return {}; // a field of another type: as a row that can't be read
+    }
 }
 
 std::string laurelcroft::encodeRollout(const rollout_row &row)
--- /dev/null
+++ b/unittests/Proxy/EntryRosterTests.cpp
@@ -0,0 +1,52 @@
+//===-- EntryRosterTests.cpp - which entries there are ----------------------===//
+//
+// Rows that are renewed, that are not, and that somebody removed by mistake.
+//
+//===----------------------------------------------------------------------===//
+#include "FakeStore.h"
+
+#include "laurelcroft/Proxy/EntryRoster.h"
+
+#include <doctest/doctest.h>
+
+using namespace laurelcroft;
+
+TEST_CASE("the own row is due when it is not listed, and after its time")
+{
+    entry_roster roster("e1");
+    CHECK(roster.isOwnDue(milliseconds(0)));
+    roster.take("e1", {"10.0.0.1:5", "hall", milliseconds(1000)}, 3);
+    CHECK(!roster.isOwnDue(milliseconds(1000)));
+    CHECK(!roster.isOwnDue(milliseconds(999) + entry_roster::renewEvery));
+    CHECK(roster.isOwnDue(milliseconds(1000) + entry_roster::renewEvery));
+    roster.remove("e1");
+    CHECK(roster.isOwnDue(milliseconds(1000)));
+}
+
+TEST_CASE("an entry that was not renewed three times is gone; the own one never is")
+{
+    entry_roster roster("e1");
+    roster.take("e1", {"10.0.0.1:5", "hall", milliseconds(0)}, 3);
+    roster.take("e2", {"10.0.0.2:5", "hall", milliseconds(5000)}, 4);
+    const milliseconds end = milliseconds(5000) + entry_roster::life;
+    CHECK(!roster.expired(end - milliseconds(1)));
+    const auto gone = roster.expired(end);
+    REQUIRE(gone);
+    CHECK(gone->name == "e2");
+    CHECK(gone->version == 4);
+    roster.remove("e2");
+    CHECK(!roster.expired(end));
+    CHECK(roster.entries().size() == 1);
+    roster.take("e3", {"10.0.0.3:5", "hall", {}}, 5);
+    CHECK(!roster.expired(end));
+}
+
+TEST_CASE("an entry's place survives the way to the store and back; other rows are nowhere")
+{
+    const entry_place back = decodeEntry(encodeEntry({"10.0.0.1:5", "hall", milliseconds(7)}));
+    CHECK(back.address == "10.0.0.1:5");
+    CHECK(back.dataCentre == "hall");
+    CHECK(back.writtenAt == milliseconds(7));
+    for (const char *text : {"", "nonsense", "[]", R"({"address": 5})", R"({"written_ms": "x"})"})
+        CHECK(decodeEntry(text).address.empty());
+}
--- a/unittests/Proxy/FakeStore.h
+++ b/unittests/Proxy/FakeStore.h
@@ -130,7 +130,7 @@
         }
         ++m_version;
         for (const row_write &row : rows)
-            set(row.table, {row.key, row.value, m_version, false});
+            set(row.table, {row.key, row.value, m_version, row.remove});
         return {true, {}};
     }
 
--- a/unittests/Proxy/StoreSyncTests.cpp
+++ b/unittests/Proxy/StoreSyncTests.cpp
@@ -335,6 +335,26 @@
     CHECK(world.entries.at("e2").dataCentre == "hall");
 }
 
+TEST_CASE("rows of entries that are gone are removed, and whoever lives comes back")
+{
+    sync_world world("e1");
+    const auto storeNow
+            = std::chrono::duration_cast<milliseconds>(world.runtime.now().time_since_epoch());
+    world.store.put("laurelcroft", "entry/e2", encodeEntry({"10.0.0.2:5", "hall", storeNow}));
+    world.store.put("laurelcroft", evidenceKey("e2", "pool"), encodeEvidence({}));
+    world.sync.start();
+    world.runtime.advance(seconds(3));
+    CHECK(world.routing.entries() == 2);
+    world.runtime.advance(entry_roster::life + seconds(30));
+    CHECK(world.routing.entries() == 1);
+    CHECK(world.entries.count("e1") == 1);
+    world.store.remove("laurelcroft", "entry/e1");
+    world.runtime.advance(seconds(6));
+    CHECK(world.entries.count("e1") == 1);
+    // Three renewals, one removal, one return.
+    CHECK(world.store.writes <= 7);
+}
+
 TEST_CASE("an entry that the store turns away learns from another one, and never goes back")
 {
     sync_world world;
