--- a/include/laurelcroft/Fleet/Membership.h
+++ b/include/laurelcroft/Fleet/Membership.h
@@ -189,36 +189,8 @@
     double logSize() const { return std::log2(static_cast<double>(m_members.size()) + 2.0); }
     int retransmissions() const { return static_cast<int>(std::ceil(1.5 * logSize())); }
 
-    void tick()
-    {
-        const time_point now = m_runtime.now();
-        const duration gap = now - m_lastTick;
-        m_lastTick = now;
-        m_runtime.after(m_options.period, [this] { tick(); });
-        // After a freeze of this process the silence was its own: nobody is accused.
-        const bool wasFrozen = gap > 2 * m_options.period;
-        if (wasFrozen)
-            m_probe.clear();
-        expireDead(now);
-        syncIfDue(now);
-        probeNext();
-    }
-
-    void probeNext()
-    {
-        const std::string target = nextTarget();
-        if (target.empty()) {
-            for (const std::string &seed : m_seeds)
-                sendSync(seed);
-            return;
-        }
-        m_probe = target;
-        const std::uint64_t sequence = ++m_sequence;
-        m_probeSequence = sequence;
-        sendTo(target, wire::datagram_ping, sequence, "");
-        m_runtime.after(m_options.probeTimeout, [this, sequence] { probeIndirectly(sequence); });
-        m_runtime.after(m_options.period * 9 / 10, [this, sequence] { endProbe(sequence); });
-    }
+    void tick();
+    void probeNext();
 
     void probeIndirectly(std::uint64_t sequence)
     {
@@ -230,163 +202,25 @@
             sendTo(helper, wire::datagram_ping_request, sequence, m_probe);
     }
 
-    void endProbe(std::uint64_t sequence)
-    {
-        if (m_probe.empty() || m_probeSequence != sequence)
-            return;
-        const auto it = m_members.find(m_probe);
-        m_probe.clear();
-        if (it == m_members.end() || it->second.state() == wire::member_dead)
-            return;
-        if (it->second.state() == wire::member_suspect)
-            return;
-        wire::member suspect = it->second;
-        suspect.set_state(wire::member_suspect);
-        merge(suspect);
-    }
-
+    void endProbe(std::uint64_t sequence);
     /// Goes round all members in a random order, so that none waits long for its probe.
-    std::string nextTarget()
-    {
-        for (int round = 0; round < 2; ++round) {
-            while (!m_order.empty()) {
-                std::string id = std::move(m_order.back());
-                m_order.pop_back();
-                const auto it = m_members.find(id);
-                if (it != m_members.end() && isLive(it->second))
-                    return id;
-            }
-            for (const auto &[id, item] : m_members) {
-                if (isLive(item))
-                    m_order.push_back(id);
-            }
-            std::shuffle(m_order.begin(), m_order.end(), m_random.engine());
-        }
-        return {};
-    }
-
-    std::vector<std::string> pickMembers(std::size_t count, const std::string &except)
-    {
-        std::vector<std::string> ids;
-        for (const auto &[id, item] : m_members) {
-            if (isLive(item) && id != except)
-                ids.push_back(id);
-        }
-        std::shuffle(ids.begin(), ids.end(), m_random.engine());
-        if (ids.size() > count)
-            ids.resize(count);
-        return ids;
-    }
-
-    wire::datagram compose(wire::datagram_kind kind, std::uint64_t sequence) const
-    {
-        wire::datagram message;
-        message.set_kind(kind);
-        message.set_sequence(sequence);
-        message.set_bundle_epoch(m_digest.epoch);
-        *message.mutable_sender() = m_self;
-        constexpr std::int64_t neverConfirmed = UINT32_MAX;
-        std::int64_t age = neverConfirmed;
-        if (m_digest.confirmed)
-            age = std::chrono::duration_cast<milliseconds>(m_runtime.now() - m_digest.confirmedAt)
-                          .count();
-        message.set_confirmed_age_ms(
-                static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, neverConfirmed)));
-        return message;
-    }
-
-    void addUpdates(wire::datagram &message)
-    {
-        // Deaths and stops go before joins, and what was told less often before the rest.
-        const auto urgency = [](const queued_update &item) {
-            const bool isJoin = item.member.state() == wire::member_alive;
-            return std::pair(isJoin ? 0 : 1, item.left);
-        };
-        std::stable_sort(m_updates.begin(), m_updates.end(),
-                         [&](const auto &a, const auto &b) { return urgency(a) > urgency(b); });
-        std::size_t bytes = 0;
-        for (queued_update &item : m_updates) {
-            const std::size_t size = item.member.ByteSizeLong();
-            if (bytes + size > m_options.largestUpdateBytes)
-                break;
-            bytes += size;
-            *message.add_updates() = item.member;
-            item.left -= 1;
-        }
-        std::erase_if(m_updates, [](const queued_update &item) { return item.left <= 0; });
-        for (queued_health &item : m_health) {
-            *message.add_health() = item.health;
-            item.left -= 1;
-        }
-        std::erase_if(m_health, [](const queued_health &item) { return item.left <= 0; });
-    }
-
+    std::string nextTarget();
+    std::vector<std::string> pickMembers(std::size_t count, const std::string &except);
+    wire::datagram compose(wire::datagram_kind kind, std::uint64_t sequence) const;
+    void addUpdates(wire::datagram &message);
     void sendTo(const std::string &id, wire::datagram_kind kind, std::uint64_t sequence,
-                const std::string &target)
-    {
-        const auto it = m_members.find(id);
-        if (it == m_members.end())
-            return;
-        wire::datagram message = compose(kind, sequence);
-        message.set_target(target);
-        addUpdates(message);
-        m_port.send(it->second.gossip_address(), sealDatagram(m_key, message));
-    }
+                const std::string &target);
 
     void sendSync(const std::string &address)
     {
         m_port.send(address, sealDatagram(m_key, compose(wire::datagram_sync, 0)));
     }
 
-    void sendList(std::string_view address)
-    {
-        wire::datagram message = compose(wire::datagram_ack, 0);
-        for (const auto &[id, item] : m_members) {
-            *message.add_updates() = item;
-            if (static_cast<std::size_t>(message.updates_size()) < m_options.syncMembers)
-                continue;
-            m_port.send(std::string(address), sealDatagram(m_key, message));
-            message.clear_updates();
-        }
-        m_port.send(std::string(address), sealDatagram(m_key, message));
-    }
-
-    void answer(std::string_view from, const wire::datagram &message, bool isNew)
-    {
-        const std::string &sender = message.sender().id();
-        switch (message.kind()) {
-        case wire::datagram_ping:
-            sendTo(sender, wire::datagram_ack, message.sequence(), "");
-            break;
-        case wire::datagram_ping_request:
-            relay(message);
-            break;
-        case wire::datagram_ack:
-            takeAck(message);
-            break;
-        case wire::datagram_sync:
-            sendList(from);
-            break;
-        default:
-            break;
-        }
-        // A newcomer that pings before its sync arrived is told the list as well.
-        if (isNew && message.kind() == wire::datagram_ping)
-            sendSync(message.sender().gossip_address());
-    }
-
+    void sendList(std::string_view address);
+    void answer(std::string_view from, const wire::datagram &message, bool isNew);
     /// A member that is taken for dead or suspect but speaks is told so at once, so that
     /// it can refute; the news of its death may have been told to all long ago.
-    void tellAccusation(const wire::member &sender)
-    {
-        const auto it = m_members.find(sender.id());
-        const bool accused = it != m_members.end() && rank(it->second.state()) > 0;
-        if (!accused || it->second.incarnation() < sender.incarnation())
-            return;
-        wire::datagram message = compose(wire::datagram_rumor, 0);
-        *message.add_updates() = it->second;
-        m_port.send(sender.gossip_address(), sealDatagram(m_key, message));
-    }
+    void tellAccusation(const wire::member &sender);
 
     void relay(const wire::datagram &message)
     {
@@ -397,28 +231,8 @@
         sendTo(message.target(), wire::datagram_ping, sequence, "");
     }
 
-    void takeAck(const wire::datagram &message)
-    {
-        if (message.sequence() == m_probeSequence)
-            m_probe.clear();
-        const auto it = m_relayed.find(message.sequence());
-        if (it == m_relayed.end())
-            return;
-        sendTo(it->second.origin, wire::datagram_ack, it->second.sequence, "");
-        m_relayed.erase(it);
-    }
-
-    void hearEpoch(const wire::datagram &message)
-    {
-        if (!m_events.onEpoch)
-            return;
-        epoch_sighting sighting;
-        sighting.from = message.sender().id();
-        sighting.epoch = message.bundle_epoch();
-        sighting.confirmed = message.confirmed_age_ms() != UINT32_MAX;
-        sighting.confirmedAge = milliseconds(message.confirmed_age_ms());
-        m_events.onEpoch(sighting);
-    }
+    void takeAck(const wire::datagram &message);
+    void hearEpoch(const wire::datagram &message);
 
     void hearHealth(const wire::version_health &health)
     {
@@ -451,43 +265,7 @@
         return rank(heard.state()) > rank(known.state());
     }
 
-    void merge(const wire::member &heard)
-    {
-        if (heard.id().empty())
-            return;
-        if (heard.id() == m_self.id()) {
-            refute(heard);
-            return;
-        }
-        const auto it = m_members.find(heard.id());
-        if (it == m_members.end() && heard.state() == wire::member_dead)
-            return;
-        if (it != m_members.end() && !isNews(it->second, heard))
-            return;
-        const bool isNew = it == m_members.end();
-        // An accusation names the member only: it makes nobody known.
-        if (isNew && heard.gossip_address().empty())
-            return;
-        wire::member &known = m_members[heard.id()];
-        const bool visible = isNew || known.state() != heard.state()
-                || known.incarnation() != heard.incarnation();
-        if (heard.gossip_address().empty()) {
-            known.set_state(heard.state());
-            known.set_incarnation(heard.incarnation());
-        } else {
-            known = heard;
-        }
-        enqueue(known);
-        if (known.state() == wire::member_suspect)
-            startSuspicion(known);
-        if (known.state() == wire::member_dead)
-            m_deadSince[known.id()] = m_runtime.now();
-        // A planned stop is told on at once: its endpoint must get no new work.
-        if (visible && known.state() == wire::member_leaving)
-            tellSome();
-        if (visible && m_events.onMember)
-            m_events.onMember(wire::member(known));
-    }
+    void merge(const wire::member &heard);
 
     void refute(const wire::member &heard)
     {
@@ -499,23 +277,7 @@
         enqueue(m_self);
     }
 
-    void startSuspicion(const wire::member &suspect)
-    {
-        const double periods = m_options.suspicionPeriods
-                * std::max(1.0, std::log10(static_cast<double>(m_members.size()) + 1.0));
-        const auto wait = duration(
-                static_cast<std::int64_t>(periods * static_cast<double>(m_options.period.count())));
-        m_runtime.after(wait, [this, id = suspect.id(), life = suspect.incarnation()] {
-            const auto it = m_members.find(id);
-            if (it == m_members.end() || it->second.incarnation() != life
-                || it->second.state() != wire::member_suspect)
-                return;
-            wire::member dead = it->second;
-            dead.set_state(wire::member_dead);
-            merge(dead);
-        });
-    }
-
+    void startSuspicion(const wire::member &suspect);
     /// \returns what is told of \p item: of a suspect or dead one only its name and life.
     static wire::member told(const wire::member &item)
     {
@@ -528,33 +290,8 @@
         return brief;
     }
 
-    void enqueue(const wire::member &changed)
-    {
-        const wire::member item = told(changed);
-        for (queued_update &queued : m_updates) {
-            if (queued.member.id() != item.id())
-                continue;
-            queued = {item, retransmissions()};
-            return;
-        }
-        m_updates.push_back({item, retransmissions()});
-    }
-
-    void expireDead(time_point now)
-    {
-        for (auto it = m_deadSince.begin(); it != m_deadSince.end();) {
-            const auto found = m_members.find(it->first);
-            const bool stillDead
-                    = found != m_members.end() && found->second.state() == wire::member_dead;
-            if (stillDead && now - it->second < m_options.deadKept) {
-                ++it;
-                continue;
-            }
-            if (stillDead)
-                m_members.erase(found);
-            it = m_deadSince.erase(it);
-        }
-    }
+    void enqueue(const wire::member &changed);
+    void expireDead(time_point now);
 
     bool isLiveAddress(const std::string &address) const
     {
@@ -563,24 +300,7 @@
         });
     }
 
-    void syncIfDue(time_point now)
-    {
-        const duration wait = m_options.syncPerMember * static_cast<int>(m_members.size() + 10);
-        if (now - m_lastSync < wait)
-            return;
-        m_lastSync = now;
-        // A seed that is not among the living is asked too: it joins halves of a fleet
-        // that had lost each other for so long that both took the other for dead. Known
-        // seeds are not, or all exchanges of a large fleet would fall on them.
-        if (!m_seeds.empty()) {
-            const std::string &seed = m_seeds[m_random.index(m_seeds.size())];
-            if (!isLiveAddress(seed))
-                sendSync(seed);
-        }
-        for (const std::string &id : pickMembers(1, ""))
-            sendSync(m_members[id].gossip_address());
-    }
-
+    void syncIfDue(time_point now);
     static constexpr std::size_t mostRelayed = 256;
 
     Runtime &m_runtime;
@@ -608,4 +328,6 @@
 
 } // namespace laurelcroft
 
+#include "laurelcroft/Fleet/MembershipImpl.h"
+
 #endif
