An entry that ends answers who still comes with the time to come back, and keeps its port

Now the port stays open: what comes after 2.6 s is refused, truly not run, with the rest of the grace and 1.5 s for a restart as the time to come back.

--- a/include/laurelcroft/Proxy/CallerServer.h
+++ b/include/laurelcroft/Proxy/CallerServer.h
@@ -83,12 +83,19 @@
     /// From now on every answer closes its connection.
     void closeAfterAnswers();
 
-    /// Stops accepting and closes the connections that carry no request.
+    /// Closes the connections that carry no request, and each other one after its answer. Callers
+    /// may still connect, so that they can be told when to come back.
+    void turnAway();
+
+    /// As turnAway, and stops accepting.
     void closeIdle();
 
     /// \returns the number of open connections.
     std::size_t connections() const;
 
+    /// \returns the number of connections that carry a request or the rest of an answer.
+    std::size_t busyConnections() const;
+
 private:
     std::shared_ptr<state> m_state;
 };
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -66,6 +66,10 @@
     /// Begins; the answer may come before it returns.
     void start();
 
+    /// Refuses at once, instead of start(): this process ends soon.
+    /// \param retryAfter until it, or another in its place, is ready.
+    void turnAway(milliseconds retryAfter);
+
     /// The caller left: whatever runs for it is stopped.
     void callerLeft();
 
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -43,6 +43,15 @@
     sendNext();
 }
 
+template <flow_environment Env>
+void request_flow<Env>::turnAway(milliseconds retryAfter)
+{
+    m_arrivedAt = now();
+    m_record.request = m_request->id;
+    m_record.session = m_request->session;
+    refuse(http_status::unavailable, flow_reason::stopping, retryAfter);
+}
+
 template <flow_environment Env>
 bool request_flow<Env>::admit()
 {
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -237,8 +237,8 @@
 void caller_exchange::state::answerEnded()
 {
     onLeft = nullptr;
-    // An answer that began before the server ended didn't announce the close.
-    if (closeAfter || server->ended) {
+    // An answer that began before the server turned away didn't announce the close.
+    if (closeAfter || server->turningAway) {
         shuttingDown = true;
         queueFlush();
         return;
--- a/lib/Proxy/CallerServer.cpp
+++ b/lib/Proxy/CallerServer.cpp
@@ -7,6 +7,8 @@
 
 #include "CallerConnection.h"
 
+#include <algorithm>
+
 using namespace laurelcroft;
 using tcp = asio::ip::tcp;
 
@@ -94,14 +96,26 @@
     m_state->closing = true;
 }
 
+static bool carriesRequest(const caller_exchange::state &connection)
+{
+    return connection.answering || connection.parser.hasBegun();
+}
+
 void caller_server::closeIdle()
 {
     m_state->ended = true;
     asio::error_code ignored;
     m_state->acceptor.close(ignored);
+    turnAway();
+}
+
+void caller_server::turnAway()
+{
+    m_state->closing = true;
+    m_state->turningAway = true;
     const auto connections = m_state->connections;
     for (caller_exchange::state *connection : connections) {
-        if (connection->answering || connection->parser.hasBegun())
+        if (carriesRequest(*connection))
             continue;
         // The end of the last answer may still wait to be written.
         connection->shuttingDown = true;
@@ -113,3 +127,12 @@
 {
     return m_state->connections.size();
 }
+
+std::size_t caller_server::busyConnections() const
+{
+    const auto isBusy = [](const caller_exchange::state *connection) {
+        return connection->shuttingDown || carriesRequest(*connection);
+    };
+    return static_cast<std::size_t>(
+            std::count_if(m_state->connections.begin(), m_state->connections.end(), isBusy));
+}
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds lastWords{400};
 /// How often an ending process looks whether it is done.
 constexpr milliseconds drainCheckEvery{100};
+/// From the end of a process to its successor's being used: its start and the balancer's next look.
+constexpr milliseconds restartTime{1500};
 /// A process that starts reads its contract within some tens of milliseconds. Callers that
 /// connect meanwhile are accepted just after; later than this they are refused at once.
 constexpr milliseconds startPatience{400};
@@ -96,7 +98,8 @@
     void housekeep();
     void removeDone();
     void acceptWhenReady(time_point latest);
-    void checkDrained(time_point giveUpAt);
+    void checkDrained();
+    milliseconds untilRestarted();
 
     asio::io_context &context;
     asio_runtime runtime;
@@ -113,6 +116,8 @@
     log_limiter unusual{unusualLines};
     bool sweepPosted = false;
     bool draining = false;
+    bool turningAway = false; ///< what comes now might not end in time
+    time_point giveUpAt{}; ///< when what still runs is ended
     bool lastReady = false;
     std::function<void()> drained;
 };
@@ -165,7 +170,10 @@
         if (const auto self = weak.lock())
             self->callerLeft();
     });
-    item->start();
+    if (turningAway)
+        item->turnAway(untilRestarted());
+    else
+        item->start();
 }
 
 bool proxy_server::state::hasRoomAt(const service_endpoint &endpoint) const
@@ -307,7 +315,14 @@
     runtime.after(startCheckEvery, [this, latest] { acceptWhenReady(latest); });
 }
 
-void proxy_server::state::checkDrained(time_point giveUpAt)
+milliseconds proxy_server::state::untilRestarted()
+{
+    // Callers still come here when the balancer has no other entry: all are restarted at once.
+    const milliseconds rest = std::chrono::ceil<milliseconds>(giveUpAt - runtime.now());
+    return std::max(milliseconds(0), rest) + restartTime;
+}
+
+void proxy_server::state::checkDrained()
 {
     const bool late = runtime.now() >= giveUpAt;
     if (late) {
@@ -315,7 +330,7 @@
         for (const std::shared_ptr<flow> &item : left)
             item->giveUp();
     }
-    const bool written = flows.empty() && callers.connections() == 0;
+    const bool written = flows.empty() && callers.busyConnections() == 0;
     if (written || late) {
         logInfo(log_part::routing, "drained",
                 {{"unfinished", std::int64_t(late ? flows.size() : 0)}});
@@ -323,7 +338,7 @@
         runtime.after(drainCheckEvery, drained);
         return;
     }
-    runtime.after(drainCheckEvery, [this, giveUpAt] { checkDrained(giveUpAt); });
+    runtime.after(drainCheckEvery, [this] { checkDrained(); });
 }
 
 proxy_server::proxy_server(asio::io_context &context, routing_state &routing,
@@ -371,9 +386,10 @@
     m_state->draining = true;
     m_state->drained = std::move(done);
     m_state->callers.closeAfterAnswers();
-    const time_point giveUpAt = m_state->runtime.now() + m_state->options.grace - lastWords;
-    m_state->runtime.after(m_state->options.turnAway, [this, giveUpAt] {
-        m_state->callers.closeIdle();
-        m_state->checkDrained(giveUpAt);
+    m_state->giveUpAt = m_state->runtime.now() + m_state->options.grace - lastWords;
+    m_state->runtime.after(m_state->options.turnAway, [this] {
+        m_state->turningAway = true;
+        m_state->callers.turnAway();
+        m_state->checkDrained();
     });
 }
--- a/unittests/Proxy/CallerServerTests.cpp
+++ b/unittests/Proxy/CallerServerTests.cpp
@@ -35,6 +35,13 @@
         caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
     }
 
+    /// The caller leaves its connection for a new one.
+    void reconnect()
+    {
+        caller = asio::ip::tcp::socket(context);
+        caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    }
+
     void send(std::string_view text) { asio::write(caller, asio::buffer(text)); }
 
     /// Lets everything happen that is ready, several times over.
@@ -190,6 +197,25 @@
     CHECK(world.requests == 1);
 }
 
+TEST_CASE("a server that turns away still answers who connects, and closes after it")
+{
+    server_world world;
+    world.settle();
+    world.server.turnAway();
+    CHECK(world.received().empty());
+    CHECK(world.closed);
+    world.reconnect();
+    world.settle();
+    CHECK(world.server.busyConnections() == 0);
+    world.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    world.settle();
+    REQUIRE(world.requests == 1);
+    CHECK(world.server.busyConnections() == 1);
+    world.exchange->reply(503, {}, "");
+    CHECK(world.received().find("Connection: close") != std::string::npos);
+    CHECK(world.closed);
+}
+
 TEST_CASE("the end of an answer is written although the server ends in the same turn")
 {
     server_world world;
--- a/unittests/Proxy/FlowTests.cpp
+++ b/unittests/Proxy/FlowTests.cpp
@@ -345,3 +345,18 @@
         CHECK(told == std::vector<std::string>{world.calls[0].attempt.endpoint->record().id});
     }
 }
+
+TEST_CASE("an entry that ends refuses truly, with the time to come back, and asks no endpoint")
+{
+    flow_world world;
+    world.useRoute(fetchRoute());
+    world.addEndpoint("e1");
+    const auto flow
+            = std::make_shared<fake_flow>(fake_environment{&world}, requestFor(fetchRoute()));
+    flow->turnAway(milliseconds(1000));
+    CHECK(world.status == 503);
+    CHECK(findHeader(world.headers, "Retry-After") == "1.000000");
+    CHECK(world.calls.empty());
+    REQUIRE(world.record);
+    CHECK(world.record->reason == flow_reason::stopping);
+}
