While the store is lost no call is held there

Cause: a call that began just before the store's return hung for its hold and a second, and its first answer afterwards was held once more, so that a follower could be three seconds late, as long as calm instances have until every bound holds again. Now such calls are not held: a second and a retry of 0.8 s at most. Test: "while the store is lost nothing is held there", red before.

--- a/include/laurelcroft/Platform/RowFollower.h
+++ b/include/laurelcroft/Platform/RowFollower.h
@@ -134,10 +134,13 @@
             if (*alive)
                 onAnswer(std::move(result));
         };
+        // While the store is lost nothing is held: its return shows at once, and a call that
+        // hangs is given up sooner.
+        const milliseconds held = m_lost ? milliseconds(0) : m_pace.held;
         if (m_since == 0)
             m_store.list(m_table, std::move(done));
         else
-            m_store.follow(m_table, m_since, m_pace.held, std::move(done));
+            m_store.follow(m_table, m_since, held, std::move(done));
     }
 
     void readAfter(milliseconds wait)
--- a/unittests/Platform/RowFollowerTests.cpp
+++ b/unittests/Platform/RowFollowerTests.cpp
@@ -16,8 +16,9 @@
 struct plain_store
 {
     void list(const std::string &, row_callback<row_batch> done) { answer(std::move(done)); }
-    void follow(const std::string &, std::uint64_t, milliseconds, row_callback<row_batch> done)
+    void follow(const std::string &, std::uint64_t, milliseconds wait, row_callback<row_batch> done)
     {
+        lastWait = wait;
         answer(std::move(done));
     }
     void write(const std::vector<row_write> &, row_callback<conditional_write>) { }
@@ -32,6 +33,7 @@
     }
     bool away = false;
     unsigned calls = 0;
+    milliseconds lastWait{-1};
 };
 
 struct follower_world
@@ -44,7 +46,7 @@
     unsigned lost = 0;
     unsigned regained = 0;
     row_follower<plain_store, manual_runtime> follower{
-            store, runtime, "table", {milliseconds(800), milliseconds(0)}, events(), relay()};
+            store, runtime, "table", {milliseconds(800), milliseconds(500)}, events(), relay()};
 
     follow_events events()
     {
@@ -116,3 +118,20 @@
     world.runtime.advance(seconds(1));
     CHECK(world.regained == 1);
 }
+
+TEST_CASE("while the store is lost nothing is held there")
+{
+    follower_world world;
+    world.relayFirst = false;
+    world.relayAway = true;
+    world.follower.start();
+    world.runtime.advance(seconds(2));
+    CHECK(world.store.lastWait == milliseconds(500));
+    world.store.away = true;
+    world.runtime.advance(seconds(3));
+    CHECK(world.store.lastWait == milliseconds(0));
+    world.store.away = false;
+    world.runtime.advance(seconds(3));
+    CHECK(world.regained == 1);
+    CHECK(world.store.lastWait == milliseconds(500));
+}
