--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -77,6 +77,9 @@
 inline constexpr milliseconds retryAfterFull{250};
 /// Told when there is no contract or no endpoint at all: some reads of the store.
 inline constexpr milliseconds retryAfterNothing{600};
+/// Weight of the reading that other entries told of, against an entry's own: it is a guess of how
+/// far they are, and they see the same endpoints as free. Half served best of 1 and 0.5.
+inline constexpr double weightElsewhere = 0.5;
 /// Largest whole answer that is kept, bytes: what a body may be in either direction.
 inline constexpr std::size_t largestAnswer = 8U << 20;
 
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -155,7 +155,8 @@
         candidate.id = endpoint->record().id;
         candidate.load = endpoint->expectedLoad(at);
         candidate.slots = std::max(1U, endpoint->record().slots);
-        candidate.waitMs = endpoint->readingMs() + endpoint->readingElsewhereMs(at)
+        candidate.waitMs = endpoint->readingMs()
+                + flow_bounds::weightElsewhere * endpoint->readingElsewhereMs(at)
                 + state.promptRate(modelName()).expectedMs(tokensToRead(*endpoint));
         candidate.failureShare = endpoint->failureShare(at);
         candidate.sameDataCentre = endpoint->record().dataCentre == state.dataCentre();
@@ -211,8 +212,8 @@
     m_endpoint->began();
     m_readTokens = tokensToRead(*endpoint);
     m_readingMs = state.promptRate(modelName()).expectedMs(m_readTokens);
-    m_expectedMs
-            = m_endpoint->readingMs() + m_endpoint->readingElsewhereMs(m_attemptAt) + m_readingMs;
+    m_expectedMs = m_endpoint->readingMs() + m_readingMs;
+    m_elsewhereMs = m_endpoint->readingElsewhereMs(m_attemptAt);
     m_endpoint->beganReading(m_readingMs);
     state.noteSend(*endpoint, m_readingMs);
     m_endpoint->prompts().note(m_prefixes);
--- a/lib/Policy/DirectChoice.cpp
+++ b/lib/Policy/DirectChoice.cpp
@@ -18,8 +18,9 @@
 /// over an answer of usual length.
 constexpr double fullSlotsMs = 250;
 /// A send to another data centre is worth it when it saves this much: bytes between data
-/// centres have a price that is several percent of a request's worth.
-constexpr double otherDataCentreMs = 120;
+/// centres have a price that is several percent of a request's worth. Of 120 and 250 the
+/// second served better where many entries share endpoints, and as well elsewhere.
+constexpr double otherDataCentreMs = 250;
 /// An endpoint that fails always costs as much as this wait.
 constexpr double failureMs = 1500;
 /// Endpoints whose costs differ by less are alike; then the prefix decides.
--- a/unittests/Policy/DirectPolicyTests.cpp
+++ b/unittests/Policy/DirectPolicyTests.cpp
@@ -157,6 +157,10 @@
     CHECK(chooseDirect(candidates, std::nullopt, 1)->index == 1);
     candidates[0].load = 9;
     candidates[1].load = 9;
+    CHECK(chooseDirect(candidates, std::nullopt, 1)->index < 2);
+    // Full ones are worse than the way to another data centre.
+    candidates[0].load = 11;
+    candidates[1].load = 11;
     CHECK(chooseDirect(candidates, std::nullopt, 1)->index == 2);
 }
 
