--- a/lib/Proxy/PeerRows.cpp
+++ b/lib/Proxy/PeerRows.cpp
@@ -49,6 +49,7 @@
     for (std::string &name : rankFirst(far, own, fewestReaders - asked.size()))
         asked.push_back(std::move(name));
     std::vector<std::string> addresses;
+    addresses.reserve(asked.size());
     for (const std::string &name : asked)
         addresses.push_back(entries.at(name).address);
     return addresses;
