One piece for what stood twice: token bucket, names of headers, results of writes, stages

Seen and left: rows are read from JSON in two places that differ in a field's name and in what may be missing; models and prices of services are checked but not read; processor time of a process is read by two scripts in different folders.

--- a/include/laurelcroft/Http/Message.h
+++ b/include/laurelcroft/Http/Message.h
@@ -21,6 +21,9 @@
 
 using http_headers = std::vector<http_header>;
 
+/// Names of headers are the same whatever their case.
+bool sameIgnoringCase(std::string_view left, std::string_view right);
+
 /// \returns the value of the first field called \p name, whatever its case; empty if none.
 std::string_view findHeader(const http_headers &headers, std::string_view name);
 
--- a/include/laurelcroft/Platform/Gate.h
+++ b/include/laurelcroft/Platform/Gate.h
@@ -8,7 +8,7 @@
 #define LAURELCROFT_PLATFORM_GATE_H
 
 #include "laurelcroft/Support/Breaker.h"
-#include "laurelcroft/Support/Runtime.h"
+#include "laurelcroft/Support/TokenBucket.h"
 
 namespace laurelcroft {
 
@@ -32,10 +32,7 @@
     milliseconds retryAfter(time_point now) const;
 
 private:
-    double m_perSecond;
-    double m_burst;
-    double m_tokens;
-    time_point m_filledAt{};
+    token_bucket m_calls;
     breaker m_breaker;
 };
 
--- a/include/laurelcroft/Platform/RowStore.h
+++ b/include/laurelcroft/Platform/RowStore.h
@@ -73,6 +73,14 @@
     std::vector<table_entry> current;
 };
 
+/// \returns what a write came to, for the log.
+inline std::string_view textOf(const outcome<conditional_write, row_failure> &result)
+{
+    if (!result)
+        return textOf(result.error());
+    return result.value().done ? "done" : "conflict";
+}
+
 template <class T>
 using row_callback = std::function<void(outcome<T, row_failure>)>;
 
--- a/include/laurelcroft/Policy/ServiceRollout.h
+++ b/include/laurelcroft/Policy/ServiceRollout.h
@@ -38,6 +38,11 @@
 std::string_view textOf(rollout_stage stage);
 std::optional<rollout_stage> rolloutStage(std::string_view text);
 
+/// \returns true while few sessions use the new version.
+bool isOnTrial(rollout_stage stage);
+/// \returns true when no further step follows.
+bool isFinal(rollout_stage stage);
+
 /// The row that all entries share.
 struct rollout_row
 {
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -102,14 +102,14 @@
 
     follow_pace endpointPace() const;
     std::unique_ptr<follower> follow(const std::string &table, follow_pace pace,
-                                     void (store_sync::*apply)(const row_batch &, bool whole));
-    /// \returns the rows that say more than that an endpoint still lives.
-    row_batch withoutHeartbeats(row_batch batch) const;
-    void applyOperator(const row_batch &batch, bool whole);
-    void applyEndpoints(const row_batch &batch, bool whole);
+                                     void (store_sync::*apply)(row_batch &, bool whole));
+    void applyOperator(row_batch &batch, bool whole);
+    /// Leaves in a batch of changes the rows that say more than that an endpoint still lives.
+    void applyEndpoints(row_batch &batch, bool whole);
+    bool takeEndpointRow(const store_row &row);
     std::optional<endpoint_record> endpointIn(const store_row &row) const;
-    void takeEndpoint(endpoint_record &&record);
-    void applyOwn(const row_batch &batch, bool whole);
+    bool takeEndpoint(endpoint_record &&record);
+    void applyOwn(row_batch &batch, bool whole);
     void takeContract(const store_row &row);
     void takeOrder(const std::string &service, const store_row &row);
     void noteTime(const row_batch &batch);
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace laurelcroft {
 
@@ -55,21 +56,18 @@
 template <row_store_like Store, runtime_like Runtime>
 std::unique_ptr<row_follower<Store, Runtime>>
 store_sync<Store, Runtime>::follow(const std::string &table, follow_pace pace,
-                                   void (store_sync::*apply)(const row_batch &, bool whole))
+                                   void (store_sync::*apply)(row_batch &, bool whole))
 {
     const bool listsEndpoints = table == m_codec.endpointTable;
     follow_events events;
-    events.onTable = [this, table, apply](row_batch &&batch) {
+    // What a batch leaves after it was applied is what other entries need of it.
+    const auto take = [this, table, apply](row_batch &batch, bool whole) {
         noteTime(batch);
-        m_mirror.take(table, batch, true, m_followers.at(table)->confirmedAt());
-        (this->*apply)(batch, true);
-    };
-    events.onChanges = [this, table, apply, listsEndpoints](row_batch &&batch) {
-        noteTime(batch);
-        m_mirror.take(table, listsEndpoints ? withoutHeartbeats(batch) : batch, false,
-                      m_followers.at(table)->confirmedAt());
-        (this->*apply)(batch, false);
+        (this->*apply)(batch, whole);
+        m_mirror.take(table, batch, whole, m_followers.at(table)->confirmedAt());
     };
+    events.onTable = [take](row_batch &&batch) { take(batch, true); };
+    events.onChanges = [take](row_batch &&batch) { take(batch, false); };
     events.onLost = [this, table, listsEndpoints](row_failure why) {
         m_metrics.add("store_lost_total{table=\"" + table + "\"}");
         logWarning(log_part::platform, "store lost", {{"table", table}, {"why", textOf(why)}});
@@ -88,20 +86,6 @@
                                       m_links.relay);
 }
 
-template <row_store_like Store, runtime_like Runtime>
-row_batch store_sync<Store, Runtime>::withoutHeartbeats(row_batch batch) const
-{
-    const auto &known = m_state.directory().all();
-    std::erase_if(batch.rows, [&](const store_row &row) {
-        const auto it = known.find(row.key);
-        if (row.removed || it == known.end())
-            return false;
-        const decoded<endpoint_record> record = m_codec.decodeEndpoint(row.key, row.value);
-        return record && record.value() == it->second->record();
-    });
-    return batch;
-}
-
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::noteTime(const row_batch &batch)
 {
@@ -118,16 +102,16 @@
 }
 
 template <row_store_like Store, runtime_like Runtime>
-void store_sync<Store, Runtime>::applyOperator(const row_batch &batch, bool whole)
+void store_sync<Store, Runtime>::applyOperator(row_batch &batch, bool whole)
 {
-    std::map<std::string, bool> ordered;
+    std::set<std::string> ordered;
     for (const store_row &row : batch.rows) {
         if (!row.removed && m_codec.isContract(row.key))
             takeContract(row);
         const std::optional<std::string> service = m_codec.orderedService(row.key);
         if (!service)
             continue;
-        ordered[*service] = true;
+        ordered.insert(*service);
         takeOrder(*service, row);
     }
     if (!whole)
@@ -187,7 +171,7 @@
 }
 
 template <row_store_like Store, runtime_like Runtime>
-void store_sync<Store, Runtime>::applyEndpoints(const row_batch &batch, bool whole)
+void store_sync<Store, Runtime>::applyEndpoints(row_batch &batch, bool whole)
 {
     if (whole) {
         std::vector<endpoint_record> records;
@@ -199,14 +183,24 @@
         return;
     }
     // In order: one batch may list an endpoint and remove it again.
-    for (const store_row &row : batch.rows) {
-        if (row.removed) {
-            logInfo(log_part::fleet, "endpoint's record removed", {{"endpoint", row.key}});
-            m_state.directory().remove(row.key, m_runtime.now());
-        } else if (std::optional<endpoint_record> record = endpointIn(row)) {
-            takeEndpoint(std::move(*record));
-        }
+    std::vector<store_row> news;
+    for (store_row &row : batch.rows) {
+        if (takeEndpointRow(row))
+            news.push_back(std::move(row));
     }
+    batch.rows = std::move(news);
+}
+
+template <row_store_like Store, runtime_like Runtime>
+bool store_sync<Store, Runtime>::takeEndpointRow(const store_row &row)
+{
+    if (row.removed) {
+        logInfo(log_part::fleet, "endpoint's record removed", {{"endpoint", row.key}});
+        m_state.directory().remove(row.key, m_runtime.now());
+        return true;
+    }
+    std::optional<endpoint_record> record = endpointIn(row);
+    return !record || takeEndpoint(std::move(*record));
 }
 
 template <row_store_like Store, runtime_like Runtime>
@@ -221,11 +215,12 @@
 }
 
 template <row_store_like Store, runtime_like Runtime>
-void store_sync<Store, Runtime>::takeEndpoint(endpoint_record &&record)
+bool store_sync<Store, Runtime>::takeEndpoint(endpoint_record &&record)
 {
     const auto &all = m_state.directory().all();
     const auto known = all.find(record.id);
     const bool isNew = known == all.end();
+    const bool saysMore = isNew || record != known->second->record();
     if (isNew || known->second->record().leaving != record.leaving) {
         logInfo(log_part::fleet, isNew ? "endpoint listed" : "endpoint is leaving",
                 {{"endpoint", record.id},
@@ -234,16 +229,22 @@
                  {"leaving", record.leaving ? "yes" : "no"}});
     }
     m_state.directory().apply(std::move(record), m_runtime.now());
+    return saysMore;
 }
 
 template <row_store_like Store, runtime_like Runtime>
-void store_sync<Store, Runtime>::applyOwn(const row_batch &batch, bool whole)
+void store_sync<Store, Runtime>::applyOwn(row_batch &batch, bool whole)
 {
     m_ownTableRead = true;
     if (whole)
         m_roster.clear();
     for (const store_row &row : batch.rows)
         takeOwnRow(row);
+    const bool tellsOfEntries
+            = std::any_of(batch.rows.begin(), batch.rows.end(),
+                          [](const store_row &row) { return entryOfKey(row.key).has_value(); });
+    if (!whole && !tellsOfEntries)
+        return;
     m_state.setEntries(std::max<std::size_t>(1, m_roster.entries().size()));
     m_links.onEntries(m_roster.entries());
 }
@@ -362,11 +363,8 @@
     for (const auto &[service, tracker] : m_state.allRollouts())
         removals.push_back({own, evidenceKey(entry.name, service), "", std::nullopt, true});
     m_store.write(removals, [name = entry.name](outcome<conditional_write, row_failure> result) {
-        const std::string_view came = !result ? textOf(result.error())
-                : result.value().done         ? std::string_view("done")
-                                              : std::string_view("conflict");
         logInfo(log_part::fleet, "row of an entry that is gone removed",
-                {{"entry", name}, {"result", came}});
+                {{"entry", name}, {"result", textOf(result)}});
     });
 }
 
@@ -386,10 +384,11 @@
     if (m_writing || !m_timeKnown || m_runtime.now() < m_nextWriteAt)
         return;
     for (auto &[service, tracker] : m_state.allRollouts()) {
+        if (!tracker.order() || tracker.isOver())
+            continue;
         const std::optional<rollout_row> next = tracker.nextRow(
                 storeNow(), m_state.directory().usable(service), m_state.entries(), othersKnown());
-        const bool underWay = tracker.order() && tracker.row() && !tracker.isOver();
-        if (!next && underWay && tellEvidence(service, tracker))
+        if (!next && tracker.row() && tellEvidence(service, tracker))
             return;
         if (!next || !m_state.random().chance(stepChance))
             continue;
@@ -422,14 +421,11 @@
         if (!result)
             m_nextWriteAt = m_runtime.now() + writeRetry;
         const bool done = result && result.value().done;
-        const std::string_view came = !result ? textOf(result.error())
-                : done                        ? std::string_view("done")
-                                              : std::string_view("conflict");
         logInfo(log_part::bundle, "roll-out step written",
                 {{"service", service},
                  {"target", row.targetVersion},
                  {"stage", textOf(row.stage)},
-                 {"result", came}});
+                 {"result", textOf(result)}});
         // The row comes back by the feed; taking it at once saves a read's time.
         if (done)
             m_state.rollouts(service).setRow(row);
--- a/include/laurelcroft/Support/LogLimiter.h
+++ b/include/laurelcroft/Support/LogLimiter.h
@@ -7,46 +7,36 @@
 #ifndef LAURELCROFT_SUPPORT_LOGLIMITER_H
 #define LAURELCROFT_SUPPORT_LOGLIMITER_H
 
-#include "laurelcroft/Support/Runtime.h"
+#include "laurelcroft/Support/TokenBucket.h"
 
-#include <algorithm>
 #include <cstdint>
 #include <utility>
 
 namespace laurelcroft {
 
-/// A token bucket that holds one second's lines.
+/// Holds one second's lines.
 class log_limiter
 {
 public:
     /// \param perSecond lines that pass.
     explicit log_limiter(double perSecond)
-        : m_perSecond(perSecond)
-        , m_tokens(perSecond)
+        : m_lines(perSecond, perSecond)
     {
     }
 
     /// \returns true when a line may be written at \p now; otherwise it is counted.
     bool allows(time_point now)
     {
-        const std::chrono::duration<double> since = now - m_filledAt;
-        m_filledAt = now;
-        m_tokens = std::min(m_perSecond, m_tokens + since.count() * m_perSecond);
-        if (m_tokens < 1) {
-            ++m_held;
-            return false;
-        }
-        m_tokens -= 1;
-        return true;
+        const bool allowed = m_lines.take(1, now);
+        m_held += allowed ? 0 : 1;
+        return allowed;
     }
 
     /// \returns the lines that did not pass since the last call.
     std::uint64_t takeHeld() { return std::exchange(m_held, 0); }
 
 private:
-    double m_perSecond;
-    double m_tokens;
-    time_point m_filledAt{};
+    token_bucket m_lines;
     std::uint64_t m_held = 0;
 };
 
--- /dev/null
+++ b/include/laurelcroft/Support/TokenBucket.h
@@ -0,0 +1,63 @@
+//===-- Support/TokenBucket.h - a bounded rate -------------------*- C++ -*-===//
+//
+// Driven by its caller's clock readings; it reads none of its own.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_SUPPORT_TOKENBUCKET_H
+#define LAURELCROFT_SUPPORT_TOKENBUCKET_H
+
+#include "laurelcroft/Support/Runtime.h"
+
+#include <algorithm>
+
+namespace laurelcroft {
+
+/// Fills at a rate up to what it holds; it begins full.
+class token_bucket
+{
+public:
+    /// \param perSecond tokens that come in a second; \param most that it holds.
+    token_bucket(double perSecond, double most)
+        : m_perSecond(perSecond)
+        , m_most(most)
+        , m_tokens(most)
+    {
+    }
+
+    /// \returns true when \p amount could be taken at \p now.
+    bool has(double amount, time_point now)
+    {
+        const std::chrono::duration<double> since = now - m_filledAt;
+        m_filledAt = now;
+        m_tokens = std::min(m_most, m_tokens + std::max(0.0, since.count()) * m_perSecond);
+        return m_tokens >= amount;
+    }
+
+    /// Takes \p amount, which it has.
+    void spend(double amount) { m_tokens -= amount; }
+
+    /// \returns true and takes \p amount when it has it at \p now.
+    bool take(double amount, time_point now)
+    {
+        if (!has(amount, now))
+            return false;
+        spend(amount);
+        return true;
+    }
+
+    /// \returns how long after it was last asked it has \p amount.
+    std::chrono::duration<double> until(double amount) const
+    {
+        return std::chrono::duration<double>(std::max(0.0, amount - m_tokens) / m_perSecond);
+    }
+
+private:
+    double m_perSecond;
+    double m_most;
+    double m_tokens;
+    time_point m_filledAt{};
+};
+
+} // namespace laurelcroft
+
+#endif
--- a/lib/Http/Message.cpp
+++ b/lib/Http/Message.cpp
@@ -10,7 +10,7 @@
 
 using namespace laurelcroft;
 
-static bool sameIgnoringCase(std::string_view left, std::string_view right)
+bool laurelcroft::sameIgnoringCase(std::string_view left, std::string_view right)
 {
     const auto lower = [](char c) { return std::tolower(static_cast<unsigned char>(c)); };
     return std::equal(left.begin(), left.end(), right.begin(), right.end(),
--- a/lib/Node/FleetDuty.cpp
+++ b/lib/Node/FleetDuty.cpp
@@ -6,7 +6,7 @@
 #include "FleetDuty.h"
 
 #include "laurelcroft/Support/Log.h"
-#include "laurelcroft/Support/Settings.h"
+#include "laurelcroft/Support/UdpAddress.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
@@ -28,14 +28,9 @@
 
     void send(const std::string &address, const std::string &bytes)
     {
-        std::string host;
-        std::uint16_t port = 0;
-        asio::error_code error;
-        if (!splitAddress(address, host, port))
-            return;
-        const auto ip = asio::ip::make_address(host, error);
-        if (!error)
-            socket.send_to(asio::buffer(bytes), udp::endpoint(ip, port), 0, error);
+        asio::error_code ignored;
+        if (const auto to = udpEndpointIn(address))
+            socket.send_to(asio::buffer(bytes), *to, 0, ignored);
     }
 };
 
--- a/lib/Platform/Gate.cpp
+++ b/lib/Platform/Gate.cpp
@@ -7,8 +7,6 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Platform/Gate.h"
 
-#include <algorithm>
-
 using namespace laurelcroft;
 
 namespace {
@@ -18,21 +16,16 @@
 } // namespace
 
 platform_gate::platform_gate(double perSecond, double burst)
-    : m_perSecond(perSecond)
-    , m_burst(burst)
-    , m_tokens(burst)
+    : m_calls(perSecond, burst)
     , m_breaker(failuresToOpen, firstWait, longestWait)
 {
 }
 
 bool platform_gate::pass(time_point now)
 {
-    const double elapsed = std::chrono::duration<double>(now - m_filledAt).count();
-    m_tokens = std::min(m_burst, m_tokens + std::max(0.0, elapsed) * m_perSecond);
-    m_filledAt = now;
-    if (m_tokens < 1.0 || !m_breaker.allows(now))
+    if (!m_calls.has(1, now) || !m_breaker.allows(now))
         return false;
-    m_tokens -= 1.0;
+    m_calls.spend(1);
     return true;
 }
 
@@ -51,6 +44,5 @@
     const milliseconds open = m_breaker.retryAfter(now);
     if (open.count() > 0)
         return open;
-    const double waitMs = 1000.0 * std::max(0.0, 1.0 - m_tokens) / m_perSecond;
-    return milliseconds(static_cast<std::int64_t>(waitMs) + 1);
+    return std::chrono::duration_cast<milliseconds>(m_calls.until(1)) + milliseconds(1);
 }
--- a/lib/Policy/ServiceRollout.cpp
+++ b/lib/Policy/ServiceRollout.cpp
@@ -75,6 +75,16 @@
     return std::nullopt;
 }
 
+bool laurelcroft::isOnTrial(rollout_stage stage)
+{
+    return stage == rollout_stage::pilot || stage == rollout_stage::trial;
+}
+
+bool laurelcroft::isFinal(rollout_stage stage)
+{
+    return stage == rollout_stage::completed || stage == rollout_stage::reverted;
+}
+
 double laurelcroft::shareOf(rollout_stage stage, const rollout_view &view)
 {
     const double most = view.exposure * usedByTrial;
@@ -119,7 +129,7 @@
                 order.orderedAt, order.targetVersion, rollout_stage::pilot, view.now, view.now, 0};
         return moved(first, rollout_stage::pilot, view);
     }
-    if (row->stage == rollout_stage::completed || row->stage == rollout_stage::reverted)
+    if (isFinal(row->stage))
         return std::nullopt;
     if (view.foundBad)
         return moved(*row, rollout_stage::reverted, view);
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -63,20 +63,15 @@
 
 bool rollout_tracker::isOver() const
 {
-    const bool ended = m_row
-            && (m_row->stage == rollout_stage::completed
-                || m_row->stage == rollout_stage::reverted);
-    return isCurrent() && ended;
+    return isCurrent() && isFinal(m_row->stage);
 }
 
 bool rollout_tracker::wantsTarget(std::uint64_t session) const
 {
-    if (!isCurrent())
+    if (!isCurrent() || !startsOnTarget(m_row->stage, m_row->share, session))
         return false;
     // The row may be long in coming while the store is away: this entry stops at once.
-    if (m_row->stage != rollout_stage::completed && isFoundBad())
-        return false;
-    return startsOnTarget(m_row->stage, m_row->share, session);
+    return m_row->stage == rollout_stage::completed || !isFoundBad();
 }
 
 void rollout_tracker::arrived(time_point now)
@@ -140,8 +135,7 @@
 
 std::vector<endpoint_ptr> rollout_tracker::settled(const std::vector<endpoint_ptr> &endpoints) const
 {
-    const bool onTrial = isCurrent()
-            && (m_row->stage == rollout_stage::pilot || m_row->stage == rollout_stage::trial);
+    const bool onTrial = isCurrent() && isOnTrial(m_row->stage);
     std::vector<endpoint_ptr> onOld;
     for (const endpoint_ptr &endpoint : endpoints) {
         if (onTrial && endpoint->record().softwareVersion != m_order->targetVersion)
@@ -152,8 +146,7 @@
 
 void rollout_tracker::keepTrialEndpoints(std::vector<endpoint_ptr> &onTarget) const
 {
-    const bool few = m_row->stage == rollout_stage::pilot || m_row->stage == rollout_stage::trial;
-    if (!few)
+    if (!isOnTrial(m_row->stage))
         return;
     const std::size_t count = trialEndpoints(m_row->share, onTarget.size());
     // Ranked by a hash of the id, so that all entries keep the same ones.
--- a/lib/Proxy/SendNotices.cpp
+++ b/lib/Proxy/SendNotices.cpp
@@ -9,6 +9,8 @@
 #include "laurelcroft/Fleet/Ranking.h"
 #include "laurelcroft/Support/Log.h"
 #include "laurelcroft/Support/Settings.h"
+#include "laurelcroft/Support/TokenBucket.h"
+#include "laurelcroft/Support/UdpAddress.h"
 
 #include <asio/ip/udp.hpp>
 
@@ -72,15 +74,13 @@
 
     void receive();
     void take(std::string_view bytes);
-    bool spend(double bytes);
 
     udp::socket socket;
     metric_registry &metrics;
     std::string ownAddress;
     notice_handler onNotice;
     std::map<std::string, std::vector<udp::endpoint>> listeners; ///< by data centre
-    double savedBytes = bytesPerSecond * burstSeconds;
-    time_point savedAt = bootNow();
+    token_bucket bytes{bytesPerSecond, bytesPerSecond *burstSeconds};
     udp::endpoint from;
     std::array<char, 512> buffer{};
 };
@@ -148,19 +148,6 @@
     onNotice(*notice);
 }
 
-bool send_notices::state::spend(double bytes)
-{
-    const time_point now = bootNow();
-    const std::chrono::duration<double> since = now - savedAt;
-    savedAt = now;
-    savedBytes
-            = std::min(bytesPerSecond * burstSeconds, savedBytes + since.count() * bytesPerSecond);
-    if (savedBytes < bytes)
-        return false;
-    savedBytes -= bytes;
-    return true;
-}
-
 void send_notices::setEntries(const entry_map &entries, const std::string &own)
 {
     std::map<std::string, std::vector<std::string>> names;
@@ -182,14 +169,8 @@
     for (const auto &[dataCentre, others] : names) {
         // Each entry ranks them in its own way, so that all are told by some.
         for (const std::string &name : rankFirst(others, own, mostListeners)) {
-            std::string host;
-            std::uint16_t port = 0;
-            asio::error_code error;
-            if (!splitAddress(entries.at(name).address, host, port))
-                continue;
-            const auto address = asio::ip::make_address(host, error);
-            if (!error)
-                m_state->listeners[dataCentre].emplace_back(address, port);
+            if (const auto listener = udpEndpointIn(entries.at(name).address))
+                m_state->listeners[dataCentre].push_back(*listener);
         }
     }
 }
@@ -203,8 +184,9 @@
         return;
     const std::string bytes
             = encodeNotice({notice.endpoint, std::min(notice.reading, longestReading)});
+    const double cost = static_cast<double>(bytes.size()) + headerBytes;
     for (const udp::endpoint &listener : it->second) {
-        if (!m_state->spend(static_cast<double>(bytes.size()) + headerBytes)) {
+        if (!m_state->bytes.take(cost, bootNow())) {
             m_state->metrics.add("send_notices_total{way=\"held\"}");
             return;
         }
--- a/unittests/Proxy/FlowTests.cpp
+++ b/unittests/Proxy/FlowTests.cpp
@@ -20,9 +20,7 @@
 
 TEST_CASE("no route is 404, an unknown key is 401, and neither reaches an endpoint")
 {
-    flow_world world;
-    world.useRoute(lookupRoute());
-    world.addEndpoint("e1");
+    flow_world world(lookupRoute(), {"e1"});
     auto request = requestFor(lookupRoute());
     request->path = "/b/x";
     startFlow(world, request);
@@ -36,9 +34,7 @@
 
 TEST_CASE("the customer, its priority and what is left of the time go to the endpoint")
 {
-    flow_world world;
-    world.useRoute(fetchRoute());
-    world.addEndpoint("e1");
+    flow_world world(fetchRoute(), {"e1"});
     auto request = requestFor(fetchRoute());
     request->patience = milliseconds(1500);
     startFlow(world, request);
@@ -51,9 +47,7 @@
 
 TEST_CASE("a whole answer is passed on unchanged")
 {
-    flow_world world;
-    world.useRoute(fetchRoute());
-    world.addEndpoint("e1");
+    flow_world world(fetchRoute(), {"e1"});
     startFlow(world, requestFor(fetchRoute()));
     world.answer(0, 200);
     world.data(0, "abc");
@@ -68,10 +62,7 @@
 TEST_CASE("what may run only once is never sent again after it may have run")
 {
     for (const call_end end : {call_end::broken, call_end::complete}) {
-        flow_world world;
-        world.useRoute(fetchRoute());
-        world.addEndpoint("e1");
-        world.addEndpoint("e2");
+        flow_world world(fetchRoute(), {"e1", "e2"});
         startFlow(world, requestFor(fetchRoute()));
         if (end == call_end::complete)
             world.answer(0, 500);
@@ -85,10 +76,7 @@
 
 TEST_CASE("what never left this process goes to another endpoint, whatever its kind")
 {
-    flow_world world;
-    world.useRoute(fetchRoute());
-    world.addEndpoint("e1");
-    world.addEndpoint("e2");
+    flow_world world(fetchRoute(), {"e1", "e2"});
     startFlow(world, requestFor(fetchRoute()));
     world.end(0, call_end::notSent);
     REQUIRE(world.calls.size() == 2);
@@ -99,9 +87,7 @@
 
 TEST_CASE("a refusal that the endpoint vouches for is passed on as a true one")
 {
-    flow_world world;
-    world.useRoute(fetchRoute());
-    world.addEndpoint("e1");
+    flow_world world(fetchRoute(), {"e1"});
     startFlow(world, requestFor(fetchRoute()));
     world.refuseNotRun(0);
     CHECK(world.status == 503);
@@ -111,10 +97,7 @@
 
 TEST_CASE("after a run anywhere, no refusal claims that there was none")
 {
-    flow_world world;
-    world.useRoute(lookupRoute());
-    world.addEndpoint("e1");
-    world.addEndpoint("e2");
+    flow_world world(lookupRoute(), {"e1", "e2"});
     startFlow(world, requestFor(lookupRoute()));
     world.end(0, call_end::broken);
     REQUIRE(world.calls.size() == 2);
@@ -124,10 +107,7 @@
 
 TEST_CASE("a repeatable request moves on from a failure and from silence")
 {
-    flow_world world;
-    world.useRoute(lookupRoute());
-    world.addEndpoint("e1");
-    world.addEndpoint("e2");
+    flow_world world(lookupRoute(), {"e1", "e2"});
     startFlow(world, requestFor(lookupRoute()));
     world.runtime.advance(milliseconds(601));
     REQUIRE(world.calls.size() == 2);
@@ -142,9 +122,7 @@
 TEST_CASE("a success without the endpoint's mark, or in a coding, is no success")
 {
     for (const bool encoded : {false, true}) {
-        flow_world world;
-        world.useRoute(fetchRoute());
-        world.addEndpoint("e1");
+        flow_world world(fetchRoute(), {"e1"});
         startFlow(world, requestFor(fetchRoute()));
         proxy_answer answer;
         answer.status = 200;
@@ -158,9 +136,7 @@
 
 TEST_CASE("at the route's timeout the final answer comes at once")
 {
-    flow_world world;
-    world.useRoute(fetchRoute());
-    world.addEndpoint("e1");
+    flow_world world(fetchRoute(), {"e1"});
     startFlow(world, requestFor(fetchRoute()));
     world.runtime.advance(milliseconds(3999));
     CHECK(world.status == 0);
@@ -171,9 +147,7 @@
 
 TEST_CASE("a caller that leaves stops what runs for it")
 {
-    flow_world world;
-    world.useRoute(draftRoute());
-    world.addEndpoint("e1");
+    flow_world world(draftRoute(), {"e1"});
     const auto flow = startFlow(world, requestFor(draftRoute()));
     flow->callerLeft();
     CHECK(world.calls[0].cancelled);
@@ -184,10 +158,7 @@
 
 TEST_CASE("a stream passes whole events on, and resumes after the last one")
 {
-    flow_world world;
-    world.useRoute(draftRoute());
-    world.addEndpoint("e1");
-    world.addEndpoint("e2");
+    flow_world world(draftRoute(), {"e1", "e2"});
     startFlow(world, requestFor(draftRoute()));
     world.answer(0, 200, 90);
     world.data(0, eventText(1) + eventText(2) + "id: 3\nda");
@@ -207,9 +178,7 @@
 
 TEST_CASE("a stream that can't go on is cut, so that it never looks whole")
 {
-    flow_world world;
-    world.useRoute(draftRoute());
-    world.addEndpoint("e1");
+    flow_world world(draftRoute(), {"e1"});
     startFlow(world, requestFor(draftRoute()));
     world.answer(0, 200, 90);
     world.data(0, eventText(1) + "id: 2");
@@ -222,10 +191,7 @@
 
 TEST_CASE("a pause in a stream moves it before the pause is too long")
 {
-    flow_world world;
-    world.useRoute(draftRoute());
-    world.addEndpoint("e1");
-    world.addEndpoint("e2");
+    flow_world world(draftRoute(), {"e1", "e2"});
     startFlow(world, requestFor(draftRoute()));
     world.answer(0, 200, 90);
     world.data(0, eventText(1));
@@ -238,9 +204,7 @@
 
 TEST_CASE("a doubtful answer of the small model is dropped for the large one's")
 {
-    flow_world world;
-    world.useRoute(draftRoute());
-    world.addEndpoint("e1");
+    flow_world world(draftRoute(), {"e1"});
     startFlow(world, requestFor(draftRoute()));
     CHECK(world.calls[0].attempt.model == "small");
     world.answer(0, 200, 20);
@@ -256,9 +220,7 @@
 
 TEST_CASE("the caller's own model is never replaced")
 {
-    flow_world world;
-    world.useRoute(draftRoute());
-    world.addEndpoint("e1");
+    flow_world world(draftRoute(), {"e1"});
     auto request = requestFor(draftRoute());
     request->anyModel = false;
     request->model = "middle";
@@ -270,9 +232,7 @@
 
 TEST_CASE("a stopping process ends what it can't finish")
 {
-    flow_world world;
-    world.useRoute(draftRoute());
-    world.addEndpoint("e1");
+    flow_world world(draftRoute(), {"e1"});
     const auto flow = startFlow(world, requestFor(draftRoute()));
     flow->giveUp();
     CHECK(world.status == 504);
@@ -299,9 +259,7 @@
 
 TEST_CASE("the only endpoint is asked again after a failure, and its own failure is passed on")
 {
-    flow_world world;
-    world.useRoute(lookupRoute());
-    world.addEndpoint("e1");
+    flow_world world(lookupRoute(), {"e1"});
     startFlow(world, requestFor(lookupRoute()));
     world.answer(0, 500);
     world.end(0, call_end::complete);
@@ -314,9 +272,7 @@
 
 TEST_CASE("a failure is passed on as it came when its endpoint has gone since")
 {
-    flow_world world;
-    world.useRoute(lookupRoute());
-    world.addEndpoint("e1");
+    flow_world world(lookupRoute(), {"e1"});
     startFlow(world, requestFor(lookupRoute()));
     world.answer(0, 500);
     world.data(0, "why");
@@ -329,10 +285,7 @@
 TEST_CASE("an endpoint that reads another entry's long prompt is passed over, and sends are told")
 {
     for (const char *busy : {"e1", "e2"}) {
-        flow_world world;
-        world.useRoute(lookupRoute());
-        world.addEndpoint("e1");
-        world.addEndpoint("e2");
+        flow_world world(lookupRoute(), {"e1", "e2"});
         std::vector<std::string> told;
         world.routing.setSendListener([&](const service_endpoint &endpoint, double) {
             told.push_back(endpoint.record().id);
@@ -348,9 +301,7 @@
 
 TEST_CASE("an entry that ends refuses truly, with the time to come back, and asks no endpoint")
 {
-    flow_world world;
-    world.useRoute(fetchRoute());
-    world.addEndpoint("e1");
+    flow_world world(fetchRoute(), {"e1"});
     const auto flow
             = std::make_shared<fake_flow>(fake_environment{&world}, requestFor(fetchRoute()));
     flow->turnAway(milliseconds(1000));
--- a/unittests/Proxy/FlowWorld.cpp
+++ b/unittests/Proxy/FlowWorld.cpp
@@ -7,6 +7,13 @@
 
 using namespace laurelcroft;
 
+flow_world::flow_world(const service_route &route, std::initializer_list<const char *> endpoints)
+{
+    useRoute(route);
+    for (const char *id : endpoints)
+        addEndpoint(id);
+}
+
 void flow_world::addEndpoint(const std::string &id, const std::string &service,
                              const std::string &version)
 {
--- a/unittests/Proxy/FlowWorld.h
+++ b/unittests/Proxy/FlowWorld.h
@@ -9,6 +9,7 @@
 
 #include "laurelcroft/Proxy/RequestFlow.h"
 
+#include <initializer_list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,6 +28,10 @@
 /// Everything around one flow.
 struct flow_world
 {
+    flow_world() = default;
+    /// One route is in force, and endpoints with these ids are listed.
+    flow_world(const service_route &route, std::initializer_list<const char *> endpoints);
+
     manual_runtime runtime;
     routing_state routing{{}, {0, 50}, 1};
     std::vector<played_call> calls;
--- a/unittests/Proxy/StoreSyncTests.cpp
+++ b/unittests/Proxy/StoreSyncTests.cpp
@@ -78,6 +78,13 @@
     store_sync<fake_store, manual_runtime> sync{store,   runtime,      routing, mirror,
                                                 metrics, plainCodec(), links()};
 
+    /// Starts, and reads all tables once.
+    void begin()
+    {
+        sync.start();
+        runtime.advance(milliseconds(10));
+    }
+
     entry_links links()
     {
         entry_links links;
@@ -108,8 +115,7 @@
     sync_world world;
     world.store.put("orders", "contract", "3");
     world.store.put("endpoints", "a", "v1");
-    world.sync.start();
-    world.runtime.advance(milliseconds(10));
+    world.begin();
     REQUIRE(world.routing.contract());
     CHECK(world.routing.contract()->version == 3);
     CHECK(world.routing.directory().usable("pool").size() == 1);
@@ -128,8 +134,7 @@
 {
     sync_world world;
     world.store.put("orders", "contract", "3");
-    world.sync.start();
-    world.runtime.advance(milliseconds(10));
+    world.begin();
     world.store.put("orders", "contract", "wrong");
     world.runtime.advance(milliseconds(2100));
     CHECK(world.routing.contract()->version == 3);
@@ -142,8 +147,7 @@
 {
     sync_world world;
     world.store.put("endpoints", "a", "v1");
-    world.sync.start();
-    world.runtime.advance(milliseconds(10));
+    world.begin();
     world.store.put("endpoints", "a", "v1-");
     world.runtime.advance(milliseconds(1000));
     CHECK(world.routing.directory().usable("pool").empty());
@@ -153,8 +157,7 @@
 {
     sync_world world("e1", milliseconds(500));
     world.store.put("endpoints", "a", "v1");
-    world.sync.start();
-    world.runtime.advance(milliseconds(10));
+    world.begin();
     world.store.put("endpoints", "a", "v1-");
     world.runtime.advance(milliseconds(250));
     CHECK(world.routing.directory().usable("pool").empty());
@@ -163,8 +166,7 @@
 TEST_CASE("an endpoint that was listed and removed between two reads stays removed")
 {
     sync_world world;
-    world.sync.start();
-    world.runtime.advance(milliseconds(10));
+    world.begin();
     world.store.put("endpoints", "a", "v1");
     world.store.remove("endpoints", "a");
     world.store.put("endpoints", "b", "v1");
@@ -179,8 +181,7 @@
     sync_world world;
     world.store.put("endpoints", "a", "v1");
     world.store.put("endpoints", "b", "v1");
-    world.sync.start();
-    world.runtime.advance(milliseconds(10));
+    world.begin();
     world.store.forgetful = true;
     world.store.remove("endpoints", "a");
     world.runtime.advance(milliseconds(1000));
@@ -194,8 +195,7 @@
     sync_world world;
     world.store.put("endpoints", "a", "v1");
     world.store.put("endpoints", "b", "v1");
-    world.sync.start();
-    world.runtime.advance(milliseconds(10));
+    world.begin();
     world.store.away = true;
     world.runtime.advance(seconds(5));
     world.store.remove("endpoints", "a");
@@ -215,8 +215,7 @@
 {
     sync_world world;
     world.store.put("orders", "contract", "1");
-    world.sync.start();
-    world.runtime.advance(milliseconds(10));
+    world.begin();
     world.store.away = true;
     world.runtime.advance(seconds(20));
     world.store.away = false;
@@ -359,8 +358,7 @@
 {
     sync_world world;
     world.store.put("orders", "contract", "3");
-    world.sync.start();
-    world.runtime.advance(milliseconds(10));
+    world.begin();
     const std::uint64_t version = 50;
     world.store.away = true;
     world.ordersOfPeer = row_news{{{{"contract", "7", version, false}}, version, {}}, true};
@@ -417,8 +415,7 @@
     sync_world world;
     world.store.put("endpoints", "b", "v2");
     world.store.put("orders", "pool", "v2");
-    world.sync.start();
-    world.runtime.advance(milliseconds(10));
+    world.begin();
     // Another entry was first; this one's feed of the shared rows is slow to tell.
     const rollout_row row{3, "v2", rollout_stage::reverted, milliseconds(1), milliseconds(1), 0};
     world.store.put("laurelcroft", "rollout/pool", encodeRollout(row));
@@ -444,8 +441,7 @@
     sync_world world;
     world.store.put("endpoints", "a", "v1");
     world.store.put("endpoints", "b", "v1");
-    world.sync.start();
-    world.runtime.advance(milliseconds(10));
+    world.begin();
     const auto first = world.mirror.read("endpoints", 0, world.runtime.now());
     REQUIRE(first);
     world.store.put("endpoints", "a", "v1"); // the same words again
