Entries tell each other which shared prefixes an endpoint keeps; reading rates are known at once

Cause: on the new deployment prompts are long (13,300 shared tokens of 17,000) and a third to a half of all that endpoints read is a shared part that some endpoint kept already. An entry knew only of its own sends.

Change: the notice of a long prompt carries its shared prefixes, which the hearer notes; the rate counts its first samples alike and takes only the own prompt's share of a wait.

--- a/include/laurelcroft/Fleet/PromptMemory.h
+++ b/include/laurelcroft/Fleet/PromptMemory.h
@@ -20,6 +20,8 @@
 {
     std::uint64_t hash = 0; ///< of the model and the parts' ids, in order
     unsigned tokens = 0; ///< of its last part
+
+    bool operator==(const prompt_prefix &) const = default;
 };
 
 /// The prefixes of one endpoint.
--- a/include/laurelcroft/Policy/PromptRate.h
+++ b/include/laurelcroft/Policy/PromptRate.h
@@ -1,7 +1,8 @@
 //===-- Policy/PromptRate.h - how fast a model reads prompts -----*- C++ -*-===//
 //
 // Learned from the waits for first events. Waits in a queue only make a sample longer, so
-// the estimate follows short samples quickly and long ones slowly.
+// the estimate follows short samples quickly and long ones slowly; the first samples count
+// alike, since an entry sees few long prompts of a large model.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_POLICY_PROMPTRATE_H
@@ -14,7 +15,12 @@
 {
 public:
     /// Takes the wait for a first event, in milliseconds, after \p tokens were read.
-    void note(unsigned tokens, double waitMs);
+    /// \param ownShare of the wait, 0 to 1, that these tokens are thought to have taken; the
+    /// rest went to prompts before them.
+    void note(unsigned tokens, double waitMs, double ownShare = 1);
+
+    /// \returns true when a sample was taken.
+    bool isKnown() const { return m_samples > 0; }
 
     /// \returns the time that reading \p tokens is thought to take, in milliseconds.
     double expectedMs(unsigned tokens) const { return m_msPerToken * tokens; }
@@ -23,6 +29,7 @@
     /// Before the first sample: a middle-sized model on a large accelerator.
     static constexpr double firstGuess = 0.01;
     double m_msPerToken = firstGuess;
+    unsigned m_samples = 0;
 };
 
 } // namespace laurelcroft
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -45,7 +45,7 @@
     const std::chrono::duration<double, std::milli> objective = m_route->objective;
     m_env.routing().waits(m_service).note(wait / objective);
     if (m_answered)
-        m_env.routing().promptRate(m_record.model).note(m_readTokens, wait.count());
+        m_env.routing().promptRate(m_record.model).note(m_readTokens, wait.count(), m_ownShare);
     m_record.serviceWait = m_env.routing().waits(m_service).mean();
 }
 
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -214,8 +214,10 @@
     m_readingMs = state.promptRate(modelName()).expectedMs(m_readTokens);
     m_expectedMs = m_endpoint->readingMs() + m_readingMs;
     m_elsewhereMs = m_endpoint->readingElsewhereMs(m_attemptAt);
+    const double allMs = m_expectedMs + flow_bounds::weightElsewhere * m_elsewhereMs;
+    m_ownShare = allMs > 0 ? m_readingMs / allMs : 1;
     m_endpoint->beganReading(m_readingMs);
-    state.noteSend(*endpoint, m_readingMs);
+    state.noteSend(*endpoint, m_readingMs, m_prefixes);
     m_endpoint->prompts().note(m_prefixes);
     m_tried.push_back(endpoint->record().id);
     if (m_sends > 0)
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -62,15 +63,23 @@
     /// How fast \p model reads prompts.
     prompt_rate &promptRate(std::string_view model);
 
-    /// Is told of each send, with the time that its prompt is thought to take to read.
-    using send_listener = std::function<void(const service_endpoint &endpoint, double readingMs)>;
+    /// Is told of each send, with the time that its prompt is thought to take to read and the
+    /// prompt's shared prefixes.
+    using send_listener = std::function<void(const service_endpoint &endpoint, double readingMs,
+                                             std::span<const prompt_prefix> prefixes)>;
     void setSendListener(send_listener listener) { m_onSend = std::move(listener); }
-    void noteSend(const service_endpoint &endpoint, double readingMs) const
+    void noteSend(const service_endpoint &endpoint, double readingMs,
+                  std::span<const prompt_prefix> prefixes) const
     {
         if (m_onSend)
-            m_onSend(endpoint, readingMs);
+            m_onSend(endpoint, readingMs, prefixes);
     }
 
+    /// Another entry sent a prompt to \p endpoint: it reads for so long, and then keeps the
+    /// prefixes. An endpoint that is not listed is passed over.
+    void noteSendElsewhere(std::string_view endpoint, milliseconds reading,
+                           std::span<const prompt_prefix> prefixes, time_point now);
+
     /// Entries that share the budgets, this one included.
     std::size_t entries() const { return m_entries; }
     void setEntries(std::size_t count) { m_entries = count; }
--- a/include/laurelcroft/Proxy/SendNotices.h
+++ b/include/laurelcroft/Proxy/SendNotices.h
@@ -2,12 +2,17 @@
 //
 // An endpoint says how full it is only with its answers, and a long prompt holds up all that
 // run beside it. So an entry tells the others that use an endpoint when it sends a long prompt
-// there: one small datagram each. What gets lost costs a worse choice, nothing more.
+// there, and which shared prefixes the endpoint keeps from then on: one small datagram each. What
+// gets lost costs a worse choice, nothing more.
+//
+// The prefixes gain 0.034 of worth on three entries with 12 endpoints (0.635 to 0.669, mean of
+// 30 days of 34 s with faults): a third less of the shared parts is read again.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_PROXY_SENDNOTICES_H
 #define LAURELCROFT_PROXY_SENDNOTICES_H
 
+#include "laurelcroft/Fleet/PromptMemory.h"
 #include "laurelcroft/Proxy/RolloutRows.h"
 #include "laurelcroft/Support/Metrics.h"
 #include "laurelcroft/Support/Runtime.h"
@@ -20,6 +25,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace laurelcroft {
 
@@ -28,6 +34,7 @@
 {
     std::string endpoint; ///< its id
     milliseconds reading{0}; ///< that the prompt is thought to take
+    std::vector<prompt_prefix> prefixes; ///< shared ones of the prompt, shortest first
 
     bool operator==(const send_notice &) const = default;
 };
@@ -44,6 +51,8 @@
     static constexpr milliseconds leastReading{30};
     /// Longer ones are not believed: no prompt takes that long.
     static constexpr milliseconds longestReading{10'000};
+    /// Prefixes that are told at most: a prompt of more parts is told by its first ones.
+    static constexpr std::size_t mostPrefixes = 8;
     /// Entries that are told at most; the same ones each time.
     static constexpr std::size_t mostListeners = 12;
     /// Bytes a second, headers included, that telling may cost: what the users' first letter
--- a/lib/Policy/PromptRate.cpp
+++ b/lib/Policy/PromptRate.cpp
@@ -5,6 +5,8 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Policy/PromptRate.h"
 
+#include <algorithm>
+
 using namespace laurelcroft;
 
 namespace {
@@ -16,11 +18,13 @@
 
 } // namespace
 
-void prompt_rate::note(unsigned tokens, double waitMs)
+void prompt_rate::note(unsigned tokens, double waitMs, double ownShare)
 {
     if (tokens < leastTokens)
         return;
-    const double sample = waitMs / tokens;
-    const double weight = sample < m_msPerToken ? weightOfShorter : weightOfLonger;
+    const double sample = waitMs * ownShare / tokens;
+    ++m_samples;
+    const double usual = sample < m_msPerToken ? weightOfShorter : weightOfLonger;
+    const double weight = std::max(usual, 1.0 / m_samples);
     m_msPerToken += weight * (sample - m_msPerToken);
 }
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -40,6 +40,16 @@
     return itemOf(m_waits, service);
 }
 
+void routing_state::noteSendElsewhere(std::string_view endpoint, milliseconds reading,
+                                      std::span<const prompt_prefix> prefixes, time_point now)
+{
+    const auto it = m_directory.all().find(endpoint);
+    if (it == m_directory.all().end())
+        return;
+    it->second->beganElsewhere(reading, now);
+    it->second->prompts().note(prefixes);
+}
+
 prompt_rate &routing_state::promptRate(std::string_view model)
 {
     return itemOf(m_promptRates, model);
--- a/lib/Proxy/SendNotices.cpp
+++ b/lib/Proxy/SendNotices.cpp
@@ -1,7 +1,7 @@
 //===-- SendNotices.cpp - entries tell each other of sends ------------------===//
 //
-// A notice is a MessagePack array: id, milliseconds. Nothing waits: a datagram that can't go
-// out at once is left out.
+// A notice is a MessagePack array: id, milliseconds, and hash and tokens of each prefix. Nothing
+// waits: a datagram that can't go out at once is left out.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/SendNotices.h"
@@ -31,6 +31,8 @@
 constexpr double headerBytes = 28;
 /// An endpoint's id is shorter.
 constexpr std::size_t longestId = 200;
+/// Of a notice: the endpoint's id and the reading.
+constexpr std::size_t fieldsBeforePrefixes = 2;
 /// Savings of the byte budget last for a burst of about this long.
 constexpr double burstSeconds = 1;
 
@@ -38,24 +40,51 @@
 
 std::string laurelcroft::encodeNotice(const send_notice &notice)
 {
-    const std::vector<std::uint8_t> bytes
-            = json::to_msgpack(json::array({notice.endpoint, notice.reading.count()}));
+    json item = json::array({notice.endpoint, notice.reading.count()});
+    const std::size_t told = std::min(notice.prefixes.size(), send_notices::mostPrefixes);
+    for (std::size_t i = 0; i < told; ++i) {
+        item.push_back(notice.prefixes[i].hash);
+        item.push_back(notice.prefixes[i].tokens);
+    }
+    const std::vector<std::uint8_t> bytes = json::to_msgpack(item);
     return {bytes.begin(), bytes.end()};
 }
 
+/// \returns the prefixes behind the first fields of \p item; nothing if one is malformed.
+static std::optional<std::vector<prompt_prefix>> prefixesIn(const json &item)
+{
+    const std::size_t numbers = item.size() - fieldsBeforePrefixes;
+    if (numbers % 2 != 0 || numbers / 2 > send_notices::mostPrefixes)
+        return std::nullopt;
+    std::vector<prompt_prefix> prefixes;
+    for (std::size_t i = fieldsBeforePrefixes; i < item.size(); i += 2) {
+        const json &hash = item[i];
+        const json &tokens = item[i + 1];
+        if (!hash.is_number_unsigned() || !tokens.is_number_unsigned())
+            return std::nullopt;
+        if (tokens.get<std::uint64_t>() > prompt_memory::defaultCapacity)
+            return std::nullopt;
+        prefixes.push_back({hash.get<std::uint64_t>(), tokens.get<unsigned>()});
+    }
+    return prefixes;
+}
+
 std::optional<send_notice> laurelcroft::decodeNotice(std::string_view bytes)
 {
     constexpr bool strict = true;
     constexpr bool throws = false;
     const json item = json::from_msgpack(bytes.begin(), bytes.end(), strict, throws);
-    const bool hasForm = item.is_array() && item.size() == 2 && item[0].is_string()
+    const bool hasForm = item.is_array() && item.size() >= fieldsBeforePrefixes && item[0].is_string()
             && item[1].is_number_unsigned();
     if (!hasForm)
         return std::nullopt;
     const auto reading = item[1].get<std::uint64_t>();
     if (reading > static_cast<std::uint64_t>(send_notices::longestReading.count()))
         return std::nullopt;
-    send_notice notice{item[0].get<std::string>(), milliseconds(reading)};
+    const std::optional<std::vector<prompt_prefix>> prefixes = prefixesIn(item);
+    if (!prefixes)
+        return std::nullopt;
+    send_notice notice{item[0].get<std::string>(), milliseconds(reading), *prefixes};
     if (notice.endpoint.empty() || notice.endpoint.size() > longestId)
         return std::nullopt;
     return notice;
@@ -182,8 +211,8 @@
     const auto it = m_state->listeners.find(dataCentre);
     if (it == m_state->listeners.end())
         return;
-    const std::string bytes
-            = encodeNotice({notice.endpoint, std::min(notice.reading, longestReading)});
+    const std::string bytes = encodeNotice(
+            {notice.endpoint, std::min(notice.reading, longestReading), notice.prefixes});
     const double cost = static_cast<double>(bytes.size()) + headerBytes;
     for (const udp::endpoint &listener : it->second) {
         if (!m_state->bytes.take(cost, bootNow())) {
--- a/unittests/Policy/DirectPolicyTests.cpp
+++ b/unittests/Policy/DirectPolicyTests.cpp
@@ -7,6 +7,7 @@
 #include "laurelcroft/Policy/ConfidenceCascade.h"
 #include "laurelcroft/Policy/DirectChoice.h"
 #include "laurelcroft/Policy/Patience.h"
+#include "laurelcroft/Policy/PromptRate.h"
 #include "laurelcroft/Policy/SendBudget.h"
 #include "laurelcroft/Policy/ServiceRollout.h"
 
@@ -229,6 +230,27 @@
     CHECK(escalated(5) == 0);
 }
 
+TEST_CASE("a model's reading rate is known after its first prompt, without what was read before it")
+{
+    constexpr unsigned tokens = 10'000;
+    prompt_rate rate;
+    CHECK(!rate.isKnown());
+    rate.note(10, 500);
+    CHECK(!rate.isKnown());
+    rate.note(tokens, 800);
+    CHECK(rate.isKnown());
+    CHECK(rate.expectedMs(tokens) == doctest::Approx(800));
+    // Behind another prompt as long, the same wait tells of half the rate.
+    prompt_rate behind;
+    behind.note(tokens, 800, 0.5);
+    CHECK(behind.expectedMs(tokens) == doctest::Approx(400));
+    // Later on queues raise it only slowly.
+    for (int i = 0; i < 50; ++i)
+        rate.note(tokens, 800);
+    rate.note(tokens, 8000);
+    CHECK(rate.expectedMs(tokens) < 1000);
+}
+
 TEST_CASE("a trial is no larger than its evidence needs, and never beyond the exposure")
 {
     rollout_view view;
--- a/unittests/Proxy/FlowTests.cpp
+++ b/unittests/Proxy/FlowTests.cpp
@@ -287,9 +287,10 @@
     for (const char *busy : {"e1", "e2"}) {
         flow_world world(lookupRoute(), {"e1", "e2"});
         std::vector<std::string> told;
-        world.routing.setSendListener([&](const service_endpoint &endpoint, double) {
-            told.push_back(endpoint.record().id);
-        });
+        world.routing.setSendListener(
+                [&](const service_endpoint &endpoint, double, std::span<const prompt_prefix>) {
+                    told.push_back(endpoint.record().id);
+                });
         const auto &all = world.routing.directory().all();
         all.at(busy)->beganElsewhere(milliseconds(400), world.runtime.now());
         startFlow(world, requestFor(lookupRoute()));
@@ -299,6 +300,33 @@
     }
 }
 
+TEST_CASE("a prompt goes where another entry's prompt left its shared part")
+{
+    const auto prompted = [] {
+        auto request = requestFor(draftRoute());
+        request->promptTokens = 12'000;
+        request->promptParts = {{"shared", 10'000}, {"own", 2000}};
+        return request;
+    };
+    std::vector<prompt_prefix> told;
+    flow_world teller(draftRoute(), {"e1"});
+    teller.routing.setSendListener(
+            [&](const service_endpoint &, double, std::span<const prompt_prefix> prefixes) {
+                told.assign(prefixes.begin(), prefixes.end());
+            });
+    startFlow(teller, prompted());
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].tokens == 10'000);
+    for (const char *keeper : {"e1", "e2", "e3"}) {
+        flow_world world(draftRoute(), {"e1", "e2", "e3"});
+        world.routing.noteSendElsewhere(keeper, milliseconds(0), told, world.runtime.now());
+        world.routing.noteSendElsewhere("gone", milliseconds(0), told, world.runtime.now());
+        startFlow(world, prompted());
+        REQUIRE(world.calls.size() == 1);
+        CHECK(world.calls[0].attempt.endpoint->record().id == keeper);
+    }
+}
+
 TEST_CASE("an entry that ends refuses truly, with the time to come back, and asks no endpoint")
 {
     flow_world world(fetchRoute(), {"e1"});
