--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -78,18 +78,9 @@
     const prompt_memory &prompts() const { return m_prompts; }
 
     /// A part of any answer came, which shows that it works.
-    void progressed(time_point now);
+    void progressed(time_point now) { m_progressedAt = now; }
     time_point progressedAt() const { return m_progressedAt; }
 
-    /// A request waited in vain, and nothing came for any other of this process since it was sent.
-    void fellSilent(time_point now);
-
-    /// Another entry found it silent. Not believed of an endpoint that has just answered here.
-    void toldSilent(time_point now);
-
-    /// \returns true while it is avoided for its silence.
-    bool isSilent(time_point now) const { return m_silent && now < m_avoidedUntil; }
-
     /// Takes a load report that came with an answer.
     void reported(const endpoint_load &load, time_point now);
 
@@ -130,8 +121,6 @@
     time_point m_countedAt{};
     time_point m_avoidedUntil{};
     unsigned m_unreachableInRow = 0;
-    unsigned m_silentInRow = 0;
-    bool m_silent = false;
     bool m_gone = false;
 };
 
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -109,7 +109,6 @@
 
     void onAnswer(proxy_answer &&answer);
     void noteWait();
-    void noteSilence();
     void escalate();
     cascade_view cascadeView();
     double expectedAt(double waitMs);
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -179,19 +179,6 @@
     return timing;
 }
 
-template <flow_environment Env>
-void request_flow<Env>::noteSilence()
-{
-    const time_point at = now();
-    if (m_endpoint->progressedAt() >= m_attemptAt)
-        return;
-    // Requests that were sent together find it one after the other: one telling will do.
-    const bool news = !m_endpoint->isSilent(at);
-    m_endpoint->fellSilent(at);
-    if (news)
-        m_env.routing().noteSilence(*m_endpoint);
-}
-
 template <flow_environment Env>
 void request_flow<Env>::closeAttempt(attempt_end end)
 {
@@ -217,7 +204,6 @@
         if (!m_answered)
             noteWait();
         m_endpoint->failed(at);
-        noteSilence();
         rollouts.observeSilence(version, m_route->name, at);
         break;
     case attempt_end::refused:
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -75,18 +75,6 @@
             m_onSend(endpoint, readingMs, prefixes);
     }
 
-    /// Is told of each endpoint that has fallen silent.
-    using silence_listener = std::function<void(const service_endpoint &endpoint)>;
-    void setSilenceListener(silence_listener listener) { m_onSilence = std::move(listener); }
-    void noteSilence(const service_endpoint &endpoint) const
-    {
-        if (m_onSilence)
-            m_onSilence(endpoint);
-    }
-
-    /// Another entry found \p endpoint silent.
-    void noteSilenceElsewhere(std::string_view endpoint, time_point now);
-
     /// Another entry sent a prompt to \p endpoint: it reads for so long, and then keeps the
     /// prefixes. An endpoint that is not listed is passed over.
     void noteSendElsewhere(std::string_view endpoint, milliseconds reading,
@@ -108,7 +96,6 @@
     std::map<std::string, prompt_rate, std::less<>> m_promptRates;
     std::size_t m_entries = 1;
     send_listener m_onSend;
-    silence_listener m_onSilence;
 };
 
 } // namespace laurelcroft
--- a/include/laurelcroft/Proxy/SendNotices.h
+++ b/include/laurelcroft/Proxy/SendNotices.h
@@ -5,9 +5,6 @@
 // there, and which shared prefixes the endpoint keeps from then on: one small datagram each. What
 // gets lost costs a worse choice, nothing more.
 //
-// An endpoint that falls silent is told of in the same way: else each entry finds out by requests
-// of its own, a second or more late.
-//
 // The prefixes gain 0.034 of worth on three entries with 12 endpoints (0.635 to 0.669, mean of
 // 30 days of 34 s with faults): a third less of the shared parts is read again.
 //
@@ -32,13 +29,12 @@
 
 namespace laurelcroft {
 
-/// A prompt that an entry has just sent, or an endpoint that it has found silent.
+/// A prompt that an entry has just sent.
 struct send_notice
 {
     std::string endpoint; ///< its id
     milliseconds reading{0}; ///< that the prompt is thought to take
     std::vector<prompt_prefix> prefixes; ///< shared ones of the prompt, shortest first
-    bool silent = false; ///< nothing was sent; the endpoint answers nobody
 
     bool operator==(const send_notice &) const = default;
 };
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 using namespace laurelcroft;
 
@@ -21,11 +20,6 @@
 /// First and longest time that an unreachable endpoint is left out.
 constexpr milliseconds firstAvoidance{500};
 constexpr unsigned mostDoublings = 3;
-/// First time that a silent endpoint is left out: a few heartbeats, in which the store drops one
-/// that is gone.
-constexpr milliseconds firstSilence{2000};
-/// An answer that is younger speaks against another entry's finding of silence.
-constexpr milliseconds recentAnswer{700};
 /// Time that a full endpoint is left out: a few steps of its batch.
 constexpr milliseconds fullAvoidance{100};
 /// Answers that count as known before the first one, so that one failure is no verdict.
@@ -91,31 +85,6 @@
     ++m_unreachableInRow;
 }
 
-void service_endpoint::progressed(time_point now)
-{
-    m_progressedAt = now;
-    m_silentInRow = 0;
-    if (std::exchange(m_silent, false))
-        m_avoidedUntil = now;
-}
-
-void service_endpoint::fellSilent(time_point now)
-{
-    const unsigned doublings = std::min(m_silentInRow, mostDoublings);
-    m_avoidedUntil = std::max<time_point>(m_avoidedUntil, now + firstSilence * (1U << doublings));
-    m_silent = true;
-    ++m_silentInRow;
-}
-
-void service_endpoint::toldSilent(time_point now)
-{
-    const bool answered = m_progressedAt != time_point{};
-    if (answered && now - m_progressedAt < recentAnswer)
-        return;
-    m_avoidedUntil = std::max<time_point>(m_avoidedUntil, now + firstSilence);
-    m_silent = true;
-}
-
 void service_endpoint::full(time_point now)
 {
     m_avoidedUntil = std::max(m_avoidedUntil, now + fullAvoidance);
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -40,13 +40,6 @@
     return itemOf(m_waits, service);
 }
 
-void routing_state::noteSilenceElsewhere(std::string_view endpoint, time_point now)
-{
-    const auto it = m_directory.all().find(endpoint);
-    if (it != m_directory.all().end())
-        it->second->toldSilent(now);
-}
-
 void routing_state::noteSendElsewhere(std::string_view endpoint, milliseconds reading,
                                       std::span<const prompt_prefix> prefixes, time_point now)
 {
--- a/lib/Proxy/SendNotices.cpp
+++ b/lib/Proxy/SendNotices.cpp
@@ -1,7 +1,7 @@
 //===-- SendNotices.cpp - entries tell each other of sends ------------------===//
 //
-// A notice is a MessagePack array: id, milliseconds, and hash and tokens of each prefix; of a silent
-// endpoint the id alone. Nothing waits: a datagram that can't go out at once is left out.
+// A notice is a MessagePack array: id, milliseconds, and hash and tokens of each prefix. Nothing
+// waits: a datagram that can't go out at once is left out.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/SendNotices.h"
@@ -40,11 +40,8 @@
 
 std::string laurelcroft::encodeNotice(const send_notice &notice)
 {
-    json item = json::array({notice.endpoint});
-    if (!notice.silent)
-        item.push_back(notice.reading.count());
-    const std::size_t prefixes = notice.silent ? 0 : notice.prefixes.size();
-    const std::size_t told = std::min(prefixes, send_notices::mostPrefixes);
+    json item = json::array({notice.endpoint, notice.reading.count()});
+    const std::size_t told = std::min(notice.prefixes.size(), send_notices::mostPrefixes);
     for (std::size_t i = 0; i < told; ++i) {
         item.push_back(notice.prefixes[i].hash);
         item.push_back(notice.prefixes[i].tokens);
@@ -77,23 +74,19 @@
     constexpr bool strict = true;
     constexpr bool throws = false;
     const json item = json::from_msgpack(bytes.begin(), bytes.end(), strict, throws);
-    if (!item.is_array() || item.empty() || !item[0].is_string())
-        return std::nullopt;
-    send_notice notice{item[0].get<std::string>(), {}, {}, item.size() == 1};
-    if (notice.endpoint.empty() || notice.endpoint.size() > longestId)
-        return std::nullopt;
-    if (notice.silent)
-        return notice;
-    if (!item[1].is_number_unsigned())
+    const bool hasForm = item.is_array() && item.size() >= fieldsBeforePrefixes && item[0].is_string()
+            && item[1].is_number_unsigned();
+    if (!hasForm)
         return std::nullopt;
     const auto reading = item[1].get<std::uint64_t>();
     if (reading > static_cast<std::uint64_t>(send_notices::longestReading.count()))
         return std::nullopt;
-    std::optional<std::vector<prompt_prefix>> prefixes = prefixesIn(item);
+    const std::optional<std::vector<prompt_prefix>> prefixes = prefixesIn(item);
     if (!prefixes)
         return std::nullopt;
-    notice.reading = milliseconds(reading);
-    notice.prefixes = std::move(*prefixes);
+    send_notice notice{item[0].get<std::string>(), milliseconds(reading), *prefixes};
+    if (notice.endpoint.empty() || notice.endpoint.size() > longestId)
+        return std::nullopt;
     return notice;
 }
 
@@ -213,14 +206,13 @@
 
 void send_notices::tell(const send_notice &notice, const std::string &dataCentre)
 {
-    if (!notice.silent && notice.reading < leastReading)
+    if (notice.reading < leastReading)
         return;
     const auto it = m_state->listeners.find(dataCentre);
     if (it == m_state->listeners.end())
         return;
-    send_notice bounded = notice;
-    bounded.reading = std::min(notice.reading, longestReading);
-    const std::string bytes = encodeNotice(bounded);
+    const std::string bytes = encodeNotice(
+            {notice.endpoint, std::min(notice.reading, longestReading), notice.prefixes});
     const double cost = static_cast<double>(bytes.size()) + headerBytes;
     for (const udp::endpoint &listener : it->second) {
         if (!m_state->bytes.take(cost, bootNow())) {
--- a/unittests/Fleet/ServiceDirectoryTests.cpp
+++ b/unittests/Fleet/ServiceDirectoryTests.cpp
@@ -109,34 +109,6 @@
     CHECK(!endpoint.isAvoided(start + milliseconds(4000)));
 }
 
-TEST_CASE("a silent endpoint is avoided for longer each time, until it answers")
-{
-    service_endpoint endpoint{endpoint_record{}};
-    time_point now{seconds(100)};
-    endpoint.fellSilent(now);
-    CHECK(endpoint.isAvoided(now + milliseconds(1900)));
-    CHECK(endpoint.isSilent(now + milliseconds(1900)));
-    CHECK(!endpoint.isAvoided(now + milliseconds(2100)));
-    endpoint.fellSilent(now);
-    CHECK(endpoint.isAvoided(now + milliseconds(3900)));
-    endpoint.progressed(now + milliseconds(300));
-    CHECK(!endpoint.isAvoided(now + milliseconds(300)));
-}
-
-TEST_CASE("another entry's word of silence counts unless the endpoint has just answered")
-{
-    const time_point now{seconds(100)};
-    service_endpoint unknown{endpoint_record{}};
-    unknown.toldSilent(now);
-    CHECK(unknown.isAvoided(now));
-    service_endpoint answering{endpoint_record{}};
-    answering.progressed(now - milliseconds(300));
-    answering.toldSilent(now);
-    CHECK(!answering.isAvoided(now));
-    answering.toldSilent(now + milliseconds(1000));
-    CHECK(answering.isAvoided(now + milliseconds(1000)));
-}
-
 TEST_CASE("a late heartbeat doesn't bring back an endpoint that has left")
 {
     service_directory directory;
--- a/unittests/Proxy/FlowTests.cpp
+++ b/unittests/Proxy/FlowTests.cpp
@@ -352,32 +352,6 @@
     }
 }
 
-TEST_CASE("an endpoint that answers nobody is passed over by the next request, and told of once")
-{
-    flow_world world(lookupRoute(), {"e1", "e2"});
-    std::vector<std::string> told;
-    world.routing.setSilenceListener(
-            [&](const service_endpoint &endpoint) { told.push_back(endpoint.record().id); });
-    startFlow(world, requestFor(lookupRoute()));
-    const std::string dark = world.calls[0].attempt.endpoint->record().id;
-    world.runtime.advance(milliseconds(1000));
-    REQUIRE(world.calls.size() == 2);
-    CHECK(told == std::vector<std::string>{dark});
-    for (std::size_t next = 2; next < 8; ++next) {
-        startFlow(world, requestFor(lookupRoute()));
-        REQUIRE(world.calls.size() == next + 1);
-        CHECK(world.calls[next].attempt.endpoint->record().id != dark);
-    }
-    // One that other requests hear from is not silent, only slow with this one.
-    flow_world busy(lookupRoute(), {"e1", "e2"});
-    busy.routing.setSilenceListener([&](const service_endpoint &) { FAIL("told of silence"); });
-    startFlow(busy, requestFor(lookupRoute()));
-    busy.runtime.advance(milliseconds(100));
-    busy.calls[0].attempt.endpoint->progressed(busy.runtime.now());
-    busy.runtime.advance(milliseconds(2000));
-    CHECK(busy.calls.size() == 2);
-}
-
 TEST_CASE("an entry that ends refuses truly, with the time to come back, and asks no endpoint")
 {
     flow_world world(fetchRoute(), {"e1"});
--- a/unittests/Proxy/SendNoticesTests.cpp
+++ b/unittests/Proxy/SendNoticesTests.cpp
@@ -52,15 +52,6 @@
     CHECK(!decodeNotice(encodeNotice({"i-1", milliseconds(1), {{1, hugeTokens}}})));
 }
 
-TEST_CASE("an endpoint's silence survives the way")
-{
-    const send_notice notice{"i-7f3a91c2", {}, {}, true};
-    CHECK(decodeNotice(encodeNotice(notice)) == notice);
-    CHECK(!decodeNotice(encodeNotice({"", {}, {}, true})));
-    const send_notice sent{"i-7f3a91c2", milliseconds(0), {}, false};
-    CHECK(decodeNotice(encodeNotice(sent)) == sent);
-}
-
 TEST_CASE("a prompt of very many parts is told by its first ones")
 {
     const std::vector<prompt_prefix> many(100, {5, 10});
