--- /dev/null
+++ b/unittests/Proxy/ProxyServerTests.cpp
@@ -0,0 +1,129 @@
+//===-- ProxyServerTests.cpp - the end of an entry --------------------------===//
+//
+// Real sockets on the loopback address; the test is the caller and the endpoint.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/ProxyServer.h"
+
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <memory>
+#include <string>
+
+using namespace laurelcroft;
+using asio::ip::tcp;
+
+namespace {
+
+const asio::ip::address loopback = asio::ip::make_address("127.0.0.1");
+
+proxy_dialect plainDialect()
+{
+    proxy_dialect dialect;
+    dialect.decodeRequest = [](message_head &&) {
+        proxy_request request;
+        request.id = "r1";
+        request.method = "GET";
+        request.host = "site.example";
+        request.path = "/a/x";
+        request.target = request.path;
+        return request;
+    };
+    dialect.encodeAttempt = [](const proxy_attempt &) {
+        return std::string("GET /a/x HTTP/1.1\r\nHost: site.example\r\n\r\n");
+    };
+    dialect.decodeAnswer = [](message_head &&) { return proxy_answer(); };
+    return dialect;
+}
+
+std::uint16_t freePort(asio::io_context &context)
+{
+    return tcp::acceptor(context, {loopback, 0}).local_endpoint().port();
+}
+
+/// An entry with one route to one endpoint, which takes connections and answers nothing.
+struct entry_world
+{
+    entry_world()
+    {
+        service_route route;
+        route.name = "route";
+        route.host = "site.example";
+        route.pathPrefix = "/a/";
+        route.timeout = milliseconds(1000);
+        route.services = {{"pool", 1.0}};
+        auto contract = std::make_shared<service_contract>();
+        contract->version = 1;
+        contract->routes.push_back(route);
+        contract->services.push_back({"pool", 64, false, {}});
+        routing.setContract(contract);
+
+        endpoint_record record;
+        record.id = "e1";
+        record.service = "pool";
+        record.host = "127.0.0.1";
+        record.port = endpoint.local_endpoint().port();
+        routing.directory().apply(record, bootNow());
+
+        options.host = "127.0.0.1";
+        options.port = freePort(context);
+        options.readyHost = "127.0.0.1";
+        options.readyPort = freePort(context);
+        options.readyPath = "/ready";
+        options.turnAway = milliseconds(50);
+        options.grace = milliseconds(5000);
+        endpoint.non_blocking(true);
+    }
+
+    void runFor(milliseconds time)
+    {
+        context.restart();
+        context.run_for(time);
+    }
+
+    bool endpointWasCalled()
+    {
+        asio::error_code error;
+        endpoint.accept(error);
+        return !error;
+    }
+
+    asio::io_context context;
+    metric_registry metrics;
+    routing_state routing{{}, {}, 1};
+    tcp::acceptor endpoint{context, {loopback, 0}};
+    proxy_options options;
+};
+
+} // namespace
+
+TEST_CASE("a request that comes after an entry has found itself drained is refused, not cut")
+{
+    entry_world world;
+    proxy_server server(world.context, world.routing, world.metrics, plainDialect(), world.options);
+    REQUIRE(server.open().empty());
+    world.runFor(milliseconds(50));
+    bool drained = false;
+    server.drain([&] { drained = true; });
+    // Nothing runs, so that the entry is drained when it begins to turn callers away, and ends a
+    // moment later.
+    world.runFor(world.options.turnAway + milliseconds(30));
+    REQUIRE(!drained);
+
+    tcp::socket caller(world.context);
+    caller.connect({loopback, world.options.port});
+    asio::write(caller, asio::buffer(std::string("GET /a/x HTTP/1.1\r\nHost: x\r\n\r\n")));
+    world.runFor(milliseconds(30));
+    CHECK(!world.endpointWasCalled());
+    caller.non_blocking(true);
+    std::array<char, 256> buffer{};
+    asio::error_code error;
+    const std::size_t size = caller.read_some(asio::buffer(buffer), error);
+    CHECK(std::string_view(buffer.data(), size).substr(0, 12) == "HTTP/1.1 503");
+}
