--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -188,7 +188,8 @@
         candidate.waitMs = endpoint->readingMs()
                 + flow_bounds::weightElsewhere * endpoint->readingElsewhereMs(at)
                 + expectedReadingMs(tokensToRead(*endpoint));
-        candidate.unseenMs = expectedReadingMs(sharedTokens - endpoint->prompts().keptTokens(m_prefixes));
+        candidate.unseenMs
+                = expectedReadingMs(sharedTokens - endpoint->prompts().keptTokens(m_prefixes));
         candidate.failureShare = endpoint->failureShare(at);
         candidate.sameDataCentre = endpoint->record().dataCentre == state.dataCentre();
         candidate.avoided = endpoint->isAvoided(at);
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -15,6 +15,7 @@
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <unordered_set>
 #include <utility>
@@ -334,7 +335,8 @@
     if (written || late) {
         logInfo(log_part::routing, "drained",
                 {{"unfinished", std::int64_t(late ? flows.size() : 0)}});
-        // What comes from now on would be cut: 1 request on 4 of 60 days with restarts.
+        // What comes from now on would be cut: one or two requests on each of four days of
+        // restarts.
         giveUpAt = std::min(giveUpAt, runtime.now());
         // One more turn of the loop writes the last answers.
         runtime.after(drainCheckEvery, drained);
--- a/lib/Proxy/SendNotices.cpp
+++ b/lib/Proxy/SendNotices.cpp
@@ -74,8 +74,8 @@
     constexpr bool strict = true;
     constexpr bool throws = false;
     const json item = json::from_msgpack(bytes.begin(), bytes.end(), strict, throws);
-    const bool hasForm = item.is_array() && item.size() >= fieldsBeforePrefixes && item[0].is_string()
-            && item[1].is_number_unsigned();
+    const bool hasForm = item.is_array() && item.size() >= fieldsBeforePrefixes
+            && item[0].is_string() && item[1].is_number_unsigned();
     if (!hasForm)
         return std::nullopt;
     const auto reading = item[1].get<std::uint64_t>();
--- a/unittests/Policy/DirectPolicyTests.cpp
+++ b/unittests/Policy/DirectPolicyTests.cpp
@@ -192,7 +192,7 @@
     CHECK(chooseDirect(candidates, prompt, 1)->index != home);
 }
 
-TEST_CASE("a shared part that is long to read has one home in the site, a short one in each data centre")
+TEST_CASE("a long shared part has one home in the site, a short one in each data centre")
 {
     constexpr double waitMs = 1500;
     unsigned homesAbroad = 0;
@@ -274,7 +274,7 @@
     CHECK(escalated(5) == 0);
 }
 
-TEST_CASE("a model's reading rate is known after its first prompt, without what was read before it")
+TEST_CASE("a model's reading rate is known after its first prompt, less what was read before")
 {
     constexpr unsigned tokens = 10'000;
     prompt_rate rate;
