--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -95,6 +95,7 @@
     const weighted_service &pickService();
     void sendNext();
     std::optional<endpoint_pick> pickEndpoint();
+    direct_candidate candidateFor(const endpoint_ptr &endpoint);
     std::optional<endpoint_pick> pickAmong(const std::vector<endpoint_ptr> &endpoints);
     void send(const endpoint_ptr &endpoint);
     call_events eventsFor(unsigned number);
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -16,9 +16,6 @@
 template <flow_environment Env>
 void request_flow<Env>::start()
 {
-    m_arrivedAt = now();
-    m_record.request = m_request->id;
-    m_record.session = m_request->session;
     if (admit())
         serve();
 }
@@ -26,9 +23,6 @@
 template <flow_environment Env>
 void request_flow<Env>::startBefore(time_point end, milliseconds retryAfter)
 {
-    m_arrivedAt = now();
-    m_record.request = m_request->id;
-    m_record.session = m_request->session;
     if (!admit())
         return;
     // The balancer has nobody else while all entries are restarted one after the other: serving
@@ -64,6 +58,9 @@
 template <flow_environment Env>
 bool request_flow<Env>::admit()
 {
+    m_arrivedAt = now();
+    m_record.request = m_request->id;
+    m_record.session = m_request->session;
     if (!m_contract) {
         refuse(http_status::unavailable, flow_reason::noContract, flow_bounds::retryAfterNothing);
         return false;
@@ -171,37 +168,40 @@
     return pickAmong(rollouts.eligible(usable, m_session));
 }
 
+template <flow_environment Env>
+direct_candidate request_flow<Env>::candidateFor(const endpoint_ptr &endpoint)
+{
+    const time_point at = now();
+    const unsigned unseen = tokensOf(m_prefixes) - endpoint->prompts().keptTokens(m_prefixes);
+    direct_candidate candidate;
+    candidate.id = endpoint->record().id;
+    candidate.load = endpoint->expectedLoad(at);
+    candidate.slots = std::max(1U, endpoint->record().slots);
+    candidate.waitMs = endpoint->readingMs()
+            + flow_bounds::weightElsewhere * endpoint->readingElsewhereMs(at)
+            + expectedReadingMs(tokensToRead(*endpoint));
+    candidate.unseenMs = expectedReadingMs(unseen);
+    candidate.failureShare = endpoint->failureShare(at);
+    candidate.sameDataCentre = endpoint->record().dataCentre == m_env.routing().dataCentre();
+    candidate.avoided = endpoint->isAvoided(at);
+    candidate.tried = std::find(m_tried.begin(), m_tried.end(), candidate.id) != m_tried.end();
+    candidate.hasConnection = m_env.hasRoomAt(endpoint);
+    return candidate;
+}
+
 template <flow_environment Env>
 std::optional<endpoint_pick>
 request_flow<Env>::pickAmong(const std::vector<endpoint_ptr> &endpoints)
 {
-    routing_state &state = m_env.routing();
-    const time_point at = now();
-    const unsigned sharedTokens = tokensOf(m_prefixes);
     std::vector<direct_candidate> candidates;
     candidates.reserve(endpoints.size());
-    for (const endpoint_ptr &endpoint : endpoints) {
-        direct_candidate candidate;
-        candidate.id = endpoint->record().id;
-        candidate.load = endpoint->expectedLoad(at);
-        candidate.slots = std::max(1U, endpoint->record().slots);
-        candidate.waitMs = endpoint->readingMs()
-                + flow_bounds::weightElsewhere * endpoint->readingElsewhereMs(at)
-                + expectedReadingMs(tokensToRead(*endpoint));
-        candidate.unseenMs
-                = expectedReadingMs(sharedTokens - endpoint->prompts().keptTokens(m_prefixes));
-        candidate.failureShare = endpoint->failureShare(at);
-        candidate.sameDataCentre = endpoint->record().dataCentre == state.dataCentre();
-        candidate.avoided = endpoint->isAvoided(at);
-        candidate.tried = std::find(m_tried.begin(), m_tried.end(), candidate.id) != m_tried.end();
-        candidate.hasConnection = m_env.hasRoomAt(endpoint);
-        candidates.push_back(candidate);
-    }
+    for (const endpoint_ptr &endpoint : endpoints)
+        candidates.push_back(candidateFor(endpoint));
     std::optional<shared_prompt> shared;
     if (!m_prefixes.empty())
-        shared = {m_prefixes.back().hash, expectedReadingMs(sharedTokens)};
+        shared = {m_prefixes.back().hash, expectedReadingMs(tokensOf(m_prefixes))};
     const std::optional<direct_choice> choice
-            = chooseDirect(candidates, shared, state.random().bits());
+            = chooseDirect(candidates, shared, m_env.routing().random().bits());
     if (!choice)
         return std::nullopt;
     m_record.choice = textOf(choice->reason);
