The log keeps why an endpoint was chosen when no larger model is asked after all

Cause: since a larger model is asked only when it would be in time, an endpoint is picked for it first. The pick wrote its reason into the request's record even when the small model's answer was kept, so that the line named the reason of a send that never was.

Change: the reason goes with the pick and is noted by the send. Red test first: the record said last_resort where the request had gone out as least_cost. No decision changes.

--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -56,6 +56,7 @@
 {
     endpoint_ptr endpoint;
     double waitMs = 0; ///< for prompts that it reads before, and for this one
+    direct_reason reason = direct_reason::leastCost;
 };
 
 /// One request. Keep it alive until \c isDone.
@@ -97,7 +98,7 @@
     std::optional<endpoint_pick> pickEndpoint();
     direct_candidate candidateFor(const endpoint_ptr &endpoint);
     std::optional<endpoint_pick> pickAmong(const std::vector<endpoint_ptr> &endpoints);
-    void send(const endpoint_ptr &endpoint);
+    void send(const endpoint_pick &pick);
     call_events eventsFor(unsigned number);
     void watchProgress(unsigned number);
     std::vector<prompt_prefix> prefixesOf(const std::string &model) const;
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -100,7 +100,7 @@
     m_env.cancel(m_call);
     m_mayHaveRun = true;
     ++m_record.escalations;
-    send(pick->endpoint);
+    send(*pick);
 }
 
 template <flow_environment Env>
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -206,8 +206,7 @@
             = chooseDirect(candidates, shared, m_env.routing().random().bits());
     if (!choice)
         return std::nullopt;
-    m_record.choice = textOf(choice->reason);
-    return endpoint_pick{endpoints[choice->index], choice->waitMs};
+    return endpoint_pick{endpoints[choice->index], choice->waitMs, choice->reason};
 }
 
 template <flow_environment Env>
@@ -215,7 +214,7 @@
 {
     const std::optional<endpoint_pick> pick = pickEndpoint();
     if (pick) {
-        send(pick->endpoint);
+        send(*pick);
         return;
     }
     if (m_begun) {
@@ -234,8 +233,9 @@
 }
 
 template <flow_environment Env>
-void request_flow<Env>::send(const endpoint_ptr &endpoint)
+void request_flow<Env>::send(const endpoint_pick &pick)
 {
+    const endpoint_ptr &endpoint = pick.endpoint;
     routing_state &state = m_env.routing();
     m_attemptAt = now();
     m_progressAt = m_attemptAt;
@@ -262,6 +262,7 @@
     ++m_number;
 
     m_record.attempts = m_number;
+    m_record.choice = textOf(pick.reason);
     m_record.endpoint = endpoint->record().id;
     m_record.endpointVersion = endpoint->record().softwareVersion;
 
--- a/unittests/Proxy/FlowTests.cpp
+++ b/unittests/Proxy/FlowTests.cpp
@@ -248,6 +248,26 @@
     }
 }
 
+TEST_CASE("the log keeps why an endpoint was chosen when no larger model is asked after all")
+{
+    flow_world world(draftRoute(), {"e1", "e2"});
+    world.routing.promptRate("small").note(10'000, 100);
+    auto request = requestFor(draftRoute());
+    request->promptTokens = 40'000;
+    startFlow(world, request);
+    REQUIRE(world.calls.size() == 1);
+    // The choice for the larger model would be a last resort.
+    for (const auto &[id, endpoint] : world.routing.directory().all())
+        endpoint->unreachable(world.runtime.now());
+    world.runtime.advance(milliseconds(100));
+    world.answer(0, 200, 5);
+    world.data(0, eventText(1));
+    world.end(0, call_end::complete);
+    REQUIRE(world.calls.size() == 1);
+    REQUIRE(world.record);
+    CHECK(world.record->choice == "least_cost");
+}
+
 TEST_CASE("the caller's own model is never replaced")
 {
     flow_world world(draftRoute(), {"e1"});
