What a prompt costs to read is worked out once for a choice, not once an endpoint

The wait before the own prompt was summed again by the send, which now takes it from the pick; the share of the objective and the test whether a candidate may be sent to stood twice. Tests of the store set up a roll-out in one place. No decision changes.

--- a/include/laurelcroft/Policy/PromptRate.h
+++ b/include/laurelcroft/Policy/PromptRate.h
@@ -22,8 +22,8 @@
     /// \returns true when a sample was taken.
     bool isKnown() const { return m_samples > 0; }
 
-    /// \returns the time that reading \p tokens is thought to take, in milliseconds.
-    double expectedMs(unsigned tokens) const { return m_msPerToken * tokens; }
+    /// \returns the time that reading a token is thought to take, in milliseconds.
+    double msPerToken() const { return m_msPerToken; }
 
 private:
     /// Before the first sample: a middle-sized model on a large accelerator.
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -59,6 +59,13 @@
     direct_reason reason = direct_reason::leastCost;
 };
 
+/// What a request's prompt costs the current model to read, the same at all endpoints.
+struct prompt_cost
+{
+    unsigned sharedTokens = 0; ///< of its shared prefixes
+    double msPerToken = 0;
+};
+
 /// One request. Keep it alive until \c isDone.
 template <flow_environment Env>
 class request_flow : public std::enable_shared_from_this<request_flow<Env>>
@@ -96,15 +103,16 @@
     const weighted_service &pickService();
     void sendNext();
     std::optional<endpoint_pick> pickEndpoint();
-    direct_candidate candidateFor(const endpoint_ptr &endpoint);
+    direct_candidate candidateFor(const endpoint_ptr &endpoint, const prompt_cost &prompt);
     std::optional<endpoint_pick> pickAmong(const std::vector<endpoint_ptr> &endpoints);
     void send(const endpoint_pick &pick);
     call_events eventsFor(unsigned number);
     void watchProgress(unsigned number);
     std::vector<prompt_prefix> prefixesOf(const std::string &model) const;
     std::string modelName() const;
-    unsigned tokensToRead(const service_endpoint &endpoint) const;
-    double expectedReadingMs(unsigned tokens);
+    unsigned tokensToRead(unsigned kept) const;
+    double readingMsPerToken();
+    double ofObjective(std::chrono::duration<double, std::milli> time) const;
     void endReading();
     milliseconds patienceNow();
     bool seemsDead();
@@ -113,7 +121,6 @@
     void noteWait();
     void escalate();
     cascade_view cascadeView();
-    double expectedAt(double waitMs);
     void onData(std::string_view data);
     void onEvent(const stream_event &event);
     void onEnd(call_end end);
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -42,8 +42,7 @@
 void request_flow<Env>::noteWait()
 {
     const std::chrono::duration<double, std::milli> wait = now() - m_attemptAt;
-    const std::chrono::duration<double, std::milli> objective = m_route->objective;
-    m_env.routing().waits(m_service).note(wait / objective);
+    m_env.routing().waits(m_service).note(ofObjective(wait));
     if (m_answered)
         m_env.routing().promptRate(m_record.model).note(m_readTokens, wait.count(), m_ownShare);
     m_record.serviceWait = m_env.routing().waits(m_service).mean();
@@ -63,14 +62,6 @@
     return view;
 }
 
-template <flow_environment Env>
-double request_flow<Env>::expectedAt(double waitMs)
-{
-    const std::chrono::duration<double, std::milli> passed = now() - m_arrivedAt;
-    const std::chrono::duration<double, std::milli> objective = m_route->objective;
-    return (passed.count() + waitMs) / objective.count();
-}
-
 template <flow_environment Env>
 void request_flow<Env>::escalate()
 {
@@ -86,8 +77,10 @@
     const std::size_t smaller = std::exchange(m_model, *larger);
     m_prefixes = prefixesOf(modelName());
     const std::optional<endpoint_pick> pick = pickEndpoint();
-    if (pick)
-        view.expectedAt = expectedAt(pick->waitMs);
+    if (pick) {
+        const std::chrono::duration<double, std::milli> wait(pick->waitMs);
+        view.expectedAt = ofObjective(now() - m_arrivedAt + wait);
+    }
     m_record.largerExpectedAt = view.expectedAt;
     if (!pick || !escalatesTo(settings, view)) {
         m_tried = tried;
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -127,20 +127,19 @@
 }
 
 template <flow_environment Env>
-unsigned request_flow<Env>::tokensToRead(const service_endpoint &endpoint) const
+unsigned request_flow<Env>::tokensToRead(unsigned kept) const
 {
-    const unsigned kept = endpoint.prompts().keptTokens(m_prefixes);
     return m_request->promptTokens - std::min(kept, m_request->promptTokens);
 }
 
 template <flow_environment Env>
-double request_flow<Env>::expectedReadingMs(unsigned tokens)
+double request_flow<Env>::readingMsPerToken()
 {
     routing_state &state = m_env.routing();
     const prompt_rate &rate = state.promptRate(modelName());
     const bool first = !m_request->anyModel || m_model == 0;
     if (first || rate.isKnown())
-        return rate.expectedMs(tokens);
+        return rate.msPerToken();
     // Before a larger model has read a prompt for this entry, its price tells how much slower it
     // is than the smallest: entries that have just started would else ask it for all. It gains
     // 0.026 of worth on 32 entries with 57 endpoints (0.619 to 0.646, 3 days with faults) and 0.010
@@ -148,7 +147,7 @@
     const service_description *service = m_contract->findService(m_service);
     const std::string &smallest = m_route->models.front();
     const double slower = service ? service->priceRatio(modelName(), smallest) : 1;
-    return slower * state.promptRate(smallest).expectedMs(tokens);
+    return slower * state.promptRate(smallest).msPerToken();
 }
 
 template <flow_environment Env>
@@ -171,18 +170,26 @@
 }
 
 template <flow_environment Env>
-direct_candidate request_flow<Env>::candidateFor(const endpoint_ptr &endpoint)
+double request_flow<Env>::ofObjective(std::chrono::duration<double, std::milli> time) const
+{
+    const std::chrono::duration<double, std::milli> objective = m_route->objective;
+    return time / objective;
+}
+
+template <flow_environment Env>
+direct_candidate request_flow<Env>::candidateFor(const endpoint_ptr &endpoint,
+                                                 const prompt_cost &prompt)
 {
     const time_point at = now();
-    const unsigned unseen = tokensOf(m_prefixes) - endpoint->prompts().keptTokens(m_prefixes);
+    const unsigned kept = endpoint->prompts().keptTokens(m_prefixes);
     direct_candidate candidate;
     candidate.id = endpoint->record().id;
     candidate.load = endpoint->expectedLoad(at);
     candidate.slots = std::max(1U, endpoint->record().slots);
     candidate.waitMs = endpoint->readingMs()
             + flow_bounds::weightElsewhere * endpoint->readingElsewhereMs(at)
-            + expectedReadingMs(tokensToRead(*endpoint));
-    candidate.unseenMs = expectedReadingMs(unseen);
+            + prompt.msPerToken * tokensToRead(kept);
+    candidate.unseenMs = prompt.msPerToken * (prompt.sharedTokens - kept);
     candidate.failureShare = endpoint->failureShare(at);
     candidate.sameDataCentre = endpoint->record().dataCentre == m_env.routing().dataCentre();
     candidate.avoided = endpoint->isAvoided(at);
@@ -195,13 +202,14 @@
 std::optional<endpoint_pick>
 request_flow<Env>::pickAmong(const std::vector<endpoint_ptr> &endpoints)
 {
+    const prompt_cost prompt{tokensOf(m_prefixes), readingMsPerToken()};
     std::vector<direct_candidate> candidates;
     candidates.reserve(endpoints.size());
     for (const endpoint_ptr &endpoint : endpoints)
-        candidates.push_back(candidateFor(endpoint));
+        candidates.push_back(candidateFor(endpoint, prompt));
     std::optional<shared_prompt> shared;
     if (!m_prefixes.empty())
-        shared = {m_prefixes.back().hash, expectedReadingMs(tokensOf(m_prefixes))};
+        shared = {m_prefixes.back().hash, prompt.msPerToken * prompt.sharedTokens};
     const std::optional<direct_choice> choice
             = chooseDirect(candidates, shared, m_env.routing().random().bits());
     if (!choice)
@@ -246,12 +254,11 @@
     m_splitter = isStream() ? std::make_unique<event_splitter>() : nullptr;
     m_endpoint = endpoint;
     m_endpoint->began();
-    m_readTokens = tokensToRead(*endpoint);
-    m_readingMs = expectedReadingMs(m_readTokens);
+    m_readTokens = tokensToRead(endpoint->prompts().keptTokens(m_prefixes));
+    m_readingMs = readingMsPerToken() * m_readTokens;
     m_expectedMs = m_endpoint->readingMs() + m_readingMs;
     m_elsewhereMs = m_endpoint->readingElsewhereMs(m_attemptAt);
-    const double allMs = m_expectedMs + flow_bounds::weightElsewhere * m_elsewhereMs;
-    m_ownShare = allMs > 0 ? m_readingMs / allMs : 1;
+    m_ownShare = pick.waitMs > 0 ? m_readingMs / pick.waitMs : 1;
     m_endpoint->beganReading(m_readingMs);
     state.noteSend(*endpoint, m_readingMs, m_prefixes);
     m_endpoint->prompts().note(m_prefixes);
--- a/lib/Policy/DirectChoice.cpp
+++ b/lib/Policy/DirectChoice.cpp
@@ -62,6 +62,11 @@
     return cost;
 }
 
+static bool mayBeSentTo(const direct_candidate &candidate)
+{
+    return !candidate.tried && candidate.hasConnection;
+}
+
 /// \returns the candidate that ranks first for \p shared among those that may be its home.
 static std::optional<std::size_t> homeOf(std::span<const direct_candidate> candidates,
                                          const shared_prompt &shared)
@@ -72,7 +77,7 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const direct_candidate &candidate = candidates[i];
         const bool near = anywhere || candidate.sameDataCentre;
-        if (!near || candidate.avoided || candidate.tried || !candidate.hasConnection)
+        if (!near || candidate.avoided || !mayBeSentTo(candidate))
             continue;
         const std::uint64_t rank = stableHash(candidate.id, shared.hash);
         if (!home || rank > highest) {
@@ -90,7 +95,7 @@
     std::optional<direct_choice> best;
     std::uint64_t bestTie = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (candidates[i].tried || !candidates[i].hasConnection)
+        if (!mayBeSentTo(candidates[i]))
             continue;
         const double cost = costOf(candidates[i]);
         const std::uint64_t tie = stableHash(candidates[i].id, tieBreaker);
--- a/unittests/Policy/DirectPolicyTests.cpp
+++ b/unittests/Policy/DirectPolicyTests.cpp
@@ -283,16 +283,16 @@
     CHECK(!rate.isKnown());
     rate.note(tokens, 800);
     CHECK(rate.isKnown());
-    CHECK(rate.expectedMs(tokens) == doctest::Approx(800));
+    CHECK(rate.msPerToken() * tokens == doctest::Approx(800));
     // Behind another prompt as long, the same wait tells of half the rate.
     prompt_rate behind;
     behind.note(tokens, 800, 0.5);
-    CHECK(behind.expectedMs(tokens) == doctest::Approx(400));
+    CHECK(behind.msPerToken() * tokens == doctest::Approx(400));
     // Later on queues raise it only slowly.
     for (int i = 0; i < 50; ++i)
         rate.note(tokens, 800);
     rate.note(tokens, 8000);
-    CHECK(rate.expectedMs(tokens) < 1000);
+    CHECK(rate.msPerToken() * tokens < 1000);
 }
 
 TEST_CASE("a trial is no larger than its evidence needs, and never beyond the exposure")
--- a/unittests/Proxy/StoreSyncTests.cpp
+++ b/unittests/Proxy/StoreSyncTests.cpp
@@ -79,6 +79,14 @@
                                                 metrics, plainCodec(), links()};
 
     /// Starts, and reads all tables once.
+    /// Endpoints of two versions are listed, and the newer one is to take over.
+    void orderRollout()
+    {
+        store.put("endpoints", "a", "v1");
+        store.put("endpoints", "b", "v2");
+        store.put("orders", "pool", "v2");
+    }
+
     void begin()
     {
         sync.start();
@@ -227,9 +235,7 @@
 TEST_CASE("an order is carried out to its end and the operator is told")
 {
     sync_world world;
-    world.store.put("endpoints", "a", "v1");
-    world.store.put("endpoints", "b", "v2");
-    world.store.put("orders", "pool", "v2");
+    world.orderRollout();
     world.sync.start();
     world.runtime.advance(seconds(2));
     CHECK(world.store.valueOf("status", "pool") == "pilot");
@@ -250,9 +256,7 @@
 TEST_CASE("after an outage a roll-out waits for what the other entries have found")
 {
     sync_world world;
-    world.store.put("endpoints", "a", "v1");
-    world.store.put("endpoints", "b", "v2");
-    world.store.put("orders", "pool", "v2");
+    world.orderRollout();
     world.sync.start();
     world.runtime.advance(seconds(6));
     CHECK(world.store.valueOf("status", "pool") == "trial");
@@ -307,9 +311,7 @@
 TEST_CASE("an entry that starts in the middle of a roll-out goes on from the row")
 {
     sync_world world;
-    world.store.put("endpoints", "a", "v1");
-    world.store.put("endpoints", "b", "v2");
-    world.store.put("orders", "pool", "v2");
+    world.orderRollout();
     // The order's row has version 4 here.
     const rollout_row row{4, "v2", rollout_stage::reverted, milliseconds(1), milliseconds(1), 0.1};
     world.store.put("laurelcroft", "rollout/pool", encodeRollout(row));
