A stream that has begun goes on where it began, the last time at the settled version

Ruled out: the endpoint broke off (it answered a whole failure), the deadline (6 s were left). Change: attempts of a begun stream keep to the version that began it, the last one to the settled version. Red test first: 'a stream that has begun does not go over to a version whose trial starts meanwhile' failed with v2 in place of v1.

--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -103,6 +103,7 @@
     const weighted_service &pickService();
     void sendNext();
     std::optional<endpoint_pick> pickEndpoint();
+    std::optional<endpoint_pick> pickForRest(const std::vector<endpoint_ptr> &usable);
     direct_candidate candidateFor(const endpoint_ptr &endpoint, const prompt_cost &prompt);
     std::optional<endpoint_pick> pickAmong(const std::vector<endpoint_ptr> &endpoints);
     void send(const endpoint_pick &pick);
@@ -170,6 +171,7 @@
     bool m_mayHaveRun = false; ///< at an earlier endpoint
     bool m_hasFailure = false; ///< the last attempt brought an endpoint's own whole failure
     bool m_begun = false; ///< the caller has the head of a stream
+    std::string m_streamVersion; ///< of the endpoint that began the stream
     std::optional<std::uint64_t> m_lastEvent;
     std::string m_body;
     std::unique_ptr<event_splitter> m_splitter;
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -132,6 +132,7 @@
         return;
     if (!m_begun) {
         m_begun = true;
+        m_streamVersion = m_endpoint->record().softwareVersion;
         m_record.firstPart = std::chrono::duration_cast<milliseconds>(now() - m_arrivedAt);
         m_record.status = m_answer.status;
         m_env.begin(m_answer.status, m_answer.headers);
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -157,6 +157,10 @@
     state.directory().expire(now());
     rollout_tracker &rollouts = state.rollouts(m_service);
     const std::vector<endpoint_ptr> usable = state.directory().usable(m_service);
+    if (m_begun) {
+        if (const std::optional<endpoint_pick> rest = pickForRest(usable))
+            return rest;
+    }
     std::optional<endpoint_pick> first = pickAmong(rollouts.eligible(usable, m_session));
     // What failed on a trial's few endpoints is still served by the settled version.
     if (first)
@@ -169,6 +173,26 @@
     return pickAmong(rollouts.eligible(usable, m_session));
 }
 
+template <flow_environment Env>
+std::optional<endpoint_pick> request_flow<Env>::pickForRest(const std::vector<endpoint_ptr> &usable)
+{
+    // A stream goes on where it began: a trial that has started meanwhile may fail what the caller
+    // holds half of. The last attempt trusts no version on trial at all; it answered one of 106,000
+    // streams with a failure after which nothing was left but to break the stream off.
+    const bool isLast = m_sends + 1 >= m_route->mostEndpoints;
+    if (isLast) {
+        const auto settled = pickAmong(m_env.routing().rollouts(m_service).settled(usable));
+        if (settled)
+            return settled;
+    }
+    std::vector<endpoint_ptr> alike;
+    for (const endpoint_ptr &endpoint : usable) {
+        if (endpoint->record().softwareVersion == m_streamVersion)
+            alike.push_back(endpoint);
+    }
+    return pickAmong(alike);
+}
+
 template <flow_environment Env>
 double request_flow<Env>::ofObjective(std::chrono::duration<double, std::milli> time) const
 {
