Roll-outs are judged by those who hear of all answers; evidence goes by datagram

By the log all 103 entries judged slowness with '6 bad of 6 answers': only entries that have seen a bad answer write a row, and where each entry sees one or two answers the good ones are never heard of. With fewer readers none had judged the 15 answers that a completion needs either. Change: each entry tells what it has seen, good and bad, to the entries that read the store, by datagram of cumulative counts (some 50 bytes, at most each 500 ms, within the 2 KB/s of notices). Only entries that read the store count others' evidence. Rows stay for what no datagram reaches, a few at a time. Tests: an entry that hears of bad answers only doesn't judge by them; late and repeated news.

--- a/include/laurelcroft/Platform/RowFollower.h
+++ b/include/laurelcroft/Platform/RowFollower.h
@@ -108,6 +108,9 @@
     /// first answer.
     time_point steadySince() const { return m_steadySince; }
 
+    /// \returns when a relay last answered; the clock's beginning when none has.
+    time_point relayedAt() const { return m_relayedAt; }
+
 private:
     bool asksRelayFirst() const { return m_relay.read && m_relay.isPreferred(); }
 
@@ -136,6 +139,7 @@
     {
         if (result) {
             // It gives on only what the store has confirmed a moment ago.
+            m_relayedAt = m_runtime.now();
             noteRegained();
             takeNews(std::move(result.value()));
             const auto rest = relayPace - (m_runtime.now() - askedAt);
@@ -267,6 +271,7 @@
     time_point m_lostAt{};
     time_point m_confirmedAt{};
     time_point m_steadySince{};
+    time_point m_relayedAt{};
 };
 
 } // namespace laurelcroft
--- a/include/laurelcroft/Proxy/PeerRows.h
+++ b/include/laurelcroft/Proxy/PeerRows.h
@@ -8,7 +8,6 @@
 #define LAURELCROFT_PROXY_PEERROWS_H
 
 #include "laurelcroft/Http/Client.h"
-#include "laurelcroft/Proxy/RolloutRows.h"
 #include "laurelcroft/Proxy/RowMirror.h"
 #include "laurelcroft/Support/Metrics.h"
 
@@ -18,18 +17,6 @@
 
 namespace laurelcroft {
 
-/// Entries that read the store for the others. Calls to it have a price, and two may be
-/// asked by turns, so that one may be gone or cut off.
-inline constexpr std::size_t fewestReaders = 2;
-/// Entries for each reader at most: each asks once or twice a second, so that a reader spends less
-/// than a hundredth of a core on them. With 16 the calls to the store cost 0.015 more of what is
-/// earned in 45 s by 103 entries.
-inline constexpr std::size_t entriesOfReader = 48;
-
-/// \returns the addresses of two entries that read the store for \p own, those of its own data
-/// centre first; empty when it reads the store itself.
-std::vector<std::string> readersFor(const entry_map &entries, const std::string &own);
-
 /// The other entries, as sources of rows.
 class peer_rows
 {
--- a/include/laurelcroft/Proxy/RolloutRows.h
+++ b/include/laurelcroft/Proxy/RolloutRows.h
@@ -35,9 +35,11 @@
 {
     std::uint64_t orderedAt = 0; ///< as in the order
     std::map<std::string, version_answers> byRoute;
+    std::uint64_t life = 0; ///< random for each process, which counts from nothing; 0: not told
     bool operator==(const rollout_evidence &) const = default;
 
     std::uint64_t bad() const;
+    std::uint64_t all() const;
 };
 
 /// The table of laurelcroft's own rows.
--- a/include/laurelcroft/Proxy/RolloutTracker.h
+++ b/include/laurelcroft/Proxy/RolloutTracker.h
@@ -86,9 +86,14 @@
     /// Answers of the target version that this entry has seen since the order, by route.
     const rollout_evidence &ownEvidence() const { return m_own; }
 
-    /// Takes what another entry has seen since the order.
+    /// Takes what another entry has seen since the order. Late and repeated news change nothing.
     void takeEvidence(const std::string &entry, const rollout_evidence &evidence);
 
+    /// Whether others' evidence counts. It does where all of it comes: elsewhere only entries that
+    /// have seen bad answers are heard of, and a good version looks bad. \p judges may change;
+    /// what came meanwhile counts then.
+    void setJudgesOthers(bool judges);
+
     /// \returns the guard with the most evidence, for the log.
     rollout_doubt strongestDoubt() const;
 
@@ -130,6 +135,8 @@
     void note(std::string_view version, std::string_view route, version_answers seen,
               time_point now);
     void judge(std::string_view route, bool onTarget, const version_answers &seen);
+    void judgeOther(const std::string &source, const rollout_evidence &evidence);
+    void judgeReceived();
     std::uint64_t slownessThatCounts(std::uint64_t slow, time_point now);
     bool anyGuard(const std::function<bool(const version_guard &)> &test) const;
     bool isFoundBad() const;
@@ -146,8 +153,9 @@
     std::optional<time_point> m_slowAt; ///< when the last slow answer counted
     std::map<std::string, running_mean> m_slownesses; ///< of the settled version
     rollout_evidence m_own;
-    std::map<std::string, rollout_evidence> m_others; ///< by entry, as judged already
-    std::map<std::string, rollout_evidence> m_received; ///< by entry, as told last
+    bool m_judgesOthers = true;
+    std::map<std::string, rollout_evidence> m_others; ///< by entry and life, as judged already
+    std::map<std::string, rollout_evidence> m_received; ///< by entry and life, as told last
     std::string m_settled; ///< version in force while there is no order
 };
 
--- a/include/laurelcroft/Proxy/SendNotices.h
+++ b/include/laurelcroft/Proxy/SendNotices.h
@@ -13,7 +13,7 @@
 #define LAURELCROFT_PROXY_SENDNOTICES_H
 
 #include "laurelcroft/Fleet/PromptMemory.h"
-#include "laurelcroft/Proxy/RolloutRows.h"
+#include "laurelcroft/Proxy/EvidenceNotice.h"
 #include "laurelcroft/Support/Metrics.h"
 #include "laurelcroft/Support/Runtime.h"
 
@@ -60,10 +60,11 @@
     static constexpr double bytesPerSecond = 2000;
 
     using notice_handler = std::function<void(const send_notice &notice)>;
+    using evidence_handler = std::function<void(const evidence_notice &notice)>;
 
     /// \param ownAddress "host:port" that \c open listens on.
     send_notices(asio::io_context &context, metric_registry &metrics, std::string ownAddress,
-                 notice_handler onNotice);
+                 notice_handler onNotice, evidence_handler onEvidence);
     ~send_notices();
     send_notices(const send_notices &) = delete;
     send_notices &operator=(const send_notices &) = delete;
@@ -80,8 +81,12 @@
     /// Tells the entries of \p dataCentre, where the endpoint is; on a site of few entries all.
     void tell(const send_notice &notice, const std::string &dataCentre);
 
+    /// Tells the entries that read the store. \returns false when not all could be told.
+    bool tellReaders(const evidence_notice &notice);
+
 private:
     struct state;
+    void setReaders(const entry_map &entries, const std::string &own);
     std::unique_ptr<state> m_state;
 };
 
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -10,6 +10,7 @@
 
 #include "laurelcroft/Platform/RowFollower.h"
 #include "laurelcroft/Proxy/EntryRoster.h"
+#include "laurelcroft/Proxy/EvidenceNotice.h"
 #include "laurelcroft/Proxy/RolloutRows.h"
 #include "laurelcroft/Proxy/RoutingState.h"
 #include "laurelcroft/Proxy/RowMirror.h"
@@ -56,6 +57,9 @@
     milliseconds leaveBound{2000}; ///< in which a leaving endpoint must be left alone
     std::function<void(const entry_map &entries)> onEntries;
     std::function<void()> onContract; ///< another contract is in force
+    /// Tells the entries that read the store what this one has seen of a version under roll-out;
+    /// false when not all could be told. May be empty.
+    std::function<bool(const evidence_notice &notice)> tellReaders;
 };
 
 /// Follows the store for one entry.
@@ -80,6 +84,9 @@
     /// that seldom two write at once.
     static constexpr milliseconds stepEvery{200};
     static constexpr double stepChance = 0.5;
+    /// Entries that take the first step of a roll-out at the same look, on average, where there
+    /// are many: each write that loses the race is a call for nothing, 50 of them at 103 entries.
+    static constexpr double stepsAtOnce = 4;
     /// From one write of an entry's row to the next: the time in which it comes back by the feed,
     /// or a call that hangs has ended.
     static constexpr milliseconds announcePause{2500};
@@ -88,6 +95,8 @@
     /// Least time between two rows of evidence; it is written only when it tells of more bad
     /// answers.
     static constexpr milliseconds evidencePause{500};
+    /// The same between two datagrams of evidence, which are told for good answers as well.
+    static constexpr milliseconds evidenceNoticePause{500};
 
     /// A roll-out goes on only where the rows of other entries were read this short a time ago
     /// (a held call and its answer), and without a failure for so long that whoever could not
@@ -100,6 +109,9 @@
 
     void start();
 
+    /// Takes what another entry has told by datagram.
+    void takeEvidence(const evidence_notice &notice);
+
 private:
     using follower = row_follower<Store, Runtime>;
 
@@ -123,9 +135,12 @@
     void keepListed();
     void announce();
     void dropGone(const listed_entry &entry);
-    /// \returns true when what other entries have found is known up to a moment ago.
+    /// \returns true when what other entries have found is known up to a moment ago: this entry
+    /// reads the store itself, so that the others tell it all.
     bool othersKnown();
     void step();
+    bool takesDueStep(bool knowsOthers);
+    void tellReaders(const std::string &service, const rollout_tracker &tracker);
     void write(const std::string &service, const rollout_order &order, const rollout_row &row);
     bool tellEvidence(const std::string &service, const rollout_tracker &tracker);
     void takeOwnRow(const store_row &row);
@@ -140,7 +155,10 @@
     std::map<std::string, std::unique_ptr<follower>> m_followers; ///< by table
     std::map<std::string, std::uint64_t> m_rowVersions; ///< of roll-out rows, by service
     entry_roster m_roster;
-    std::map<std::string, rollout_evidence> m_told; ///< by service
+    std::map<std::string, rollout_evidence> m_told; ///< in a row, by service
+    std::map<std::string, rollout_evidence> m_toldReaders; ///< by datagram, by service
+    std::uint64_t m_life; ///< tells this process's evidence from an earlier one's
+    time_point m_nextNoticeAt{};
     bool m_ownTableRead = false;
     bool m_endpointsRead = false;
     bool m_writing = false;
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -28,6 +28,7 @@
     , m_codec(std::move(codec))
     , m_links(std::move(links))
     , m_roster(m_links.entry)
+    , m_life(m_state.random().bits())
 {
 }
 
@@ -337,8 +338,10 @@
     m_told[service] = own;
     logInfo(log_part::bundle, "evidence told",
             {{"service", service}, {"bad", std::int64_t(own.bad())}});
+    rollout_evidence signedOwn = own;
+    signedOwn.life = m_life;
     const row_write row{std::string(ownTable), evidenceKey(m_links.entry, service),
-                        encodeEvidence(own), std::nullopt};
+                        encodeEvidence(signedOwn), std::nullopt};
     m_store.write({row}, [this, service](outcome<conditional_write, row_failure> result) {
         m_writing = false;
         if (result)
@@ -402,24 +405,65 @@
 {
     const follower &own = *m_followers.at(std::string(ownTable));
     const time_point now = m_runtime.now();
+    if (now - own.relayedAt() < evidenceGrace)
+        return false;
     return now - own.confirmedAt() <= evidenceAge && now - own.steadySince() >= evidenceGrace;
 }
 
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::takeEvidence(const evidence_notice &notice)
+{
+    if (notice.entry != m_links.entry)
+        m_state.rollouts(notice.service).takeEvidence(notice.entry, notice.evidence);
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::tellReaders(const std::string &service,
+                                             const rollout_tracker &tracker)
+{
+    const rollout_evidence &own = tracker.ownEvidence();
+    if (!m_links.tellReaders || own.byRoute.empty() || m_toldReaders[service] == own)
+        return;
+    evidence_notice notice{m_links.entry, service, own};
+    notice.evidence.life = m_life;
+    if (m_links.tellReaders(notice))
+        m_toldReaders[service] = own;
+}
+
+template <row_store_like Store, runtime_like Runtime>
+bool store_sync<Store, Runtime>::takesDueStep(bool knowsOthers)
+{
+    // Those that read the store are few, and most steps are theirs alone.
+    if (knowsOthers)
+        return m_state.random().chance(stepChance);
+    const double entries = static_cast<double>(std::max<std::size_t>(1, m_state.entries()));
+    return m_state.random().chance(std::min(stepChance, stepsAtOnce / entries));
+}
+
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::step()
 {
     m_runtime.after(stepEvery, [this] { step(); });
     keepListed();
+    const bool isNoticeDue = m_runtime.now() >= m_nextNoticeAt;
+    if (isNoticeDue)
+        m_nextNoticeAt = m_runtime.now() + evidenceNoticePause;
+    const bool knowsOthers = othersKnown();
+    for (auto &[service, tracker] : m_state.allRollouts()) {
+        tracker.setJudgesOthers(knowsOthers);
+        if (isNoticeDue && tracker.order() && !tracker.isOver())
+            tellReaders(service, tracker);
+    }
     if (m_writing || !m_timeKnown || m_runtime.now() < m_nextWriteAt)
         return;
     for (auto &[service, tracker] : m_state.allRollouts()) {
         if (!tracker.order() || tracker.isOver())
             continue;
         const std::optional<rollout_row> next = tracker.nextRow(
-                storeNow(), m_state.directory().usable(service), m_state.entries(), othersKnown());
+                storeNow(), m_state.directory().usable(service), m_state.entries(), knowsOthers);
         if (!next && tracker.row() && tellEvidence(service, tracker))
             return;
-        if (!next || !m_state.random().chance(stepChance))
+        if (!next || !takesDueStep(knowsOthers))
             continue;
         write(service, *tracker.order(), *next);
         return;
--- /dev/null
+++ b/lib/Proxy/EvidenceNotice.cpp
@@ -0,0 +1,87 @@
+//===-- EvidenceNotice.cpp - evidence by datagram ---------------------------===//
+//
+// A MessagePack array: entry, service, order, life, and name and three counts of each route. All
+// counts are from the beginning, so that a notice that is lost or late does no harm.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/EvidenceNotice.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+using namespace laurelcroft;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t fieldsBeforeRoutes = 4;
+constexpr std::size_t fieldsOfRoute = 4;
+/// Names of entries, services and routes are shorter.
+constexpr std::size_t longestName = 200;
+
+} // namespace
+
+std::string laurelcroft::encodeEvidenceNotice(const evidence_notice &notice)
+{
+    std::vector<std::pair<std::string, version_answers>> routes(notice.evidence.byRoute.begin(),
+                                                                notice.evidence.byRoute.end());
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const auto &a, const auto &b) { return a.second.bad() > b.second.bad(); });
+    if (routes.size() > evidence_notice::mostRoutes)
+        routes.resize(evidence_notice::mostRoutes);
+    json item = json::array(
+            {notice.entry, notice.service, notice.evidence.orderedAt, notice.evidence.life});
+    for (const auto &[route, seen] : routes) {
+        item.push_back(route);
+        item.push_back(seen.good);
+        item.push_back(seen.failed);
+        item.push_back(seen.slow);
+    }
+    const std::vector<std::uint8_t> bytes = json::to_msgpack(item);
+    return {bytes.begin(), bytes.end()};
+}
+
+static bool isName(const json &item)
+{
+    return item.is_string() && !item.get_ref<const std::string &>().empty()
+            && item.get_ref<const std::string &>().size() <= longestName;
+}
+
+static bool hasForm(const json &item)
+{
+    if (!item.is_array() || item.size() < fieldsBeforeRoutes)
+        return false;
+    if ((item.size() - fieldsBeforeRoutes) % fieldsOfRoute != 0)
+        return false;
+    for (std::size_t i = 0; i < item.size(); ++i) {
+        const bool isRoute
+                = i >= fieldsBeforeRoutes && (i - fieldsBeforeRoutes) % fieldsOfRoute == 0;
+        const bool fits = i < 2 || isRoute ? isName(item[i]) : item[i].is_number_unsigned();
+        if (!fits)
+            return false;
+    }
+    return true;
+}
+
+std::optional<evidence_notice> laurelcroft::decodeEvidenceNotice(std::string_view bytes)
+{
+    constexpr bool strict = true;
+    constexpr bool throws = false;
+    const json item = json::from_msgpack(bytes.begin(), bytes.end(), strict, throws);
+    if (!hasForm(item))
+        return std::nullopt;
+    evidence_notice notice;
+    notice.entry = item[0].get<std::string>();
+    notice.service = item[1].get<std::string>();
+    notice.evidence.orderedAt = item[2].get<std::uint64_t>();
+    notice.evidence.life = item[3].get<std::uint64_t>();
+    for (std::size_t i = fieldsBeforeRoutes; i < item.size(); i += fieldsOfRoute) {
+        notice.evidence.byRoute[item[i].get<std::string>()]
+                = {item[i + 1].get<std::uint64_t>(), item[i + 2].get<std::uint64_t>(),
+                   item[i + 3].get<std::uint64_t>()};
+    }
+    return notice;
+}
--- a/lib/Proxy/RolloutRows.cpp
+++ b/lib/Proxy/RolloutRows.cpp
@@ -47,6 +47,14 @@
     return total;
 }
 
+std::uint64_t rollout_evidence::all() const
+{
+    std::uint64_t total = 0;
+    for (const auto &[route, seen] : byRoute)
+        total += seen.all();
+    return total;
+}
+
 std::optional<evidence_place> laurelcroft::evidenceOfKey(std::string_view key)
 {
     const std::optional<std::string> rest = afterPrefix(key, evidencePrefix);
@@ -124,7 +132,9 @@
     nlohmann::json routes = nlohmann::json::object();
     for (const auto &[route, seen] : evidence.byRoute)
         routes[route] = {{"good", seen.good}, {"failed", seen.failed}, {"slow", seen.slow}};
-    return nlohmann::json{{"ordered_at", evidence.orderedAt}, {"routes", routes}}.dump();
+    return nlohmann::json{
+            {"ordered_at", evidence.orderedAt}, {"routes", routes}, {"life", evidence.life}}
+            .dump();
 }
 
 outcome<rollout_evidence, std::string> laurelcroft::decodeEvidence(const std::string &value)
@@ -133,6 +143,7 @@
         const nlohmann::json json = nlohmann::json::parse(value);
         rollout_evidence evidence;
         evidence.orderedAt = json.at("ordered_at").get<std::uint64_t>();
+        evidence.life = json.value("life", std::uint64_t(0));
         for (const auto &[route, seen] : json.at("routes").items()) {
             evidence.byRoute[route]
                     = {seen.at("good").get<std::uint64_t>(), seen.at("failed").get<std::uint64_t>(),
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <utility>
 
 using namespace laurelcroft;
 
@@ -46,9 +47,7 @@
         m_own = {order.orderedAt, {}};
         m_others.clear();
         // Rows of evidence may have been read before their order.
-        const auto received = m_received;
-        for (const auto &[entry, evidence] : received)
-            takeEvidence(entry, evidence);
+        judgeReceived();
     }
 }
 
@@ -233,21 +232,57 @@
     return 1;
 }
 
+/// \returns the part of \p seen that is newer than \p before.
+static version_answers newerThan(const version_answers &before, const version_answers &seen,
+                                 bool sameLife)
+{
+    const bool isLess
+            = seen.good < before.good || seen.failed < before.failed || seen.slow < before.slow;
+    // An entry that was restarted counts from 0 again; the same life's lower counts are old.
+    if (isLess)
+        return sameLife ? version_answers() : seen;
+    return {seen.good - before.good, seen.failed - before.failed, seen.slow - before.slow};
+}
+
 void rollout_tracker::takeEvidence(const std::string &entry, const rollout_evidence &evidence)
 {
-    m_received[entry] = evidence;
+    const std::string source = entry + "#" + std::to_string(evidence.life);
+    rollout_evidence &last = m_received[source];
+    // A row may come later than a datagram that says more.
+    const bool isOld = evidence.life != 0 && evidence.orderedAt == last.orderedAt
+            && evidence.all() < last.all();
+    if (!isOld)
+        last = evidence;
+    if (m_judgesOthers)
+        judgeOther(source, evidence);
+}
+
+void rollout_tracker::setJudgesOthers(bool judges)
+{
+    if (std::exchange(m_judgesOthers, judges) == judges || !judges)
+        return;
+    judgeReceived();
+}
+
+void rollout_tracker::judgeReceived()
+{
+    if (!m_judgesOthers)
+        return;
+    for (const auto &[source, evidence] : m_received)
+        judgeOther(source, evidence);
+}
+
+void rollout_tracker::judgeOther(const std::string &source, const rollout_evidence &evidence)
+{
     if (!m_order || evidence.orderedAt != m_order->orderedAt)
         return;
-    rollout_evidence &known = m_others[entry];
+    rollout_evidence &known = m_others[source];
     for (const auto &[route, seen] : evidence.byRoute) {
         version_answers &before = known.byRoute[route];
-        // An entry that was restarted counts from 0 again.
-        const bool restarted
-                = seen.good < before.good || seen.failed < before.failed || seen.slow < before.slow;
-        const version_answers base = restarted ? version_answers() : before;
-        judge(route, true,
-              {seen.good - base.good, seen.failed - base.failed,
-               std::min<std::uint64_t>(seen.slow - base.slow, 1)});
+        const version_answers news = newerThan(before, seen, evidence.life != 0);
+        if (news.all() == 0)
+            continue;
+        judge(route, true, {news.good, news.failed, std::min<std::uint64_t>(news.slow, 1)});
         before = seen;
     }
 }
--- a/lib/Proxy/SendNotices.cpp
+++ b/lib/Proxy/SendNotices.cpp
@@ -1,12 +1,13 @@
 //===-- SendNotices.cpp - entries tell each other of sends ------------------===//
 //
 // A notice is a MessagePack array: id, milliseconds, and hash and tokens of each prefix. Nothing
-// waits: a datagram that can't go out at once is left out.
+// waits: a datagram that can't go out at once is left out. Evidence comes by the same socket.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/SendNotices.h"
 
 #include "laurelcroft/Fleet/Ranking.h"
+#include "laurelcroft/Proxy/StoreReaders.h"
 #include "laurelcroft/Support/Log.h"
 #include "laurelcroft/Support/Settings.h"
 #include "laurelcroft/Support/TokenBucket.h"
@@ -93,11 +94,12 @@
 struct send_notices::state
 {
     state(asio::io_context &context, metric_registry &metrics, std::string ownAddress,
-          notice_handler onNotice)
+          notice_handler onNotice, evidence_handler onEvidence)
         : socket(context)
         , metrics(metrics)
         , ownAddress(std::move(ownAddress))
         , onNotice(std::move(onNotice))
+        , onEvidence(std::move(onEvidence))
     {
     }
 
@@ -108,15 +110,19 @@
     metric_registry &metrics;
     std::string ownAddress;
     notice_handler onNotice;
+    evidence_handler onEvidence;
+    std::vector<udp::endpoint> readers; ///< of the store
     std::map<std::string, std::vector<udp::endpoint>> listeners; ///< by data centre
     token_bucket bytes{bytesPerSecond, bytesPerSecond *burstSeconds};
     udp::endpoint from;
-    std::array<char, 512> buffer{};
+    std::array<char, 1400> buffer{}; ///< one packet
 };
 
 send_notices::send_notices(asio::io_context &context, metric_registry &metrics,
-                           std::string ownAddress, notice_handler onNotice)
-    : m_state(std::make_unique<state>(context, metrics, std::move(ownAddress), std::move(onNotice)))
+                           std::string ownAddress, notice_handler onNotice,
+                           evidence_handler onEvidence)
+    : m_state(std::make_unique<state>(context, metrics, std::move(ownAddress), std::move(onNotice),
+                                      std::move(onEvidence)))
 {
 }
 
@@ -166,6 +172,11 @@
 
 void send_notices::state::take(std::string_view bytes)
 {
+    if (const std::optional<evidence_notice> evidence = decodeEvidenceNotice(bytes)) {
+        metrics.add("evidence_notices_total{way=\"received\"}");
+        onEvidence(*evidence);
+        return;
+    }
     const std::optional<send_notice> notice = decodeNotice(bytes);
     if (!notice) {
         metrics.add("send_notices_total{way=\"refused\"}");
@@ -186,6 +197,7 @@
         if (name != own && !place.address.empty())
             there.push_back(name);
     }
+    setReaders(entries, own);
     m_state->listeners.clear();
     // A small site is told as a whole: its entries send across data centres, too.
     if (entries.size() <= mostListeners + 1) {
@@ -204,6 +216,34 @@
     }
 }
 
+void send_notices::setReaders(const entry_map &entries, const std::string &own)
+{
+    m_state->readers.clear();
+    for (const std::string &name : storeReaders(entries)) {
+        const auto reader = udpEndpointIn(entries.at(name).address);
+        if (reader && name != own)
+            m_state->readers.push_back(*reader);
+    }
+}
+
+bool send_notices::tellReaders(const evidence_notice &notice)
+{
+    const std::string bytes = encodeEvidenceNotice(notice);
+    const double cost = static_cast<double>(bytes.size()) + headerBytes;
+    bool told = true;
+    for (const udp::endpoint &reader : m_state->readers) {
+        asio::error_code error;
+        if (m_state->bytes.take(cost, bootNow()))
+            m_state->socket.send_to(asio::buffer(bytes), reader, 0, error);
+        else
+            error = asio::error::no_buffer_space;
+        m_state->metrics.add(error ? "evidence_notices_total{way=\"failed\"}"
+                                   : "evidence_notices_total{way=\"sent\"}");
+        told = told && !error;
+    }
+    return told;
+}
+
 void send_notices::tell(const send_notice &notice, const std::string &dataCentre)
 {
     if (notice.reading < leastReading)
--- /dev/null
+++ b/unittests/Proxy/EvidenceNoticeTests.cpp
@@ -0,0 +1,81 @@
+//===-- EvidenceNoticeTests.cpp - evidence by datagram ----------------------===//
+//
+// The datagram, and entries on loopback sockets.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/EvidenceNotice.h"
+#include "laurelcroft/Proxy/SendNotices.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace laurelcroft;
+
+static evidence_notice exampleNotice()
+{
+    return {"edge-1", "pool", {7, {{"a", {3, 1, 0}}, {"b", {0, 1, 1}}}, ~0ULL}};
+}
+
+TEST_CASE("evidence survives the way by datagram; other bytes are refused")
+{
+    const evidence_notice notice = exampleNotice();
+    const std::string bytes = encodeEvidenceNotice(notice);
+    CHECK(bytes.size() < 50);
+    CHECK(decodeEvidenceNotice(bytes) == notice);
+    for (std::size_t cut = 0; cut < bytes.size(); ++cut)
+        CHECK(!decodeEvidenceNotice(std::string_view(bytes).substr(0, cut)));
+    CHECK(!decodeEvidenceNotice(bytes + "x"));
+    CHECK(!decodeEvidenceNotice(encodeNotice({"i-1", milliseconds(42), {{7, 250}}})));
+    CHECK(!decodeNotice(bytes));
+    evidence_notice nameless = notice;
+    nameless.entry.clear();
+    CHECK(!decodeEvidenceNotice(encodeEvidenceNotice(nameless)));
+}
+
+TEST_CASE("evidence of very many routes fits a packet, and the bad ones are told")
+{
+    evidence_notice notice{"edge-1", "pool", {7, {}, 11}};
+    for (int route = 0; route < 200; ++route)
+        notice.evidence.byRoute["route-" + std::to_string(route)] = {5, 0, 0};
+    notice.evidence.byRoute["route-77"].failed = 2;
+    const std::string bytes = encodeEvidenceNotice(notice);
+    CHECK(bytes.size() < 1000);
+    const auto heard = decodeEvidenceNotice(bytes);
+    REQUIRE(heard);
+    CHECK(heard->evidence.byRoute.size() == evidence_notice::mostRoutes);
+    CHECK(heard->evidence.byRoute.at("route-77").failed == 2);
+}
+
+TEST_CASE("an entry tells its evidence to those that read the store, and not to itself")
+{
+    asio::io_context context;
+    metric_registry metrics;
+    unsigned heard = 0;
+    std::optional<evidence_notice> last;
+    std::vector<std::unique_ptr<send_notices>> entries;
+    entry_map places;
+    for (int i = 0; i < 3; ++i) {
+        entries.push_back(std::make_unique<send_notices>(
+                context, metrics, "127.0.0.1:0", [](const send_notice &) {},
+                [&](const evidence_notice &notice) {
+                    ++heard;
+                    last = notice;
+                }));
+        REQUIRE(entries.back()->open().empty());
+        places["e" + std::to_string(i)]
+                = {"127.0.0.1:" + std::to_string(entries.back()->port()), "hall"};
+    }
+    unsigned told = 0;
+    for (int i = 0; i < 3; ++i) {
+        entries[i]->setEntries(places, "e" + std::to_string(i));
+        CHECK(entries[i]->tellReaders(exampleNotice()));
+    }
+    // Two of the three read the store: each is told by the other two.
+    constexpr unsigned expected = 4;
+    for (; heard < expected && told < 1000; ++told)
+        context.run_one_for(std::chrono::milliseconds(100));
+    context.poll();
+    CHECK(heard == expected);
+    CHECK(last == exampleNotice());
+}
--- a/unittests/Proxy/FleetStartTests.cpp
+++ b/unittests/Proxy/FleetStartTests.cpp
@@ -6,7 +6,7 @@
 //===----------------------------------------------------------------------===//
 #include "FakeStore.h"
 
-#include "laurelcroft/Proxy/PeerRows.h"
+#include "laurelcroft/Proxy/StoreReaders.h"
 #include "laurelcroft/Proxy/StoreSync.h"
 
 #include <doctest/doctest.h>
--- a/unittests/Proxy/PeerRowsTests.cpp
+++ b/unittests/Proxy/PeerRowsTests.cpp
@@ -4,6 +4,7 @@
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/PeerRows.h"
+#include "laurelcroft/Proxy/StoreReaders.h"
 
 #include <asio/io_context.hpp>
 
@@ -111,3 +112,123 @@
         CHECK(!*result);
     }
 }
+
+namespace {
+
+/// Two entries on loopback sockets, of which one asks the other.
+struct two_entries
+{
+    two_entries()
+    {
+        REQUIRE(teller.rows.open().empty());
+        asker.rows.setFirstPeers({tellerAddress()});
+    }
+    std::string tellerAddress() const { return "127.0.0.1:" + std::to_string(teller.rows.port()); }
+    void tell(const std::string &table, std::uint64_t version)
+    {
+        teller.mirror.take(table, {{{"k", "v", version, false}}, version, {}}, true, bootNow());
+    }
+    void ask(const std::string &table, std::uint64_t since)
+    {
+        asker.rows.read(table, since, [this, table](outcome<row_news, row_failure> news) {
+            results.emplace(table, std::move(news));
+        });
+    }
+    void runUntil(std::size_t count)
+    {
+        while (results.size() < count)
+            context.run_one();
+    }
+    asio::io_context context;
+    one_entry teller{context, "127.0.0.1:0"};
+    one_entry asker{context, "127.0.0.1:1"};
+    std::map<std::string, outcome<row_news, row_failure>> results;
+};
+
+} // namespace
+
+TEST_CASE("reads that come together are one request, and each gets its table")
+{
+    two_entries two;
+    two.tell("a", 3);
+    two.tell("b", 5);
+    two.ask("a", 0);
+    two.ask("b", 0);
+    two.ask("c", 0);
+    // One that does not start with the others joins what is under way.
+    two.context.poll();
+    two.ask("d", 0);
+    two.runUntil(4);
+    CHECK(two.results.at("a").value().batch.version == 3);
+    CHECK(two.results.at("b").value().batch.version == 5);
+    CHECK(!two.results.at("c"));
+    CHECK(!two.results.at("d"));
+    const std::string told = two.asker.metrics.prometheusText();
+    CHECK(told.find("peer_reads_total{result=\"ok\"} 1\n") != std::string::npos);
+}
+
+TEST_CASE("a read without news is held, and answered when there are some")
+{
+    two_entries two;
+    two.tell("a", 3);
+    const time_point began = bootNow();
+    two.ask("a", 3);
+    two.runUntil(1);
+    REQUIRE(two.results.at("a"));
+    CHECK(two.results.at("a").value().batch.rows.empty());
+    CHECK(bootNow() - began >= milliseconds(100));
+
+    two.results.clear();
+    two.ask("a", 3);
+    asio_runtime runtime(two.context);
+    runtime.after(milliseconds(10), [&] {
+        two.teller.mirror.take("a", {{{"l", "w", 4, false}}, 4, {}}, false, bootNow());
+    });
+    two.runUntil(1);
+    REQUIRE(two.results.at("a"));
+    REQUIRE(two.results.at("a").value().batch.rows.size() == 1);
+    CHECK(two.results.at("a").value().batch.rows[0].key == "l");
+}
+
+TEST_CASE("an entry that starts too is waited for, one whose rows are old is not")
+{
+    two_entries two;
+    asio_runtime runtime(two.context);
+    two.ask("a", 0);
+    runtime.after(milliseconds(10), [&] { two.tell("a", 3); });
+    two.runUntil(1);
+    REQUIRE(two.results.at("a"));
+    CHECK(two.results.at("a").value().whole);
+
+    two.results.clear();
+    const time_point began = bootNow();
+    two.teller.mirror.take("b", {{}, 6, {}}, true, began - seconds(2));
+    two.ask("b", 6);
+    two.runUntil(1);
+    CHECK(!two.results.at("b"));
+    CHECK(bootNow() - began < milliseconds(100));
+}
+
+TEST_CASE("a peer that is gone is passed over for the next one within the same read")
+{
+    two_entries two;
+    two.tell("a", 3);
+    two.asker.rows.setReaders({"127.0.0.1:2", two.tellerAddress()});
+    two.ask("a", 0);
+    two.runUntil(1);
+    CHECK(two.results.at("a"));
+}
+
+TEST_CASE("an entry that finds itself a reader waits for no peer any more")
+{
+    two_entries two;
+    CHECK(two.asker.rows.arePreferred());
+    const time_point began = bootNow();
+    two.ask("a", 0);
+    asio_runtime runtime(two.context);
+    runtime.after(milliseconds(10), [&] { two.asker.rows.setReaders({}); });
+    two.runUntil(1);
+    CHECK(!two.results.at("a"));
+    CHECK(bootNow() - began < milliseconds(90));
+    CHECK(!two.asker.rows.arePreferred());
+}
--- a/unittests/Proxy/RolloutTests.cpp
+++ b/unittests/Proxy/RolloutTests.cpp
@@ -262,6 +262,54 @@
     CHECK(!tracker.nextRow(milliseconds(3000), {endpointOf("b", "v2")}, 3));
 }
 
+TEST_CASE("an entry that hears of bad answers only doesn't judge by them, until it hears all")
+{
+    // One answer of twenty is slow, as of the settled version. Of a hundred entries each has seen
+    // one or two, and only those with a slow one have written a row.
+    rollout_tracker tracker(0.15);
+    tracker.setOrder(exampleOrder());
+    tracker.setRow(rowAt(rollout_stage::trial));
+    const auto good = std::optional<answer_timing>({milliseconds(100), {}});
+    const auto slow = std::optional<answer_timing>({milliseconds(900), {}});
+    for (int i = 0; i < 400; ++i)
+        tracker.observe("v1", "route", "m", i % 20 == 19 ? slow : good, nextMoment());
+    tracker.setJudgesOthers(false);
+    for (int entry = 0; entry < 100; entry += 15)
+        tracker.takeEvidence("e" + std::to_string(entry), {7, {{"route", {0, 0, 1}}}, 11});
+    const std::vector<endpoint_ptr> target{endpointOf("b", "v2")};
+    CHECK(!tracker.nextRow(milliseconds(3000), target, 100));
+
+    // Whoever reads the store is told by all of them.
+    for (int entry = 0; entry < 100; ++entry) {
+        const std::uint64_t slowOnes = entry % 15 == 0 ? 1 : 0;
+        tracker.takeEvidence("e" + std::to_string(entry), {7, {{"route", {1, 0, slowOnes}}}, 11});
+    }
+    tracker.setJudgesOthers(true);
+    CHECK(!tracker.nextRow(milliseconds(3000), target, 100));
+    // A version that fails each third answer is found all the same.
+    for (int entry = 0; entry < 100; ++entry) {
+        const std::uint64_t failed = entry % 3 == 0 ? 1 : 0;
+        tracker.takeEvidence("e" + std::to_string(entry), {7, {{"route", {2, failed, 1}}}, 11});
+    }
+    const auto next = tracker.nextRow(milliseconds(4000), target, 100);
+    REQUIRE(next);
+    CHECK(next->stage == rollout_stage::reverted);
+}
+
+TEST_CASE("evidence that comes late counts nothing, that of a restarted entry counts again")
+{
+    rollout_tracker tracker(0.15);
+    tracker.setOrder(exampleOrder());
+    tracker.setRow(rowAt(rollout_stage::trial));
+    for (int i = 0; i < 20; ++i) {
+        tracker.takeEvidence("e1", {7, {{"route", {5, 2, 0}}}, 11});
+        tracker.takeEvidence("e1", {7, {{"route", {3, 1, 0}}}, 11});
+    }
+    CHECK(tracker.strongestDoubt().all == 7);
+    tracker.takeEvidence("e1", {7, {{"route", {3, 1, 0}}}, 12});
+    CHECK(tracker.strongestDoubt().all == 11);
+}
+
 TEST_CASE("in doubt the old version is not let go")
 {
     rollout_tracker tracker(0.15);
@@ -280,7 +328,8 @@
 
 TEST_CASE("evidence survives the way to the store and back")
 {
-    const rollout_evidence evidence{7, {{"a", {3, 1, 0}}, {"b", {0, 1, 1}}}};
+    const rollout_evidence evidence{7, {{"a", {3, 1, 0}}, {"b", {0, 1, 1}}}, ~0ULL};
+    CHECK(evidence.all() == 6);
     CHECK(decodeEvidence(encodeEvidence(evidence)).value() == evidence);
     CHECK(evidence.bad() == 3);
     CHECK(!decodeEvidence("{}"));
