Outdated readers have stand-ins; paces follow the time a leaving endpoint allows

Change: as many entries as read the store stand in for the readers; the others ask them and leave the store alone for three quarters of the leave bound.

--- a/include/laurelcroft/Platform/RowFollower.h
+++ b/include/laurelcroft/Platform/RowFollower.h
@@ -26,6 +26,10 @@
     /// table, and may start later. Where a hundred entries start together it saves nine of ten
     /// calls to the store.
     milliseconds firstWait{400};
+    /// How long a relay may say that its rows are outdated before the store is asked beside it.
+    /// The relays' own calls fail then, and so would most others: where a hundred entries asked
+    /// at once, a store that dropped its history for some seconds had 1,500 calls more.
+    milliseconds staleWait{1500};
 };
 
 /// What a follower tells its owner.
@@ -50,6 +54,9 @@
     /// \returns true while the relay is asked first and the store only when it fails. Otherwise
     /// it is the other way round.
     std::function<bool()> isPreferred;
+    /// \returns true when this process asks the store at once while its relays are outdated, so
+    /// that others find the rows here. May be empty.
+    std::function<bool()> isStandIn;
     /// Reads what is new since a version; 0: the whole table. May fail.
     std::function<void(const std::string &table, std::uint64_t since, row_callback<row_news> done)>
             read;
@@ -66,6 +73,8 @@
     static constexpr milliseconds longestRetry{800};
     /// The same where a relay is asked first: it tells of the store's return by itself.
     static constexpr milliseconds longestRetryBesideRelay{2400};
+    /// The same where a relay answers, though with nothing new.
+    static constexpr milliseconds longestRetryBesideOutdated{20'000};
 
     row_follower(Store &store, Runtime &runtime, std::string table, follow_pace pace,
                  follow_events events, row_relay relay = {})
@@ -151,14 +160,24 @@
             return;
         const bool starting
                 = m_since == 0 && m_runtime.now() - m_startedAt < m_pace.firstWait && !m_lost;
-        if (starting)
+        m_outdated = result.error() == row_failure::outdated;
+        if (starting) {
             readAfter(relayPause);
-        else if (!m_lost || m_runtime.now() >= m_storeDueAt)
+            return;
+        }
+        if (m_outdated && !m_lost && !standsIn()) {
+            noteLost(row_failure::outdated);
+            m_retry = m_pace.staleWait;
+            m_storeDueAt = m_runtime.now() + m_retry;
+        }
+        if (!m_lost || m_runtime.now() >= m_storeDueAt)
             readStore();
         else
             readAfter(relayPace);
     }
 
+    bool standsIn() const { return m_relay.isStandIn && m_relay.isStandIn(); }
+
     /// Takes what a relay said; what is known never grows older.
     void takeNews(row_news &&news)
     {
@@ -233,19 +252,31 @@
             readAfter(milliseconds(0));
             return;
         }
-        if (!m_lost) {
-            m_lost = true;
-            m_lostAt = m_runtime.now();
-            m_events.onLost(why);
-        }
+        noteLost(why);
         m_storeDueAt = m_runtime.now() + m_retry;
         const bool relayFirst = asksRelayFirst();
         readAfter(relayFirst ? relayPace : m_retry);
-        m_retry = std::min(m_retry * 2, relayFirst ? longestRetryBesideRelay : longestRetry);
+        m_retry = std::min(m_retry * 2, longestRetryNow(relayFirst));
         if (m_relay.read && !relayFirst)
             askElsewhere();
     }
 
+    void noteLost(row_failure why)
+    {
+        if (m_lost)
+            return;
+        m_lost = true;
+        m_lostAt = m_runtime.now();
+        m_events.onLost(why);
+    }
+
+    milliseconds longestRetryNow(bool relayFirst) const
+    {
+        if (!relayFirst)
+            return longestRetry;
+        return m_outdated && !standsIn() ? longestRetryBesideOutdated : longestRetryBesideRelay;
+    }
+
     void askElsewhere()
     {
         m_relay.read(m_table, m_since,
@@ -267,6 +298,7 @@
     time_point m_startedAt{};
     milliseconds m_retry = firstRetry;
     bool m_lost = false;
+    bool m_outdated = false; ///< what the relay said last
     time_point m_storeDueAt{}; ///< next call of the store while it is lost
     time_point m_lostAt{};
     time_point m_confirmedAt{};
--- a/include/laurelcroft/Platform/RowStore.h
+++ b/include/laurelcroft/Platform/RowStore.h
@@ -24,7 +24,8 @@
 enum class row_failure {
     notDone, ///< refused or never sent: nothing happened
     unknown, ///< no answer came; a write may take effect even later
-    historyGone ///< the feed no longer reaches back: read the table again
+    historyGone, ///< the feed no longer reaches back: read the table again
+    outdated ///< of a relay: it has not heard from the store for too long
 };
 
 std::string_view textOf(row_failure failure);
--- a/include/laurelcroft/Proxy/PeerRows.h
+++ b/include/laurelcroft/Proxy/PeerRows.h
@@ -9,6 +9,7 @@
 
 #include "laurelcroft/Http/Client.h"
 #include "laurelcroft/Proxy/RowMirror.h"
+#include "laurelcroft/Proxy/StoreReaders.h"
 #include "laurelcroft/Support/Metrics.h"
 
 #include <memory>
@@ -41,12 +42,15 @@
     /// The port in use, after open().
     std::uint16_t port() const;
 
-    /// Entries that read the store for this one; empty when it reads itself.
-    void setReaders(std::vector<std::string> readers);
+    /// Entries that read the store for this one; none when it reads itself.
+    void setSources(row_sources sources);
 
     /// \returns true while other entries are asked before the store.
     bool arePreferred() const;
 
+    /// \returns true when this entry asks the store at once while its readers are outdated.
+    bool isStandIn() const;
+
     /// Asks a reader, or any peer when there is none; another one each time. Reads that come
     /// together go as one.
     void read(const std::string &table, std::uint64_t since, row_callback<row_news> done);
--- a/include/laurelcroft/Proxy/RowMirror.h
+++ b/include/laurelcroft/Proxy/RowMirror.h
@@ -28,8 +28,12 @@
 class row_mirror
 {
 public:
-    /// A copy that the store has not confirmed for longer is not given away.
-    static constexpr milliseconds freshness{1500};
+    /// \param freshness a copy that the store has not confirmed for longer is not given away.
+    explicit row_mirror(milliseconds freshness)
+        : m_freshness(freshness)
+    {
+    }
+    milliseconds freshness() const { return m_freshness; }
 
     /// Removed rows that are remembered for each table; an entry that is further behind gets
     /// the whole table.
@@ -61,6 +65,7 @@
     };
     static void forgetRemoved(copy &known);
 
+    milliseconds m_freshness;
     std::map<std::string, copy> m_tables;
     std::function<void()> m_onChange;
 };
--- a/include/laurelcroft/Proxy/StoreReaders.h
+++ b/include/laurelcroft/Proxy/StoreReaders.h
@@ -25,9 +25,18 @@
 /// \returns the names of the entries that read the store.
 std::vector<std::string> storeReaders(const entry_map &entries);
 
-/// \returns the addresses of two entries that read the store for \p own, those of its own data
-/// centre first; empty when it reads the store itself.
-std::vector<std::string> readersFor(const entry_map &entries, const std::string &own);
+/// Whom an entry asks for rows; addresses.
+struct row_sources
+{
+    /// Two that read the store, those of its own data centre first; empty when it reads itself.
+    std::vector<std::string> readers;
+    /// One that takes the readers' place while they hear nothing from the store; empty when it
+    /// does so itself.
+    std::vector<std::string> standIns;
+};
+
+/// \returns whom \p own asks; nobody when it is not listed.
+row_sources sourcesFor(const entry_map &entries, const std::string &own);
 
 } // namespace laurelcroft
 
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -72,21 +72,29 @@
     /// that keep the number of calls and the age of what is known in check.
     static constexpr double paceOfLeaveBound = 0.4;
     static constexpr milliseconds shortestEndpointPace{100};
-    static constexpr milliseconds longestEndpointPace{800};
-    /// Operators' changes are rare: the store holds the call. A held call whose answer is
-    /// lost costs this time once more.
-    static constexpr follow_pace operatorPace{milliseconds(20), milliseconds(1000)};
-    /// The own rows are few and tell which entries read the others: they are read at once when
-    /// no first peer answers. When all entries are restarted together the first peers may come
-    /// last: 400 ms later, 237 callers of 103 entries were refused in that time.
-    static constexpr follow_pace ownPace{milliseconds(300), milliseconds(1000), milliseconds(60)};
+    static constexpr milliseconds longestEndpointPace{1200};
+    /// Other changes are rare: the store holds the call for this part of that time, or a second. A
+    /// held call whose answer is lost costs this time once more.
+    static constexpr double heldOfLeaveBound = 0.4;
+    static constexpr milliseconds shortestHeld{1000};
+    /// Least time between two calls for what operators and entries write.
+    static constexpr milliseconds operatorPause{20};
+    static constexpr milliseconds ownPause{300};
+    /// The own rows are few and tell which entries read the others: they are read after this
+    /// time when no first peer answers. When all entries are restarted together the first peers
+    /// may come last: 400 ms later, 237 callers of 103 entries were refused in that time.
+    static constexpr milliseconds ownFirstWait{60};
+    /// Outdated relays are believed for this part of the bound.
+    static constexpr double staleOfLeaveBound = 0.75;
     /// How often roll-outs are looked at; each entry takes a due step with this chance, so
     /// that seldom two write at once.
     static constexpr milliseconds stepEvery{200};
     static constexpr double stepChance = 0.5;
-    /// Entries that take the first step of a roll-out at the same look, on average, where there
-    /// are many: each write that loses the race is a call for nothing, 50 of them at 103 entries.
-    static constexpr double stepsAtOnce = 4;
+    /// Entries that write at the same look, on average, where there are many. Of the first steps
+    /// of a roll-out one counts, the others are calls for nothing, 50 of them at 103 entries. Rows
+    /// of evidence are for readers that no datagram reaches: 78 of them came in the two seconds in
+    /// which all sessions had gone over to a good version.
+    static constexpr double writersAtOnce = 4;
     /// From one write of an entry's row to the next: the time in which it comes back by the feed,
     /// or a call that hangs has ended.
     static constexpr milliseconds announcePause{2500};
@@ -116,6 +124,8 @@
     using follower = row_follower<Store, Runtime>;
 
     follow_pace endpointPace() const;
+    follow_pace heldPace(milliseconds between) const;
+    milliseconds ofLeaveBound(double part) const;
     std::unique_ptr<follower> follow(const std::string &table, follow_pace pace,
                                      void (store_sync::*apply)(row_news &));
     void applyOperator(row_news &news);
@@ -139,7 +149,8 @@
     /// reads the store itself, so that the others tell it all.
     bool othersKnown();
     void step();
-    bool takesDueStep(bool knowsOthers);
+    /// \returns true for a few entries at a time, by chance.
+    bool isAmongFew();
     void tellReaders(const std::string &service, const rollout_tracker &tracker);
     void write(const std::string &service, const rollout_order &order, const rollout_row &row);
     bool tellEvidence(const std::string &service, const rollout_tracker &tracker);
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -39,19 +39,39 @@
     m_followers[m_codec.endpointTable]
             = follow(m_codec.endpointTable, endpointPace(), &store_sync::applyEndpoints);
     m_followers[m_codec.operatorTable]
-            = follow(m_codec.operatorTable, operatorPace, &store_sync::applyOperator);
+            = follow(m_codec.operatorTable, heldPace(operatorPause), &store_sync::applyOperator);
+    follow_pace ownPace = heldPace(ownPause);
+    ownPace.firstWait = ownFirstWait;
     m_followers[own] = follow(own, ownPace, &store_sync::applyOwn);
     for (const auto &[table, item] : m_followers)
         item->start();
     step();
 }
 
+template <row_store_like Store, runtime_like Runtime>
+milliseconds store_sync<Store, Runtime>::ofLeaveBound(double part) const
+{
+    return std::chrono::duration_cast<milliseconds>(m_links.leaveBound * part);
+}
+
 template <row_store_like Store, runtime_like Runtime>
 follow_pace store_sync<Store, Runtime>::endpointPace() const
 {
-    const auto wanted
-            = std::chrono::duration_cast<milliseconds>(m_links.leaveBound * paceOfLeaveBound);
-    return {std::clamp(wanted, shortestEndpointPace, longestEndpointPace), milliseconds(0)};
+    follow_pace pace;
+    pace.between
+            = std::clamp(ofLeaveBound(paceOfLeaveBound), shortestEndpointPace, longestEndpointPace);
+    pace.staleWait = ofLeaveBound(staleOfLeaveBound);
+    return pace;
+}
+
+template <row_store_like Store, runtime_like Runtime>
+follow_pace store_sync<Store, Runtime>::heldPace(milliseconds between) const
+{
+    follow_pace pace;
+    pace.between = between;
+    pace.held = std::max(shortestHeld, ofLeaveBound(heldOfLeaveBound));
+    pace.staleWait = ofLeaveBound(staleOfLeaveBound);
+    return pace;
 }
 
 template <row_store_like Store, runtime_like Runtime>
@@ -331,7 +351,7 @@
     const rollout_evidence &told = m_told[service];
     const bool sameOrder = told.orderedAt == own.orderedAt;
     const bool news = own.bad() > (sameOrder ? told.bad() : 0);
-    if (!news || m_runtime.now() - m_toldAt < evidencePause)
+    if (!news || m_runtime.now() - m_toldAt < evidencePause || !isAmongFew())
         return false;
     m_writing = true;
     m_toldAt = m_runtime.now();
@@ -431,13 +451,10 @@
 }
 
 template <row_store_like Store, runtime_like Runtime>
-bool store_sync<Store, Runtime>::takesDueStep(bool knowsOthers)
+bool store_sync<Store, Runtime>::isAmongFew()
 {
-    // Those that read the store are few, and most steps are theirs alone.
-    if (knowsOthers)
-        return m_state.random().chance(stepChance);
     const double entries = static_cast<double>(std::max<std::size_t>(1, m_state.entries()));
-    return m_state.random().chance(std::min(stepChance, stepsAtOnce / entries));
+    return m_state.random().chance(std::min(1.0, writersAtOnce / entries));
 }
 
 template <row_store_like Store, runtime_like Runtime>
@@ -463,7 +480,8 @@
                 storeNow(), m_state.directory().usable(service), m_state.entries(), knowsOthers);
         if (!next && tracker.row() && tellEvidence(service, tracker))
             return;
-        if (!next || !takesDueStep(knowsOthers))
+        // Those that read the store are few already; most steps are theirs alone.
+        if (!next || !(knowsOthers || isAmongFew()) || !m_state.random().chance(stepChance))
             continue;
         write(service, *tracker.order(), *next);
         return;
--- a/lib/Platform/RowStore.cpp
+++ b/lib/Platform/RowStore.cpp
@@ -16,6 +16,8 @@
         return "unknown";
     case row_failure::historyGone:
         return "history_gone";
+    case row_failure::outdated:
+        return "outdated";
     }
     return "unknown";
 }
--- a/lib/Proxy/PeerRows.cpp
+++ b/lib/Proxy/PeerRows.cpp
@@ -25,8 +25,6 @@
 
 constexpr std::string_view rowsPath = "/rows";
 constexpr int decimal = 10;
-/// A read is held this long at most, whatever it asks for.
-constexpr milliseconds longestHold{2000};
 /// Rows that come to an entry together leave it together: a start of many entries, a roll-out.
 constexpr milliseconds gathering{20};
 /// Peers are near; one that doesn't answer is not asked for longer than a retry takes.
@@ -36,8 +34,11 @@
 /// The same of a peer that takes no connection while this process starts: all may start together,
 /// some a little later.
 constexpr milliseconds startAvoidance{40};
-/// Peers that one read is sent to, one after the other.
-constexpr unsigned peersOfRead = 2;
+/// Readers that one read is sent to, one after the other; a stand-in comes after them.
+constexpr unsigned readersOfRead = 2;
+/// A read whose rows are outdated here is held this long: a stand-in needs a call to the store
+/// before it can help.
+constexpr milliseconds outdatedHold{100};
 
 } // namespace
 
@@ -107,7 +108,7 @@
 {
     std::int64_t hold = 0;
     std::from_chars(text.data(), text.data() + text.size(), hold, decimal);
-    return std::clamp(milliseconds(hold), milliseconds(0), longestHold);
+    return milliseconds(std::max<std::int64_t>(0, hold));
 }
 
 struct peer_rows::state
@@ -117,7 +118,7 @@
 
     void serve(const message_head &head, caller_exchange &exchange);
     void holdRead(std::vector<table_since> tables, caller_exchange &exchange, milliseconds hold);
-    bool isWorthHolding(const std::vector<table_since> &tables);
+    milliseconds longestHoldOf(const std::vector<table_since> &tables);
     void answer(const std::vector<table_since> &tables, caller_exchange &exchange);
     packed_news packedNews(const std::string &table, aged_news news);
     void noteChange();
@@ -125,11 +126,14 @@
 
     std::optional<std::string> pick();
     void postAsk();
-    void ask(milliseconds hold);
+    void ask();
+    milliseconds holdOfTry() const;
+    bool mayTryAgain() const;
     void onReply(const std::string &peer, const outcome<http_reply, http_error> &reply);
     void avoid(const std::string &peer, const outcome<http_reply, http_error> &reply);
     void failAll();
-    outcome<row_news, row_failure> take(const std::string &table, table_news &tables);
+    void takeReply(const std::string &peer, const std::string &body);
+    row_news taken(const std::string &table, const aged_news &found);
 
     asio::io_context &context;
     asio_runtime runtime;
@@ -144,13 +148,14 @@
     bool changeNoted = false;
 
     std::vector<std::string> peers;
-    std::vector<std::string> readers;
+    row_sources sources;
     bool asksFirstPeers = false;
     bool starting = true; ///< no peer has answered yet
     std::size_t next = 0;
     std::map<std::string, time_point> avoidedUntil; ///< peers that did not answer
     std::vector<asked_table> asked;
     unsigned tries = 0; ///< of what is asked
+    bool isAnyoneUp = false; ///< among those that were asked
     std::optional<http_call_id> call;
     bool askPosted = false;
 };
@@ -209,17 +214,17 @@
     setPeers(peers);
 }
 
-void peer_rows::setReaders(std::vector<std::string> readers)
+void peer_rows::setSources(row_sources sources)
 {
     state &self = *m_state;
     self.asksFirstPeers = false;
-    self.readers = std::move(readers);
+    self.sources = std::move(sources);
     // A first peer that is silent is not waited for when the readers are known, and nobody when
     // this entry is one of them.
     if (self.starting && self.call) {
         self.http.cancel(*self.call);
         self.call.reset();
-        if (self.readers.empty())
+        if (self.sources.readers.empty())
             asio::post(self.context, [&self] { self.failAll(); });
         else
             self.postAsk();
@@ -228,14 +233,18 @@
 
 bool peer_rows::arePreferred() const
 {
-    return m_state->asksFirstPeers || !m_state->readers.empty();
+    return m_state->asksFirstPeers || !m_state->sources.readers.empty();
+}
+
+bool peer_rows::isStandIn() const
+{
+    return !m_state->sources.readers.empty() && m_state->sources.standIns.empty();
 }
 
 void peer_rows::read(const std::string &table, std::uint64_t since, row_callback<row_news> done)
 {
     state &self = *m_state;
     self.asked.push_back({{table, since}, std::move(done)});
-    self.tries = 0;
     // What is under way is asked again together with this one.
     if (self.call) {
         self.http.cancel(*self.call);
@@ -250,13 +259,18 @@
         return;
     asio::post(context, [this] {
         askPosted = false;
-        ask(hold);
+        tries = 0;
+        isAnyoneUp = false;
+        ask();
     });
 }
 
 std::optional<std::string> peer_rows::state::pick()
 {
-    const std::vector<std::string> &from = readers.empty() ? peers : readers;
+    const bool asksStandIn = tries >= readersOfRead;
+    const std::vector<std::string> &readersOrPeers
+            = sources.readers.empty() ? peers : sources.readers;
+    const std::vector<std::string> &from = asksStandIn ? sources.standIns : readersOrPeers;
     const time_point now = bootNow();
     for (std::size_t i = 0; i < from.size(); ++i) {
         const std::string &peer = from[next++ % from.size()];
@@ -267,13 +281,31 @@
     return std::nullopt;
 }
 
-void peer_rows::state::ask(milliseconds holdWanted)
+milliseconds peer_rows::state::holdOfTry() const
+{
+    // The first one has taken its time.
+    if (tries == 0)
+        return hold;
+    return tries < readersOfRead ? milliseconds(0) : outdatedHold;
+}
+
+bool peer_rows::state::mayTryAgain() const
 {
-    const std::optional<std::string> peer = pick();
+    return tries < readersOfRead + sources.standIns.size();
+}
+
+void peer_rows::state::ask()
+{
+    std::optional<std::string> peer = pick();
+    while (!peer && mayTryAgain()) {
+        ++tries;
+        peer = pick();
+    }
     if (!peer) {
         failAll();
         return;
     }
+    const milliseconds holdWanted = holdOfTry();
     ++tries;
     http_call request;
     request.url = "http://" + *peer + std::string(rowsPath) + "?tables=" + queryOf(asked)
@@ -290,15 +322,19 @@
 void peer_rows::state::failAll()
 {
     const std::vector<asked_table> failed = std::exchange(asked, {});
+    const row_failure why = isAnyoneUp ? row_failure::outdated : row_failure::notDone;
     for (const asked_table &item : failed)
-        item.done(failure(row_failure::notDone));
+        item.done(failure(why));
 }
 
 void peer_rows::state::avoid(const std::string &peer, const outcome<http_reply, http_error> &reply)
 {
-    const bool startsLater = starting && !reply && reply.error() == http_error::notSent;
+    // One that is up may have heard from the store by the next time.
+    if (reply)
+        return;
+    const bool startsLater = starting && reply.error() == http_error::notSent;
     avoidedUntil[peer] = bootNow() + (startsLater ? startAvoidance : peerAvoidance);
-    logDebug(log_part::fleet, "peer has no rows", {{"peer", peer}});
+    logDebug(log_part::fleet, "peer does not answer", {{"peer", peer}});
 }
 
 void peer_rows::state::onReply(const std::string &peer,
@@ -307,37 +343,44 @@
     const bool answered = reply && reply.value().status == http_status::ok;
     metrics.add(answered ? "peer_reads_total{result=\"ok\"}"
                          : "peer_reads_total{result=\"failed\"}");
-    if (!answered) {
+    isAnyoneUp = isAnyoneUp || reply;
+    if (answered)
+        takeReply(peer, reply.value().body);
+    else
         avoid(peer, reply);
-        // Nothing is held any more: the first one has taken its time.
-        if (tries < peersOfRead)
-            ask(milliseconds(0));
-        else
-            failAll();
+    if (asked.empty() || call)
         return;
-    }
+    if (mayTryAgain())
+        ask();
+    else
+        failAll();
+}
+
+void peer_rows::state::takeReply(const std::string &peer, const std::string &body)
+{
     starting = false;
-    metrics.add("peer_read_bytes_total", reply.value().body.size());
-    outcome<table_news, std::string> tables = decodeNews(reply.value().body);
+    metrics.add("peer_read_bytes_total", body.size());
+    outcome<table_news, std::string> tables = decodeNews(body);
     if (!tables) {
         logWarning(log_part::fleet, "peer's rows refused",
                    {{"peer", peer}, {"fault", tables.error()}});
-        failAll();
         return;
     }
-    const std::vector<asked_table> answeredTables = std::exchange(asked, {});
-    for (const asked_table &item : answeredTables)
-        item.done(take(item.what.table, tables.value()));
+    // What this peer has not heard of for too long stays for the next one.
+    std::vector<asked_table> answered;
+    for (asked_table &item : std::exchange(asked, {})) {
+        const auto it = tables.value().find(item.what.table);
+        const bool isFresh = it != tables.value().end() && it->second.age <= mirror.freshness();
+        (isFresh ? answered : asked).push_back(std::move(item));
+    }
+    for (const asked_table &item : answered)
+        item.done(taken(item.what.table, tables.value().at(item.what.table)));
 }
 
-outcome<row_news, row_failure> peer_rows::state::take(const std::string &table, table_news &tables)
+row_news peer_rows::state::taken(const std::string &table, const aged_news &found)
 {
-    const auto it = tables.find(table);
-    if (it == tables.end() || it->second.age > row_mirror::freshness)
-        return failure(row_failure::notDone);
-    aged_news &found = it->second;
     mirror.take(table, found.news.batch, found.news.whole, bootNow() - found.age);
-    return std::move(found.news);
+    return found.news;
 }
 
 void peer_rows::state::serve(const message_head &head, caller_exchange &exchange)
@@ -351,25 +394,31 @@
     const std::string_view parameters = target.substr(query + 1);
     std::vector<table_since> tables = tablesIn(queryValue(parameters, "tables"));
     const milliseconds wanted = holdIn(queryValue(parameters, "hold"));
-    if (wanted.count() > 0 && isWorthHolding(tables))
-        holdRead(std::move(tables), exchange, wanted);
+    const milliseconds time = std::min(wanted, longestHoldOf(tables));
+    if (time.count() > 0)
+        holdRead(std::move(tables), exchange, time);
     else
         answer(tables, exchange);
 }
 
-/// \returns true when no table has news, or one was not read yet by this process, which starts.
-bool peer_rows::state::isWorthHolding(const std::vector<table_since> &tables)
+/// \returns how long an answer may wait: until the rows would be outdated when no table has news,
+/// or one was not read yet by this process, which starts; a moment when one is outdated.
+milliseconds peer_rows::state::longestHoldOf(const std::vector<table_since> &tables)
 {
     bool hasNews = false;
-    bool isStale = false;
+    bool isOutdated = false;
     bool isUnknown = false;
+    milliseconds oldest{0};
     for (const table_since &item : tables) {
         const std::optional<aged_news> news = mirror.read(item.table, item.since, bootNow());
         isUnknown = isUnknown || !mirror.knows(item.table);
-        isStale = isStale || (!news && mirror.knows(item.table));
+        isOutdated = isOutdated || (!news && mirror.knows(item.table));
         hasNews = hasNews || (news && (news->news.whole || !news->news.batch.rows.empty()));
+        oldest = std::max(oldest, news ? news->age : milliseconds(0));
     }
-    return !isStale && (isUnknown || !hasNews);
+    if (isOutdated)
+        return outdatedHold;
+    return isUnknown || !hasNews ? mirror.freshness() - oldest : milliseconds(0);
 }
 
 void peer_rows::state::holdRead(std::vector<table_since> tables, caller_exchange &exchange,
@@ -431,7 +480,7 @@
 {
     for (auto item = held.begin(); item != held.end();) {
         const auto current = item++;
-        if (isWorthHolding(current->tables))
+        if (longestHoldOf(current->tables).count() > 0)
             continue;
         runtime.cancel(current->timer);
         answer(current->tables, current->exchange);
--- a/lib/Proxy/RowMirror.cpp
+++ b/lib/Proxy/RowMirror.cpp
@@ -55,7 +55,7 @@
                                           time_point now) const
 {
     const auto it = m_tables.find(table);
-    if (it == m_tables.end() || now - it->second.confirmedAt > freshness)
+    if (it == m_tables.end() || now - it->second.confirmedAt > m_freshness)
         return std::nullopt;
     const copy &known = it->second;
     aged_news result;
--- a/lib/Proxy/StoreReaders.cpp
+++ b/lib/Proxy/StoreReaders.cpp
@@ -12,38 +12,62 @@
 
 using namespace laurelcroft;
 
-std::vector<std::string> laurelcroft::storeReaders(const entry_map &entries)
+/// \returns names of entries that may be asked, the readers first, then as many stand-ins.
+static std::vector<std::string> rankedSources(const entry_map &entries, std::size_t &readers)
 {
     std::vector<std::string> names;
     for (const auto &[name, place] : entries) {
         if (!place.address.empty())
             names.push_back(name);
     }
-    const std::size_t count
-            = std::max(fewestReaders, (names.size() + entriesOfReader - 1) / entriesOfReader);
-    return rankFirst(names, "store reader", count);
+    readers = std::max(fewestReaders, (names.size() + entriesOfReader - 1) / entriesOfReader);
+    readers = std::min(readers, names.size());
+    return rankFirst(names, "store reader", 2 * readers);
 }
 
-std::vector<std::string> laurelcroft::readersFor(const entry_map &entries, const std::string &own)
+/// \returns the addresses of the first \p count of \p names in the order of \p own, those of its
+/// data centre first.
+static std::vector<std::string> nearestOf(const std::vector<std::string> &names,
+                                          const entry_map &entries, const std::string &own,
+                                          std::size_t count)
 {
-    const auto self = entries.find(own);
-    if (self == entries.end())
-        return {};
     std::vector<std::string> near;
     std::vector<std::string> far;
-    for (const std::string &name : storeReaders(entries)) {
-        if (name == own)
-            return {};
-        const bool isNear = entries.at(name).dataCentre == self->second.dataCentre;
+    for (const std::string &name : names) {
+        const bool isNear = entries.at(name).dataCentre == entries.at(own).dataCentre;
         (isNear ? near : far).push_back(name);
     }
     // Ranked by the asking entry, so that the readers share the others between them.
-    std::vector<std::string> asked = rankFirst(near, own, fewestReaders);
-    for (std::string &name : rankFirst(far, own, fewestReaders - asked.size()))
+    std::vector<std::string> asked = rankFirst(near, own, count);
+    for (std::string &name : rankFirst(far, own, count - asked.size()))
         asked.push_back(std::move(name));
-    std::vector<std::string> addresses;
-    addresses.reserve(asked.size());
-    for (const std::string &name : asked)
-        addresses.push_back(entries.at(name).address);
-    return addresses;
+    for (std::string &name : asked)
+        name = entries.at(name).address;
+    return asked;
+}
+
+std::vector<std::string> laurelcroft::storeReaders(const entry_map &entries)
+{
+    std::size_t readers = 0;
+    std::vector<std::string> ranked = rankedSources(entries, readers);
+    ranked.resize(readers);
+    return ranked;
+}
+
+row_sources laurelcroft::sourcesFor(const entry_map &entries, const std::string &own)
+{
+    row_sources sources;
+    if (entries.count(own) == 0)
+        return sources;
+    std::size_t readers = 0;
+    const std::vector<std::string> ranked = rankedSources(entries, readers);
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(readers);
+    const std::vector<std::string> reading(ranked.begin(), end);
+    const std::vector<std::string> standingIn(end, ranked.end());
+    if (std::find(reading.begin(), reading.end(), own) != reading.end())
+        return sources;
+    sources.readers = nearestOf(reading, entries, own, fewestReaders);
+    if (std::find(standingIn.begin(), standingIn.end(), own) == standingIn.end())
+        sources.standIns = nearestOf(standingIn, entries, own, 1);
+    return sources;
 }
--- a/unittests/Platform/RowFollowerTests.cpp
+++ b/unittests/Platform/RowFollowerTests.cpp
@@ -160,6 +160,10 @@
     plain_store store;
     std::vector<row_callback<row_news>> held;
     unsigned tables = 0;
+    bool outdated = false; ///< the relay answers at once that it is
+    bool standsIn = false;
+    unsigned lost = 0;
+    unsigned regained = 0;
     row_follower<plain_store, manual_runtime> follower{
             store, runtime, "table", {milliseconds(800), milliseconds(500)}, events(), relay()};
 
@@ -168,16 +172,20 @@
         follow_events events;
         events.onTable = [this](row_batch &&) { ++tables; };
         events.onChanges = [](row_batch &&) {};
-        events.onLost = [](row_failure) {};
-        events.onRegained = [](milliseconds) {};
+        events.onLost = [this](row_failure) { ++lost; };
+        events.onRegained = [this](milliseconds) { ++regained; };
         return events;
     }
     row_relay relay()
     {
         row_relay relay;
         relay.isPreferred = [] { return true; };
+        relay.isStandIn = [this] { return standsIn; };
         relay.read = [this](const std::string &, std::uint64_t, row_callback<row_news> done) {
-            held.push_back(std::move(done));
+            if (outdated)
+                done(failure(row_failure::outdated));
+            else
+                held.push_back(std::move(done));
         };
         return relay;
     }
@@ -226,3 +234,30 @@
     world.runtime.advance(milliseconds(60));
     CHECK(world.store.calls == 1);
 }
+
+TEST_CASE("while relays are outdated the store is left to a few, and asked when it takes long")
+{
+    for (const bool standsIn : {false, true}) {
+        holding_world world;
+        world.standsIn = standsIn;
+        world.outdated = true;
+        world.follower.start();
+        world.runtime.advance(milliseconds(410));
+        const unsigned first = world.store.calls; // the start's own
+        world.runtime.advance(milliseconds(1000));
+        CHECK((world.store.calls > first) == standsIn);
+        world.runtime.advance(milliseconds(1500));
+        CHECK(world.store.calls > first);
+        // While the store is away as well, it is asked ever more seldom.
+        world.store.away = true;
+        world.runtime.advance(seconds(60));
+        const unsigned before = world.store.calls;
+        world.runtime.advance(seconds(60));
+        CHECK(world.store.calls - before <= (standsIn ? 26 : 4));
+        world.outdated = false;
+        world.runtime.advance(milliseconds(400));
+        REQUIRE(!world.held.empty());
+        world.held.back()(row_news{{{}, 9, {}}, false});
+        CHECK(world.lost == world.regained);
+    }
+}
--- a/unittests/Proxy/FleetStartTests.cpp
+++ b/unittests/Proxy/FleetStartTests.cpp
@@ -96,7 +96,7 @@
     std::size_t next = 0;
     gated_store store;
     routing_state routing;
-    row_mirror mirror;
+    row_mirror mirror{milliseconds(1500)};
     metric_registry metrics;
     store_sync<gated_store, manual_runtime> sync;
 };
@@ -192,7 +192,7 @@
               };
     links.onEntries = [this](const entry_map &known) {
         listed = known.count(name) != 0;
-        readers = readersFor(known, name);
+        readers = sourcesFor(known, name).readers;
     };
     links.onContract = [] {};
     return links;
--- a/unittests/Proxy/RowMirrorTests.cpp
+++ b/unittests/Proxy/RowMirrorTests.cpp
@@ -11,7 +11,7 @@
 
 TEST_CASE("a mirror tells what is new since a version, removals included")
 {
-    row_mirror mirror;
+    row_mirror mirror(milliseconds(1500));
     const time_point now{seconds(100)};
     mirror.take("t", {{{"a", "1", 5, false}, {"b", "2", 6, false}}, 6, milliseconds(10)}, true,
                 now);
@@ -34,7 +34,7 @@
 
 TEST_CASE("a mirror gives away only what the store confirmed a moment ago")
 {
-    row_mirror mirror;
+    row_mirror mirror(milliseconds(1500));
     const time_point now{seconds(100)};
     mirror.take("t", {{}, 6, milliseconds(10)}, true, now);
     CHECK(mirror.read("t", 0, now + milliseconds(1500)));
@@ -47,7 +47,7 @@
 
 TEST_CASE("a whole table that is read again leaves traces of what vanished")
 {
-    row_mirror mirror;
+    row_mirror mirror(milliseconds(1500));
     const time_point now{seconds(100)};
     mirror.take("t", {{{"a", "1", 5, false}}, 6, {}}, true, now);
     mirror.take("t", {{{"b", "1", 8, false}}, 9, {}}, true, now);
--- a/unittests/Proxy/StoreSyncTests.cpp
+++ b/unittests/Proxy/StoreSyncTests.cpp
@@ -70,7 +70,7 @@
     routing_state routing{{}, {}, 1};
     metric_registry metrics;
     unsigned contracts = 0;
-    row_mirror mirror;
+    row_mirror mirror{milliseconds(1500)};
     std::optional<row_news> ordersOfPeer; ///< what another entry has
     bool relayed = false; ///< another entry reads the store for this one
     unsigned relayReads = 0;
