A begun stream leaves a version that may have ended

Ruled out: the budget of repeats, the deadline (17 s left), a third attempt (two had reached an endpoint). Change: where the roll-out is over, or two connections were refused, the rest of a stream goes where new requests go. Red test first: 'a stream whose version has ended goes on at the one that took its place'.

--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -71,6 +71,9 @@
 inline constexpr milliseconds leastForAttempt{30};
 /// Endpoints without a connection that one request tries before it is given up.
 inline constexpr unsigned mostUnreached = 4;
+/// Endpoints without a connection after which a begun stream no longer keeps to its version: half
+/// of those that it may try.
+inline constexpr unsigned endedVersion = 2;
 /// An endpoint that answers none of this entry's requests for this long seems dead. Several
 /// steps of a full batch, and the reading of a long prompt between two of them.
 inline constexpr milliseconds endpointSilence{700};
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -157,7 +157,10 @@
     state.directory().expire(now());
     rollout_tracker &rollouts = state.rollouts(m_service);
     const std::vector<endpoint_ptr> usable = state.directory().usable(m_service);
-    if (m_begun) {
+    // Where a roll-out is over, the version that began the stream may have ended at once; before
+    // this entry hears so, refused connections tell.
+    const bool mayHaveEnded = rollouts.isOver() || m_unreached >= flow_bounds::endedVersion;
+    if (m_begun && !mayHaveEnded) {
         std::optional<endpoint_pick> rest = pickForRest(usable);
         if (rest)
             return rest;
--- a/unittests/Proxy/FlowTests.cpp
+++ b/unittests/Proxy/FlowTests.cpp
@@ -257,6 +257,28 @@
     CHECK(world.versionOf(2) == "v1");
 }
 
+TEST_CASE("a stream whose version has ended goes on at the one that took its place")
+{
+    // The entry has heard of it, or finds out by connections that are refused.
+    for (const bool hasHeard : {true, false}) {
+        trial_world world;
+        for (const char *id : {"old4", "old5", "old6", "old7"})
+            world.addEndpoint(id, "pool", "v1");
+        startFlow(world, requestFor(draftRoute()));
+        CHECK(world.versionOf(0) == "v1");
+        const rollout_stage stage = hasHeard ? rollout_stage::completed : rollout_stage::full;
+        world.routing.rollouts("pool").setRow(
+                {7, "v2", stage, milliseconds(1), milliseconds(2), 1});
+        world.breakAfter(0, 1);
+        for (std::size_t call = 1; call < world.calls.size() && !world.aborted; ++call) {
+            if (world.versionOf(call) == "v1")
+                world.end(call, call_end::notSent);
+        }
+        REQUIRE(!world.aborted);
+        CHECK(world.versionOf(world.calls.size() - 1) == "v2");
+    }
+}
+
 TEST_CASE("a stream that can't go on is cut, so that it never looks whole")
 {
     flow_world world(draftRoute(), {"e1"});
