Entries that start together wait for none that starts late; news are found by version

Change: stand-ins read the store at once when they start; callers wait for up to 800 ms, 400 before; the mirror keeps the versions of its changes, so that looking for news touches only what is new, and packs a whole table again only when a row says something new. Tests: a process that stands in does not wait at its start.

--- a/include/laurelcroft/Platform/RowFollower.h
+++ b/include/laurelcroft/Platform/RowFollower.h
@@ -54,8 +54,8 @@
     /// \returns true while the relay is asked first and the store only when it fails. Otherwise
     /// it is the other way round.
     std::function<bool()> isPreferred;
-    /// \returns true when this process asks the store at once while its relays are outdated, so
-    /// that others find the rows here. May be empty.
+    /// \returns true when this process asks the store at once while its relays are outdated, or
+    /// have nothing yet at its start, so that others find the rows here. May be empty.
     std::function<bool()> isStandIn;
     /// Reads what is new since a version; 0: the whole table. May fail.
     std::function<void(const std::string &table, std::uint64_t since, row_callback<row_news> done)>
@@ -161,7 +161,7 @@
         const bool starting
                 = m_since == 0 && m_runtime.now() - m_startedAt < m_pace.firstWait && !m_lost;
         m_outdated = result.error() == row_failure::outdated;
-        if (starting) {
+        if (starting && !standsIn()) {
             readAfter(relayPause);
             return;
         }
--- a/include/laurelcroft/Proxy/RowMirror.h
+++ b/include/laurelcroft/Proxy/RowMirror.h
@@ -13,7 +13,9 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace laurelcroft {
 
@@ -22,6 +24,16 @@
 {
     row_news news;
     milliseconds age{0}; ///< since the store confirmed them
+    std::uint64_t changedAt = 0; ///< version of the table's newest row or removal
+};
+
+/// What a mirror has of a table for whoever knows it up to some version.
+struct news_state
+{
+    bool isKnown = false; ///< the table was read once
+    bool isOutdated = false; ///< the store has not confirmed it for too long
+    bool hasNews = false;
+    milliseconds age{0};
 };
 
 /// Copies of tables.
@@ -47,8 +59,8 @@
     std::optional<aged_news> read(const std::string &table, std::uint64_t since,
                                   time_point now) const;
 
-    /// \returns true when the table was read once.
-    bool knows(const std::string &table) const { return m_tables.count(table) != 0; }
+    /// \returns what read() would tell, without the rows.
+    news_state look(const std::string &table, std::uint64_t since, time_point now) const;
 
     /// \param onChange is called when a table gets its first rows or others.
     void setListener(std::function<void()> onChange) { m_onChange = std::move(onChange); }
@@ -58,11 +70,17 @@
     {
         std::map<std::string, store_row> rows;
         std::map<std::string, std::uint64_t> removed; ///< versions of the removals, by key
+        /// Versions of rows and removals with their keys: what is new to somebody is found without
+        /// a look at the whole table, which many ask for each second.
+        std::set<std::pair<std::uint64_t, std::string>> changes;
         std::uint64_t changesFrom = 0; ///< changes since any later version are known
         std::uint64_t version = 0;
         milliseconds storeTime{0};
         time_point confirmedAt{};
     };
+    static void forget(copy &known, const std::string &key);
+    static void setRow(copy &known, const store_row &row);
+    static void setRemoved(copy &known, const std::string &key, std::uint64_t version);
     static void forgetRemoved(copy &known);
 
     milliseconds m_freshness;
--- a/include/laurelcroft/Proxy/StoreReaders.h
+++ b/include/laurelcroft/Proxy/StoreReaders.h
@@ -33,6 +33,8 @@
     /// One that takes the readers' place while they hear nothing from the store; empty when it
     /// does so itself.
     std::vector<std::string> standIns;
+
+    bool operator==(const row_sources &) const = default;
 };
 
 /// \returns whom \p own asks; nobody when it is not listed.
--- a/lib/Proxy/PeerRows.cpp
+++ b/lib/Proxy/PeerRows.cpp
@@ -69,12 +69,20 @@
 /// The packed rows of a whole table.
 struct packed_table
 {
-    std::uint64_t version = 0;
+    std::uint64_t changedAt = 0; ///< version of its newest row or removal
     packed_rows rows;
 };
 
 } // namespace
 
+static std::string joined(const std::vector<std::string> &addresses)
+{
+    std::string text;
+    for (const std::string &address : addresses)
+        text += (text.empty() ? "" : ",") + address;
+    return text;
+}
+
 static std::string queryOf(const std::vector<asked_table> &asked)
 {
     std::string text;
@@ -124,6 +132,7 @@
     void noteChange();
     void answerHeld();
 
+    void noteSources(const row_sources &chosen);
     std::optional<std::string> pick();
     void postAsk();
     void ask();
@@ -217,20 +226,30 @@
 void peer_rows::setSources(row_sources sources)
 {
     state &self = *m_state;
+    if (self.asksFirstPeers || self.sources != sources)
+        self.noteSources(sources);
     self.asksFirstPeers = false;
     self.sources = std::move(sources);
     // A first peer that is silent is not waited for when the readers are known, and nobody when
-    // this entry is one of them.
+    // this entry is one of them, or stands in for them.
     if (self.starting && self.call) {
         self.http.cancel(*self.call);
         self.call.reset();
-        if (self.sources.readers.empty())
+        if (self.sources.readers.empty() || isStandIn())
             asio::post(self.context, [&self] { self.failAll(); });
         else
             self.postAsk();
     }
 }
 
+void peer_rows::state::noteSources(const row_sources &chosen)
+{
+    const bool reads = chosen.readers.empty();
+    metrics.set("reads_store", reads ? 1 : 0);
+    logInfo(log_part::fleet, reads ? "rows are read from the store" : "rows are read from entries",
+            {{"readers", joined(chosen.readers)}, {"stand_ins", joined(chosen.standIns)}});
+}
+
 bool peer_rows::arePreferred() const
 {
     return m_state->asksFirstPeers || !m_state->sources.readers.empty();
@@ -379,6 +398,7 @@
 
 row_news peer_rows::state::taken(const std::string &table, const aged_news &found)
 {
+    metrics.set("rows_age_ms{table=\"" + table + "\"}", static_cast<double>(found.age.count()));
     mirror.take(table, found.news.batch, found.news.whole, bootNow() - found.age);
     return found.news;
 }
@@ -410,11 +430,11 @@
     bool isUnknown = false;
     milliseconds oldest{0};
     for (const table_since &item : tables) {
-        const std::optional<aged_news> news = mirror.read(item.table, item.since, bootNow());
-        isUnknown = isUnknown || !mirror.knows(item.table);
-        isOutdated = isOutdated || (!news && mirror.knows(item.table));
-        hasNews = hasNews || (news && (news->news.whole || !news->news.batch.rows.empty()));
-        oldest = std::max(oldest, news ? news->age : milliseconds(0));
+        const news_state state = mirror.look(item.table, item.since, bootNow());
+        isUnknown = isUnknown || !state.isKnown;
+        isOutdated = isOutdated || state.isOutdated;
+        hasNews = hasNews || state.hasNews;
+        oldest = std::max(oldest, state.age);
     }
     if (isOutdated)
         return outdatedHold;
@@ -446,8 +466,8 @@
     }
     // Entries that start together ask for the same table.
     packed_table &kept = packed[table];
-    if (kept.version != batch.version)
-        kept = {batch.version, packRows(batch.rows)};
+    if (kept.changedAt != result.about.changedAt)
+        kept = {result.about.changedAt, packRows(batch.rows)};
     result.rows = kept.rows;
     return result;
 }
@@ -460,10 +480,13 @@
         if (news)
             found.push_back(packedNews(item.table, std::move(*news)));
     }
-    if (found.empty())
+    if (found.empty()) {
         exchange.reply(http_status::unavailable, {}, "");
-    else
-        exchange.reply(http_status::ok, {}, encodeNews(found));
+        return;
+    }
+    const std::string bytes = encodeNews(found);
+    metrics.add("peer_served_bytes_total", bytes.size());
+    exchange.reply(http_status::ok, {}, bytes);
 }
 
 void peer_rows::state::noteChange()
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -32,9 +32,11 @@
 constexpr milliseconds drainCheckEvery{100};
 /// From the end of a process to its successor's being used: its start and the balancer's next look.
 constexpr milliseconds restartTime{1500};
-/// A process that starts reads its contract within some tens of milliseconds. Callers that
-/// connect meanwhile are accepted just after; later than this they are refused at once.
-constexpr milliseconds startPatience{400};
+/// A process that starts reads its contract within some tens of milliseconds, or within half a
+/// second when all start together. Callers that connect meanwhile are accepted just after; later
+/// than this they are refused at once. With 400 ms 401 callers of 103 entries were refused some
+/// tens of milliseconds before there was a contract.
+constexpr milliseconds startPatience{800};
 constexpr milliseconds startCheckEvery{5};
 /// An entry opens at most this part of what an endpoint takes, divided by the entries: a
 /// new entry may not be known yet.
--- a/lib/Proxy/RowMirror.cpp
+++ b/lib/Proxy/RowMirror.cpp
@@ -9,6 +9,32 @@
 
 using namespace laurelcroft;
 
+void row_mirror::forget(copy &known, const std::string &key)
+{
+    if (const auto row = known.rows.find(key); row != known.rows.end()) {
+        known.changes.erase({row->second.version, key});
+        known.rows.erase(row);
+    }
+    if (const auto removed = known.removed.find(key); removed != known.removed.end()) {
+        known.changes.erase({removed->second, key});
+        known.removed.erase(removed);
+    }
+}
+
+void row_mirror::setRow(copy &known, const store_row &row)
+{
+    forget(known, row.key);
+    known.rows[row.key] = row;
+    known.changes.insert({row.version, row.key});
+}
+
+void row_mirror::setRemoved(copy &known, const std::string &key, std::uint64_t version)
+{
+    forget(known, key);
+    known.removed[key] = version;
+    known.changes.insert({version, key});
+}
+
 void row_mirror::forgetRemoved(copy &known)
 {
     while (known.removed.size() > mostRemoved) {
@@ -16,7 +42,7 @@
                 known.removed.begin(), known.removed.end(),
                 [](const auto &a, const auto &b) { return a.second < b.second; });
         known.changesFrom = std::max(known.changesFrom, oldest->second);
-        known.removed.erase(oldest);
+        forget(known, std::string(oldest->first));
     }
 }
 
@@ -30,18 +56,15 @@
     if (isFirst)
         known.changesFrom = batch.version;
     if (whole) {
-        for (const auto &[key, row] : known.rows)
-            known.removed[key] = batch.version;
-        known.rows.clear();
+        const auto before = known.rows;
+        for (const auto &[key, row] : before)
+            setRemoved(known, key, batch.version);
     }
     for (const store_row &row : batch.rows) {
-        if (row.removed) {
-            known.rows.erase(row.key);
-            known.removed[row.key] = row.version;
-            continue;
-        }
-        known.rows[row.key] = row;
-        known.removed.erase(row.key);
+        if (row.removed)
+            setRemoved(known, row.key, row.version);
+        else
+            setRow(known, row);
     }
     forgetRemoved(known);
     known.version = batch.version;
@@ -51,28 +74,50 @@
         m_onChange();
 }
 
+news_state row_mirror::look(const std::string &table, std::uint64_t since, time_point now) const
+{
+    news_state state;
+    const auto it = m_tables.find(table);
+    if (it == m_tables.end())
+        return state;
+    const copy &known = it->second;
+    state.isKnown = true;
+    state.isOutdated = now - known.confirmedAt > m_freshness;
+    state.age = std::chrono::duration_cast<milliseconds>(now - known.confirmedAt);
+    const bool hasChanges = !known.changes.empty() && known.changes.rbegin()->first > since;
+    state.hasNews = !state.isOutdated && (since < known.changesFrom || hasChanges);
+    return state;
+}
+
 std::optional<aged_news> row_mirror::read(const std::string &table, std::uint64_t since,
                                           time_point now) const
 {
-    const auto it = m_tables.find(table);
-    if (it == m_tables.end() || now - it->second.confirmedAt > m_freshness)
+    const news_state state = look(table, since, now);
+    if (!state.isKnown || state.isOutdated)
         return std::nullopt;
-    const copy &known = it->second;
+    const copy &known = m_tables.at(table);
     aged_news result;
-    result.age = std::chrono::duration_cast<milliseconds>(now - known.confirmedAt);
+    result.age = state.age;
+    result.changedAt = known.changes.empty() ? 0 : known.changes.rbegin()->first;
     result.news.whole = since < known.changesFrom;
     row_batch &batch = result.news.batch;
     batch.version = known.version;
     batch.storeTime = known.storeTime + result.age;
-    for (const auto &[key, row] : known.rows) {
-        if (result.news.whole || row.version > since)
+    if (result.news.whole) {
+        for (const auto &[key, row] : known.rows)
             batch.rows.push_back(row);
-    }
-    if (result.news.whole)
         return result;
-    for (const auto &[key, version] : known.removed) {
-        if (version > since)
-            batch.rows.push_back({key, "", version, true});
     }
+    std::vector<store_row> removed;
+    for (auto item = known.changes.lower_bound({since + 1, ""}); item != known.changes.end();
+         ++item) {
+        const auto row = known.rows.find(item->second);
+        if (row != known.rows.end())
+            batch.rows.push_back(row->second);
+        else
+            removed.push_back({item->second, "", item->first, true});
+    }
+    for (store_row &row : removed)
+        batch.rows.push_back(std::move(row));
     return result;
 }
--- a/unittests/Platform/RowFollowerTests.cpp
+++ b/unittests/Platform/RowFollowerTests.cpp
@@ -261,3 +261,15 @@
         CHECK(world.lost == world.regained);
     }
 }
+
+TEST_CASE("a process that stands in does not wait at its start, so that others find the rows here")
+{
+    for (const bool standsIn : {false, true}) {
+        holding_world world;
+        world.standsIn = standsIn;
+        world.follower.start();
+        REQUIRE(world.held.size() == 1);
+        world.held[0](failure(row_failure::notDone));
+        CHECK((world.store.calls > 0) == standsIn);
+    }
+}
--- a/unittests/Proxy/FleetStartTests.cpp
+++ b/unittests/Proxy/FleetStartTests.cpp
@@ -166,7 +166,7 @@
     fleet_entry *peer = from.empty() ? nullptr : all.find(from[next++ % from.size()]);
     const auto news = peer ? peer->mirror.read(table, since, all.runtime.now()) : std::nullopt;
     const bool isNews = news && (news->news.whole || !news->news.batch.rows.empty());
-    const bool isStarting = peer && !peer->mirror.knows(table);
+    const bool isStarting = peer && !peer->mirror.look(table, since, all.runtime.now()).isKnown;
     if ((isStarting || (news && !isNews)) && all.runtime.now() < until) {
         all.runtime.after(lookAgain,
                           [this, table, since, done, until] { read(table, since, done, until); });
