--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -184,5 +184,6 @@
 } // namespace laurelcroft
 
 #include "laurelcroft/Proxy/StoreSyncImpl.h"
+#include "laurelcroft/Proxy/StoreSyncRollouts.h"
 
 #endif
--- /dev/null
+++ b/include/laurelcroft/Proxy/StoreSyncRollouts.h
@@ -0,0 +1,157 @@
+//===-- Proxy/StoreSyncRollouts.h - members of store_sync --------*- C++ -*-===//
+//
+// Steps of roll-outs and what is told of them. Included by StoreSync.h only.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_PROXY_STORESYNCROLLOUTS_H
+#define LAURELCROFT_PROXY_STORESYNCROLLOUTS_H
+
+#include <algorithm>
+#include <cmath>
+
+namespace laurelcroft {
+
+template <row_store_like Store, runtime_like Runtime>
+bool store_sync<Store, Runtime>::tellEvidence(const std::string &service,
+                                              const rollout_tracker &tracker)
+{
+    const rollout_evidence &own = tracker.ownEvidence();
+    const rollout_evidence &told = m_told[service];
+    const bool sameOrder = told.orderedAt == own.orderedAt;
+    const bool news = own.bad() > (sameOrder ? told.bad() : 0);
+    if (!news || m_runtime.now() - m_toldAt < evidencePause || !isAmongFew())
+        return false;
+    m_writing = true;
+    m_toldAt = m_runtime.now();
+    m_told[service] = own;
+    logInfo(log_part::bundle, "evidence told",
+            {{"service", service}, {"bad", std::int64_t(own.bad())}});
+    rollout_evidence signedOwn = own;
+    signedOwn.life = m_life;
+    const row_write row{std::string(ownTable), evidenceKey(m_links.entry, service),
+                        encodeEvidence(signedOwn), std::nullopt};
+    m_store.write({row}, [this, service](outcome<conditional_write, row_failure> result) {
+        m_writing = false;
+        if (result)
+            return;
+        // The next look tells it again.
+        m_told[service] = {};
+        logWarning(log_part::platform, "evidence not written",
+                   {{"service", service}, {"why", textOf(result.error())}});
+    });
+    return true;
+}
+
+template <row_store_like Store, runtime_like Runtime>
+bool store_sync<Store, Runtime>::othersKnown()
+{
+    const follower &own = *m_followers.at(std::string(ownTable));
+    const time_point now = m_runtime.now();
+    if (now - own.relayedAt() < evidenceGrace)
+        return false;
+    return now - own.confirmedAt() <= evidenceAge && now - own.steadySince() >= evidenceGrace;
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::takeEvidence(const evidence_notice &notice)
+{
+    if (notice.entry != m_links.entry)
+        m_state.rollouts(notice.service).takeEvidence(notice.entry, notice.evidence);
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::tellReaders(const std::string &service,
+                                             const rollout_tracker &tracker)
+{
+    const rollout_evidence &own = tracker.ownEvidence();
+    if (!m_links.tellReaders || own.byRoute.empty() || m_toldReaders[service] == own)
+        return;
+    evidence_notice notice{m_links.entry, service, own};
+    notice.evidence.life = m_life;
+    if (m_links.tellReaders(notice))
+        m_toldReaders[service] = own;
+}
+
+template <row_store_like Store, runtime_like Runtime>
+bool store_sync<Store, Runtime>::isAmongFew()
+{
+    const double entries = static_cast<double>(std::max<std::size_t>(1, m_state.entries()));
+    return m_state.random().chance(std::min(1.0, writersAtOnce / entries));
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::step()
+{
+    m_runtime.after(stepEvery, [this] { step(); });
+    keepListed();
+    const bool isNoticeDue = m_runtime.now() >= m_nextNoticeAt;
+    if (isNoticeDue)
+        m_nextNoticeAt = m_runtime.now() + evidenceNoticePause;
+    const bool knowsOthers = othersKnown();
+    for (auto &[service, tracker] : m_state.allRollouts()) {
+        tracker.setJudgesOthers(knowsOthers);
+        if (isNoticeDue && tracker.order() && !tracker.isOver())
+            tellReaders(service, tracker);
+    }
+    if (m_writing || !m_timeKnown || m_runtime.now() < m_nextWriteAt)
+        return;
+    for (auto &[service, tracker] : m_state.allRollouts()) {
+        if (!tracker.order() || tracker.isOver())
+            continue;
+        const std::optional<rollout_row> next = tracker.nextRow(
+                storeNow(), m_state.directory().usable(service), m_state.entries(), knowsOthers);
+        if (!next && tracker.row() && tellEvidence(service, tracker))
+            return;
+        // Those that read the store are few already; most steps are theirs alone.
+        if (!next || !(knowsOthers || isAmongFew()) || !m_state.random().chance(stepChance))
+            continue;
+        write(service, *tracker.order(), *next);
+        return;
+    }
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::write(const std::string &service, const rollout_order &order,
+                                       const rollout_row &row)
+{
+    m_writing = true;
+    const rollout_doubt doubt = m_state.rollouts(service).strongestDoubt();
+    logInfo(log_part::bundle, "roll-out step is due",
+            {{"service", service},
+             {"target", row.targetVersion},
+             {"stage", textOf(row.stage)},
+             {"doubt", doubt.fault},
+             {"route", doubt.route},
+             {"bad", std::int64_t(doubt.bad)},
+             {"answers", std::int64_t(doubt.all)},
+             {"evidence_percent", std::lround(doubt.evidence * 100)},
+             {"deviations_percent", std::lround(doubt.deviations * 100)}});
+    const row_write own{std::string(ownTable), rolloutKey(service), encodeRollout(row),
+                        m_rowVersions[service]};
+    const std::vector<row_write> writes{own, m_codec.encodeStatus(order, row.stage)};
+    m_store.write(writes, [this, service, row](outcome<conditional_write, row_failure> result) {
+        m_writing = false;
+        if (!result)
+            m_nextWriteAt = m_runtime.now() + writeRetry;
+        const bool done = result && result.value().done;
+        logInfo(log_part::bundle, "roll-out step written",
+                {{"service", service},
+                 {"target", row.targetVersion},
+                 {"stage", textOf(row.stage)},
+                 {"result", textOf(result)}});
+        // The row comes back by the feed; taking it at once saves a read's time.
+        if (done)
+            m_state.rollouts(service).setRow(row);
+        if (!result || done)
+            return;
+        // Somebody else was first: the next step goes on from that row.
+        for (const table_entry &entry : result.value().current) {
+            if (entry.table == ownTable)
+                takeOwnRow(entry.row);
+        }
+    });
+}
+
+} // namespace laurelcroft
+
+#endif
--- a/lib/Proxy/PeerRows.cpp
+++ b/lib/Proxy/PeerRows.cpp
@@ -1,11 +1,12 @@
-//===-- PeerRows.cpp - rows from and for other entries ----------------------===//
+//===-- PeerRows.cpp - rows from other entries ------------------------------===//
 //
-// One path: /rows?tables=NAME:SINCE,NAME:SINCE&hold=MS.
+// What several followers ask for goes as one request: first to a reader, then to another one, then
+// to a stand-in.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/PeerRows.h"
 
-#include "laurelcroft/Proxy/CallerServer.h"
+#include "laurelcroft/Proxy/RowServer.h"
 #include "laurelcroft/Proxy/RowWire.h"
 #include "laurelcroft/Support/Log.h"
 #include "laurelcroft/Support/Settings.h"
@@ -14,8 +15,6 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
-#include <charconv>
-#include <list>
 #include <map>
 #include <optional>
 
@@ -23,10 +22,6 @@
 
 namespace {
 
-constexpr std::string_view rowsPath = "/rows";
-constexpr int decimal = 10;
-/// Rows that come to an entry together leave it together: a start of many entries, a roll-out.
-constexpr milliseconds gathering{20};
 /// Peers are near; one that doesn't answer is not asked for longer than a retry takes.
 constexpr milliseconds peerTimeout{400};
 /// A peer that did not answer is left out this long: a restart takes about as much.
@@ -36,20 +31,6 @@
 constexpr milliseconds startAvoidance{40};
 /// Readers that one read is sent to, one after the other; a stand-in comes after them.
 constexpr unsigned readersOfRead = 2;
-/// A read whose rows are outdated here is held this long: a stand-in needs a call to the store
-/// before it can help.
-constexpr milliseconds outdatedHold{100};
-
-} // namespace
-
-namespace {
-
-/// A table and the version from which on its changes are asked for.
-struct table_since
-{
-    std::string table;
-    std::uint64_t since = 0;
-};
 
 /// One read that waits for another entry's answer.
 struct asked_table
@@ -58,21 +39,6 @@
     row_callback<row_news> done;
 };
 
-/// Another entry's read that has no news yet.
-struct held_read
-{
-    std::vector<table_since> tables;
-    caller_exchange exchange;
-    timer_id timer = 0;
-};
-
-/// The packed rows of a whole table.
-struct packed_table
-{
-    std::uint64_t changedAt = 0; ///< version of its newest row or removal
-    packed_rows rows;
-};
-
 } // namespace
 
 static std::string joined(const std::vector<std::string> &addresses)
@@ -93,45 +59,11 @@
     return text;
 }
 
-/// \returns the tables of a query; a part that can't be read is left out.
-static std::vector<table_since> tablesIn(std::string_view text)
-{
-    std::vector<table_since> tables;
-    while (!text.empty()) {
-        const std::size_t end = std::min(text.find(','), text.size());
-        const std::string_view item = text.substr(0, end);
-        text.remove_prefix(std::min(end + 1, text.size()));
-        const std::size_t colon = item.rfind(':');
-        if (colon == std::string_view::npos)
-            continue;
-        table_since table{std::string(item.substr(0, colon)), 0};
-        const std::string_view number = item.substr(colon + 1);
-        std::from_chars(number.data(), number.data() + number.size(), table.since, decimal);
-        tables.push_back(std::move(table));
-    }
-    return tables;
-}
-
-static milliseconds holdIn(const std::string &text)
-{
-    std::int64_t hold = 0;
-    std::from_chars(text.data(), text.data() + text.size(), hold, decimal);
-    return milliseconds(std::max<std::int64_t>(0, hold));
-}
-
 struct peer_rows::state
 {
     state(asio::io_context &context, http_client &http, row_mirror &mirror,
           metric_registry &metrics, std::string ownAddress, milliseconds hold);
 
-    void serve(const message_head &head, caller_exchange &exchange);
-    void holdRead(std::vector<table_since> tables, caller_exchange &exchange, milliseconds hold);
-    milliseconds longestHoldOf(const std::vector<table_since> &tables);
-    void answer(const std::vector<table_since> &tables, caller_exchange &exchange);
-    packed_news packedNews(const std::string &table, aged_news news);
-    void noteChange();
-    void answerHeld();
-
     void noteSources(const row_sources &chosen);
     std::optional<std::string> pick();
     void postAsk();
@@ -151,10 +83,7 @@
     metric_registry &metrics;
     std::string ownAddress;
     milliseconds hold;
-    caller_server server;
-    std::list<held_read> held;
-    std::map<std::string, packed_table> packed; ///< whole tables, by name
-    bool changeNoted = false;
+    row_server server;
 
     std::vector<std::string> peers;
     row_sources sources;
@@ -178,11 +107,8 @@
     , metrics(metrics)
     , ownAddress(std::move(ownAddress))
     , hold(hold)
-    , server(context, [this](message_head &&head, std::string &&, caller_exchange exchange) {
-        serve(head, exchange);
-    })
+    , server(context, mirror, metrics)
 {
-    mirror.setListener([this] { noteChange(); });
 }
 
 peer_rows::peer_rows(asio::io_context &context, http_client &http, row_mirror &mirror,
@@ -191,10 +117,7 @@
 {
 }
 
-peer_rows::~peer_rows()
-{
-    m_state->mirror.setListener({});
-}
+peer_rows::~peer_rows() = default;
 
 std::string peer_rows::open()
 {
@@ -305,7 +228,7 @@
     // The first one has taken its time.
     if (tries == 0)
         return hold;
-    return tries < readersOfRead ? milliseconds(0) : outdatedHold;
+    return tries < readersOfRead ? milliseconds(0) : row_server::outdatedHold;
 }
 
 bool peer_rows::state::mayTryAgain() const
@@ -327,7 +250,7 @@
     const milliseconds holdWanted = holdOfTry();
     ++tries;
     http_call request;
-    request.url = "http://" + *peer + std::string(rowsPath) + "?tables=" + queryOf(asked)
+    request.url = "http://" + *peer + std::string(row_server::path) + "?tables=" + queryOf(asked)
             + "&hold=" + std::to_string(holdWanted.count());
     request.timeout = holdWanted + peerTimeout;
     request.connectTimeout = peerTimeout;
@@ -402,111 +325,3 @@
     mirror.take(table, found.news.batch, found.news.whole, bootNow() - found.age);
     return found.news;
 }
-
-void peer_rows::state::serve(const message_head &head, caller_exchange &exchange)
-{
-    const std::string_view target = head.target;
-    const std::size_t query = target.find('?');
-    if (target.substr(0, query) != rowsPath || query == std::string_view::npos) {
-        exchange.reply(http_status::notFound, {}, "");
-        return;
-    }
-    const std::string_view parameters = target.substr(query + 1);
-    std::vector<table_since> tables = tablesIn(queryValue(parameters, "tables"));
-    const milliseconds wanted = holdIn(queryValue(parameters, "hold"));
-    const milliseconds time = std::min(wanted, longestHoldOf(tables));
-    if (time.count() > 0)
-        holdRead(std::move(tables), exchange, time);
-    else
-        answer(tables, exchange);
-}
-
-/// \returns how long an answer may wait: until the rows would be outdated when no table has news,
-/// or one was not read yet by this process, which starts; a moment when one is outdated.
-milliseconds peer_rows::state::longestHoldOf(const std::vector<table_since> &tables)
-{
-    bool hasNews = false;
-    bool isOutdated = false;
-    bool isUnknown = false;
-    milliseconds oldest{0};
-    for (const table_since &item : tables) {
-        const news_state state = mirror.look(item.table, item.since, bootNow());
-        isUnknown = isUnknown || !state.isKnown;
-        isOutdated = isOutdated || state.isOutdated;
-        hasNews = hasNews || state.hasNews;
-        oldest = std::max(oldest, state.age);
-    }
-    if (isOutdated)
-        return outdatedHold;
-    return isUnknown || !hasNews ? mirror.freshness() - oldest : milliseconds(0);
-}
-
-void peer_rows::state::holdRead(std::vector<table_since> tables, caller_exchange &exchange,
-                                milliseconds time)
-{
-    held.push_back({std::move(tables), exchange, 0});
-    const auto item = std::prev(held.end());
-    item->timer = runtime.after(time, [this, item] {
-        answer(item->tables, item->exchange);
-        held.erase(item);
-    });
-    exchange.onLeft([this, item] {
-        runtime.cancel(item->timer);
-        held.erase(item);
-    });
-}
-
-packed_news peer_rows::state::packedNews(const std::string &table, aged_news news)
-{
-    packed_news result{table, std::move(news), {}};
-    const row_batch &batch = result.about.news.batch;
-    if (!result.about.news.whole) {
-        result.rows = packRows(batch.rows);
-        return result;
-    }
-    // Entries that start together ask for the same table.
-    packed_table &kept = packed[table];
-    if (kept.changedAt != result.about.changedAt)
-        kept = {result.about.changedAt, packRows(batch.rows)};
-    result.rows = kept.rows;
-    return result;
-}
-
-void peer_rows::state::answer(const std::vector<table_since> &tables, caller_exchange &exchange)
-{
-    std::vector<packed_news> found;
-    for (const table_since &item : tables) {
-        std::optional<aged_news> news = mirror.read(item.table, item.since, bootNow());
-        if (news)
-            found.push_back(packedNews(item.table, std::move(*news)));
-    }
-    if (found.empty()) {
-        exchange.reply(http_status::unavailable, {}, "");
-        return;
-    }
-    const std::string bytes = encodeNews(found);
-    metrics.add("peer_served_bytes_total", bytes.size());
-    exchange.reply(http_status::ok, {}, bytes);
-}
-
-void peer_rows::state::noteChange()
-{
-    if (held.empty() || std::exchange(changeNoted, true))
-        return;
-    runtime.after(gathering, [this] {
-        changeNoted = false;
-        answerHeld();
-    });
-}
-
-void peer_rows::state::answerHeld()
-{
-    for (auto item = held.begin(); item != held.end();) {
-        const auto current = item++;
-        if (longestHoldOf(current->tables).count() > 0)
-            continue;
-        runtime.cancel(current->timer);
-        answer(current->tables, current->exchange);
-        held.erase(current);
-    }
-}
--- /dev/null
+++ b/lib/Proxy/RowServer.cpp
@@ -0,0 +1,231 @@
+//===-- RowServer.cpp - rows for other entries ------------------------------===//
+//
+// Rows that come together leave together, and a whole table is packed once for all who start.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/RowServer.h"
+
+#include "laurelcroft/Proxy/CallerServer.h"
+#include "laurelcroft/Proxy/RowWire.h"
+#include "laurelcroft/Support/Settings.h"
+
+#include <asio/io_context.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <list>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+using namespace laurelcroft;
+
+namespace {
+
+constexpr int decimal = 10;
+/// Rows that come to an entry together leave it together: a start of many entries, a roll-out.
+constexpr milliseconds gathering{20};
+
+/// Another entry's read that has no news yet.
+struct held_read
+{
+    std::vector<table_since> tables;
+    caller_exchange exchange;
+    timer_id timer = 0;
+};
+
+/// The packed rows of a whole table.
+struct packed_table
+{
+    std::uint64_t changedAt = 0; ///< version of its newest row or removal
+    packed_rows rows;
+};
+
+} // namespace
+
+/// \returns the tables of a query; a part that can't be read is left out.
+static std::vector<table_since> tablesIn(std::string_view text)
+{
+    std::vector<table_since> tables;
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find(','), text.size());
+        const std::string_view item = text.substr(0, end);
+        text.remove_prefix(std::min(end + 1, text.size()));
+        const std::size_t colon = item.rfind(':');
+        if (colon == std::string_view::npos)
+            continue;
+        table_since table{std::string(item.substr(0, colon)), 0};
+        const std::string_view number = item.substr(colon + 1);
+        std::from_chars(number.data(), number.data() + number.size(), table.since, decimal);
+        tables.push_back(std::move(table));
+    }
+    return tables;
+}
+
+static milliseconds holdIn(const std::string &text)
+{
+    std::int64_t hold = 0;
+    std::from_chars(text.data(), text.data() + text.size(), hold, decimal);
+    return milliseconds(std::max<std::int64_t>(0, hold));
+}
+
+struct row_server::state
+{
+    state(asio::io_context &context, row_mirror &mirror, metric_registry &metrics);
+
+    void serve(const message_head &head, caller_exchange &exchange);
+    void holdRead(std::vector<table_since> tables, caller_exchange &exchange, milliseconds time);
+    milliseconds longestHoldOf(const std::vector<table_since> &tables) const;
+    void answer(const std::vector<table_since> &tables, caller_exchange &exchange);
+    packed_news packedNews(const std::string &table, aged_news news);
+    void noteChange();
+    void answerHeld();
+
+    asio_runtime runtime;
+    row_mirror &mirror;
+    metric_registry &metrics;
+    caller_server server;
+    std::list<held_read> held;
+    std::map<std::string, packed_table> packed; ///< whole tables, by name
+    bool changeNoted = false;
+};
+
+row_server::state::state(asio::io_context &context, row_mirror &mirror, metric_registry &metrics)
+    : runtime(context)
+    , mirror(mirror)
+    , metrics(metrics)
+    , server(context, [this](message_head &&head, std::string &&, caller_exchange exchange) {
+        serve(head, exchange);
+    })
+{
+    mirror.setListener([this] { noteChange(); });
+}
+
+row_server::row_server(asio::io_context &context, row_mirror &mirror, metric_registry &metrics)
+    : m_state(std::make_unique<state>(context, mirror, metrics))
+{
+}
+
+row_server::~row_server()
+{
+    m_state->mirror.setListener({});
+}
+
+std::string row_server::open(const std::string &host, std::uint16_t port)
+{
+    return m_state->server.open(host, port);
+}
+
+std::uint16_t row_server::port() const
+{
+    return m_state->server.port();
+}
+
+void row_server::state::serve(const message_head &head, caller_exchange &exchange)
+{
+    const std::string_view target = head.target;
+    const std::size_t query = target.find('?');
+    if (target.substr(0, query) != path || query == std::string_view::npos) {
+        exchange.reply(http_status::notFound, {}, "");
+        return;
+    }
+    const std::string_view parameters = target.substr(query + 1);
+    std::vector<table_since> tables = tablesIn(queryValue(parameters, "tables"));
+    const milliseconds wanted = holdIn(queryValue(parameters, "hold"));
+    const milliseconds time = std::min(wanted, longestHoldOf(tables));
+    if (time.count() > 0)
+        holdRead(std::move(tables), exchange, time);
+    else
+        answer(tables, exchange);
+}
+
+/// \returns how long an answer may wait: until the rows would be outdated when no table has news,
+/// or one was not read yet by this process, which starts; a moment when one is outdated.
+milliseconds row_server::state::longestHoldOf(const std::vector<table_since> &tables) const
+{
+    bool hasNews = false;
+    bool isOutdated = false;
+    bool isUnknown = false;
+    milliseconds oldest{0};
+    for (const table_since &item : tables) {
+        const news_state state = mirror.look(item.table, item.since, bootNow());
+        isUnknown = isUnknown || !state.isKnown;
+        isOutdated = isOutdated || state.isOutdated;
+        hasNews = hasNews || state.hasNews;
+        oldest = std::max(oldest, state.age);
+    }
+    if (isOutdated)
+        return outdatedHold;
+    return isUnknown || !hasNews ? mirror.freshness() - oldest : milliseconds(0);
+}
+
+void row_server::state::holdRead(std::vector<table_since> tables, caller_exchange &exchange,
+                                 milliseconds time)
+{
+    held.push_back({std::move(tables), exchange, 0});
+    const auto item = std::prev(held.end());
+    item->timer = runtime.after(time, [this, item] {
+        answer(item->tables, item->exchange);
+        held.erase(item);
+    });
+    exchange.onLeft([this, item] {
+        runtime.cancel(item->timer);
+        held.erase(item);
+    });
+}
+
+packed_news row_server::state::packedNews(const std::string &table, aged_news news)
+{
+    packed_news result{table, std::move(news), {}};
+    const row_batch &batch = result.about.news.batch;
+    if (!result.about.news.whole) {
+        result.rows = packRows(batch.rows);
+        return result;
+    }
+    // Entries that start together ask for the same table.
+    packed_table &kept = packed[table];
+    if (kept.changedAt != result.about.changedAt)
+        kept = {result.about.changedAt, packRows(batch.rows)};
+    result.rows = kept.rows;
+    return result;
+}
+
+void row_server::state::answer(const std::vector<table_since> &tables, caller_exchange &exchange)
+{
+    std::vector<packed_news> found;
+    for (const table_since &item : tables) {
+        std::optional<aged_news> news = mirror.read(item.table, item.since, bootNow());
+        if (news)
+            found.push_back(packedNews(item.table, std::move(*news)));
+    }
+    if (found.empty()) {
+        exchange.reply(http_status::unavailable, {}, "");
+        return;
+    }
+    const std::string bytes = encodeNews(found);
+    metrics.add("peer_served_bytes_total", bytes.size());
+    exchange.reply(http_status::ok, {}, bytes);
+}
+
+void row_server::state::noteChange()
+{
+    if (held.empty() || std::exchange(changeNoted, true))
+        return;
+    runtime.after(gathering, [this] {
+        changeNoted = false;
+        answerHeld();
+    });
+}
+
+void row_server::state::answerHeld()
+{
+    for (auto item = held.begin(); item != held.end();) {
+        const auto current = item++;
+        if (longestHoldOf(current->tables).count() > 0)
+            continue;
+        runtime.cancel(current->timer);
+        answer(current->tables, current->exchange);
+        held.erase(current);
+    }
+}
