--- a/lib/Proxy/RowServer.cpp
+++ b/lib/Proxy/RowServer.cpp
@@ -38,7 +38,7 @@
 /// The packed rows of a whole table.
 struct packed_table
 {
-    std::uint64_t changedAt = 0; ///< version of its newest row or removal
+    std::optional<std::uint64_t> changedAt; ///< version of its newest row or removal
     packed_rows rows;
 };
 
--- a/unittests/Proxy/PeerRowsTests.cpp
+++ b/unittests/Proxy/PeerRowsTests.cpp
@@ -184,6 +184,24 @@
     CHECK(told.find("peer_reads_total{result=\"ok\"} 1\n") != std::string::npos);
 }
 
+TEST_CASE("a table without rows is given on as well, and its first row after it")
+{
+    two_entries two;
+    two.teller.mirror.take("a", {{}, 3, {}}, true, bootNow());
+    two.ask("a", 0);
+    two.runUntil(1);
+    REQUIRE(two.results.at("a"));
+    CHECK(two.results.at("a").value().whole);
+    CHECK(two.results.at("a").value().batch.rows.empty());
+
+    two.results.clear();
+    two.teller.mirror.take("a", {{{"k", "v", 4, false}}, 4, {}}, false, bootNow());
+    two.ask("a", 0);
+    two.runUntil(1);
+    REQUIRE(two.results.at("a"));
+    CHECK(two.results.at("a").value().batch.rows.size() == 1);
+}
+
 TEST_CASE("a read without news is held, and answered when there are some")
 {
     two_entries two;
