--- a/include/laurelcroft/Platform/RowFollower.h
+++ b/include/laurelcroft/Platform/RowFollower.h
@@ -56,7 +56,7 @@
     std::function<bool()> isPreferred;
     /// \returns true when this process asks the store at once while its relays are outdated, or
     /// have nothing yet at its start, so that others find the rows here. May be empty.
-    std::function<bool()> isStandIn;
+    std::function<bool()> isStandby;
     /// Reads what is new since a version; 0: the whole table. May fail.
     std::function<void(const std::string &table, std::uint64_t since, row_callback<row_news> done)>
             read;
@@ -161,11 +161,11 @@
         const bool starting
                 = m_since == 0 && m_runtime.now() - m_startedAt < m_pace.firstWait && !m_lost;
         m_outdated = result.error() == row_failure::outdated;
-        if (starting && !standsIn()) {
+        if (starting && !isStandby()) {
             readAfter(relayPause);
             return;
         }
-        if (m_outdated && !m_lost && !standsIn()) {
+        if (m_outdated && !m_lost && !isStandby()) {
             noteLost(row_failure::outdated);
             m_retry = m_pace.staleWait;
             m_storeDueAt = m_runtime.now() + m_retry;
@@ -176,7 +176,7 @@
             readAfter(relayPace);
     }
 
-    bool standsIn() const { return m_relay.isStandIn && m_relay.isStandIn(); }
+    bool isStandby() const { return m_relay.isStandby && m_relay.isStandby(); }
 
     /// Takes what a relay said; what is known never grows older.
     void takeNews(row_news &&news)
@@ -274,7 +274,7 @@
     {
         if (!relayFirst)
             return longestRetry;
-        return m_outdated && !standsIn() ? longestRetryBesideOutdated : longestRetryBesideRelay;
+        return m_outdated && !isStandby() ? longestRetryBesideOutdated : longestRetryBesideRelay;
     }
 
     void askElsewhere()
--- a/include/laurelcroft/Proxy/PeerRows.h
+++ b/include/laurelcroft/Proxy/PeerRows.h
@@ -49,7 +49,7 @@
     bool arePreferred() const;
 
     /// \returns true when this entry asks the store at once while its readers are outdated.
-    bool isStandIn() const;
+    bool isStandby() const;
 
     /// Asks a reader, or any peer when there is none; another one each time. Reads that come
     /// together go as one.
--- a/include/laurelcroft/Proxy/RowServer.h
+++ b/include/laurelcroft/Proxy/RowServer.h
@@ -33,7 +33,7 @@
 {
 public:
     static constexpr std::string_view path = "/rows";
-    /// A read whose rows are outdated here is held this long: a stand-in needs a call to the store
+    /// A read whose rows are outdated here is held this long: a standby needs a call to the store
     /// before it can help.
     static constexpr milliseconds outdatedHold{100};
 
--- a/include/laurelcroft/Proxy/StoreReaders.h
+++ b/include/laurelcroft/Proxy/StoreReaders.h
@@ -32,7 +32,7 @@
     std::vector<std::string> readers;
     /// One that takes the readers' place while they hear nothing from the store; empty when it
     /// does so itself.
-    std::vector<std::string> standIns;
+    std::vector<std::string> standbys;
 
     bool operator==(const row_sources &) const = default;
 };
--- a/lib/Proxy/PeerRows.cpp
+++ b/lib/Proxy/PeerRows.cpp
@@ -1,7 +1,7 @@
 //===-- PeerRows.cpp - rows from other entries ------------------------------===//
 //
 // What several followers ask for goes as one request: first to a reader, then to another one, then
-// to a stand-in.
+// to a standby.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/PeerRows.h"
@@ -29,7 +29,7 @@
 /// The same of a peer that takes no connection while this process starts: all may start together,
 /// some a little later.
 constexpr milliseconds startAvoidance{40};
-/// Readers that one read is sent to, one after the other; a stand-in comes after them.
+/// Readers that one read is sent to, one after the other; a standby comes after them.
 constexpr unsigned readersOfRead = 2;
 
 /// One read that waits for another entry's answer.
@@ -154,11 +154,11 @@
     self.asksFirstPeers = false;
     self.sources = std::move(sources);
     // A first peer that is silent is not waited for when the readers are known, and nobody when
-    // this entry is one of them, or stands in for them.
+    // this entry is one of them, or stands by for them.
     if (self.starting && self.call) {
         self.http.cancel(*self.call);
         self.call.reset();
-        if (self.sources.readers.empty() || isStandIn())
+        if (self.sources.readers.empty() || isStandby())
             asio::post(self.context, [&self] { self.failAll(); });
         else
             self.postAsk();
@@ -170,7 +170,7 @@
     const bool reads = chosen.readers.empty();
     metrics.set("reads_store", reads ? 1 : 0);
     logInfo(log_part::fleet, reads ? "rows are read from the store" : "rows are read from entries",
-            {{"readers", joined(chosen.readers)}, {"stand_ins", joined(chosen.standIns)}});
+            {{"readers", joined(chosen.readers)}, {"standbys", joined(chosen.standbys)}});
 }
 
 bool peer_rows::arePreferred() const
@@ -178,9 +178,9 @@
     return m_state->asksFirstPeers || !m_state->sources.readers.empty();
 }
 
-bool peer_rows::isStandIn() const
+bool peer_rows::isStandby() const
 {
-    return !m_state->sources.readers.empty() && m_state->sources.standIns.empty();
+    return !m_state->sources.readers.empty() && m_state->sources.standbys.empty();
 }
 
 void peer_rows::read(const std::string &table, std::uint64_t since, row_callback<row_news> done)
@@ -209,10 +209,10 @@
 
 std::optional<std::string> peer_rows::state::pick()
 {
-    const bool asksStandIn = tries >= readersOfRead;
+    const bool asksStandby = tries >= readersOfRead;
     const std::vector<std::string> &readersOrPeers
             = sources.readers.empty() ? peers : sources.readers;
-    const std::vector<std::string> &from = asksStandIn ? sources.standIns : readersOrPeers;
+    const std::vector<std::string> &from = asksStandby ? sources.standbys : readersOrPeers;
     const time_point now = bootNow();
     for (std::size_t i = 0; i < from.size(); ++i) {
         const std::string &peer = from[next++ % from.size()];
@@ -233,7 +233,7 @@
 
 bool peer_rows::state::mayTryAgain() const
 {
-    return tries < readersOfRead + sources.standIns.size();
+    return tries < readersOfRead + sources.standbys.size();
 }
 
 void peer_rows::state::ask()
--- a/lib/Proxy/StoreReaders.cpp
+++ b/lib/Proxy/StoreReaders.cpp
@@ -12,7 +12,7 @@
 
 using namespace laurelcroft;
 
-/// \returns names of entries that may be asked, the readers first, then as many stand-ins.
+/// \returns names of entries that may be asked, the readers first, then as many standbys.
 static std::vector<std::string> rankedSources(const entry_map &entries, std::size_t &readers)
 {
     std::vector<std::string> names;
@@ -63,11 +63,11 @@
     const std::vector<std::string> ranked = rankedSources(entries, readers);
     const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(readers);
     const std::vector<std::string> reading(ranked.begin(), end);
-    const std::vector<std::string> standingIn(end, ranked.end());
+    const std::vector<std::string> standingBy(end, ranked.end());
     if (std::find(reading.begin(), reading.end(), own) != reading.end())
         return sources;
     sources.readers = nearestOf(reading, entries, own, fewestReaders);
-    if (std::find(standingIn.begin(), standingIn.end(), own) == standingIn.end())
-        sources.standIns = nearestOf(standingIn, entries, own, 1);
+    if (std::find(standingBy.begin(), standingBy.end(), own) == standingBy.end())
+        sources.standbys = nearestOf(standingBy, entries, own, 1);
     return sources;
 }
--- a/unittests/Platform/RowFollowerTests.cpp
+++ b/unittests/Platform/RowFollowerTests.cpp
@@ -161,7 +161,7 @@
     std::vector<row_callback<row_news>> held;
     unsigned tables = 0;
     bool outdated = false; ///< the relay answers at once that it is
-    bool standsIn = false;
+    bool isStandby = false;
     unsigned lost = 0;
     unsigned regained = 0;
     row_follower<plain_store, manual_runtime> follower{
@@ -180,7 +180,7 @@
     {
         row_relay relay;
         relay.isPreferred = [] { return true; };
-        relay.isStandIn = [this] { return standsIn; };
+        relay.isStandby = [this] { return isStandby; };
         relay.read = [this](const std::string &, std::uint64_t, row_callback<row_news> done) {
             if (outdated)
                 done(failure(row_failure::outdated));
@@ -237,15 +237,15 @@
 
 TEST_CASE("while relays are outdated the store is left to a few, and asked when it takes long")
 {
-    for (const bool standsIn : {false, true}) {
+    for (const bool isStandby : {false, true}) {
         holding_world world;
-        world.standsIn = standsIn;
+        world.isStandby = isStandby;
         world.outdated = true;
         world.follower.start();
         world.runtime.advance(milliseconds(410));
         const unsigned first = world.store.calls; // the start's own
         world.runtime.advance(milliseconds(1000));
-        CHECK((world.store.calls > first) == standsIn);
+        CHECK((world.store.calls > first) == isStandby);
         world.runtime.advance(milliseconds(1500));
         CHECK(world.store.calls > first);
         // While the store is away as well, it is asked ever more seldom.
@@ -253,7 +253,7 @@
         world.runtime.advance(seconds(60));
         const unsigned before = world.store.calls;
         world.runtime.advance(seconds(60));
-        CHECK(world.store.calls - before <= (standsIn ? 26 : 4));
+        CHECK(world.store.calls - before <= (isStandby ? 26 : 4));
         world.outdated = false;
         world.runtime.advance(milliseconds(400));
         REQUIRE(!world.held.empty());
@@ -262,14 +262,14 @@
     }
 }
 
-TEST_CASE("a process that stands in does not wait at its start, so that others find the rows here")
+TEST_CASE("a process that stands by does not wait at its start, so that others find the rows here")
 {
-    for (const bool standsIn : {false, true}) {
+    for (const bool isStandby : {false, true}) {
         holding_world world;
-        world.standsIn = standsIn;
+        world.isStandby = isStandby;
         world.follower.start();
         REQUIRE(world.held.size() == 1);
         world.held[0](failure(row_failure::notDone));
-        CHECK((world.store.calls > 0) == standsIn);
+        CHECK((world.store.calls > 0) == isStandby);
     }
 }
--- a/unittests/Proxy/PeerRowsTests.cpp
+++ b/unittests/Proxy/PeerRowsTests.cpp
@@ -26,20 +26,20 @@
     return entries;
 }
 
-TEST_CASE("as many entries as read the store stand in for them, and all others know one")
+TEST_CASE("as many entries as read the store stand by for them, and all others know one")
 {
     for (const std::size_t count : {3, 4, 32, 103, 380}) {
         const entry_map entries = entriesOf(count);
         const std::size_t readers = storeReaders(entries).size();
-        std::size_t standIns = 0;
+        std::size_t standbys = 0;
         for (const auto &[name, place] : entries) {
             const row_sources sources = sourcesFor(entries, name);
-            if (!sources.readers.empty() && sources.standIns.empty())
-                ++standIns;
-            for (const std::string &address : sources.standIns)
+            if (!sources.readers.empty() && sources.standbys.empty())
+                ++standbys;
+            for (const std::string &address : sources.standbys)
                 CHECK(std::count(sources.readers.begin(), sources.readers.end(), address) == 0);
         }
-        CHECK(standIns == std::min(readers, count - readers));
+        CHECK(standbys == std::min(readers, count - readers));
     }
 }
 
@@ -243,24 +243,24 @@
     CHECK(two.results.at("b").error() == row_failure::outdated);
 }
 
-TEST_CASE("while the readers are outdated a stand-in is asked, and has the time for its own call")
+TEST_CASE("while the readers are outdated a standby is asked, and has the time for its own call")
 {
     two_entries two;
-    one_entry standIn{two.context, "127.0.0.1:0"};
-    REQUIRE(standIn.rows.open().empty());
-    const std::string standInAddress = "127.0.0.1:" + std::to_string(standIn.rows.port());
-    two.asker.rows.setSources({{two.tellerAddress()}, {standInAddress}});
-    CHECK(!two.asker.rows.isStandIn());
+    one_entry standby{two.context, "127.0.0.1:0"};
+    REQUIRE(standby.rows.open().empty());
+    const std::string standbyAddress = "127.0.0.1:" + std::to_string(standby.rows.port());
+    two.asker.rows.setSources({{two.tellerAddress()}, {standbyAddress}});
+    CHECK(!two.asker.rows.isStandby());
     const time_point old = bootNow() - seconds(2);
     two.teller.mirror.take("a", {{}, 6, {}}, true, old);
-    standIn.mirror.take("a", {{}, 6, {}}, true, old);
+    standby.mirror.take("a", {{}, 6, {}}, true, old);
     two.tell("b", 4);
     two.ask("a", 6);
     two.ask("b", 0);
     asio_runtime runtime(two.context);
-    // The readers hold what is outdated for 100 ms, and the stand-in as long again.
+    // The readers hold what is outdated for 100 ms, and the standby as long again.
     runtime.after(milliseconds(150), [&] {
-        standIn.mirror.take("a", {{{"k", "v", 7, false}}, 7, {}}, false, bootNow());
+        standby.mirror.take("a", {{{"k", "v", 7, false}}, 7, {}}, false, bootNow());
     });
     two.runUntil(2);
     REQUIRE(two.results.at("a"));
