--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -17,6 +17,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace laurelcroft {
@@ -170,11 +171,13 @@
         std::string id;
         time_point until;
     };
+    using address = std::pair<std::string, std::uint16_t>;
     void drop(std::string_view id);
-    bool isSuperseded(const endpoint_record &record) const;
-    void dropSuperseded(const endpoint_record &record);
+    /// \returns false when a later one than \p record lives at its address; drops an earlier one.
+    bool takeAddress(const endpoint_record &record);
 
     std::map<std::string, endpoint_ptr, std::less<>> m_endpoints;
+    std::map<address, std::string> m_atAddress; ///< id of the endpoint that was heard of last
     std::vector<lapse> m_lapsed;
     std::set<std::string, std::less<>> m_departed; ///< had begun to leave and are gone
     bool m_storeAway = false;
--- a/include/laurelcroft/Platform/RowFollower.h
+++ b/include/laurelcroft/Platform/RowFollower.h
@@ -117,6 +117,9 @@
     /// first answer.
     time_point steadySince() const { return m_steadySince; }
 
+    /// \returns true when the news that are being told came from a relay.
+    bool isNewsRelayed() const { return m_newsRelayed; }
+
     /// \returns when a relay last answered; the clock's beginning when none has.
     time_point relayedAt() const { return m_relayedAt; }
 
@@ -184,6 +187,7 @@
         if (news.batch.version <= m_since)
             return;
         m_since = news.batch.version;
+        m_newsRelayed = true;
         if (news.whole)
             m_events.onTable(std::move(news.batch));
         else
@@ -228,6 +232,7 @@
         row_batch batch = std::move(result.value());
         const bool whole = m_since == 0;
         m_since = std::max(m_since, batch.version);
+        m_newsRelayed = false;
         if (whole)
             m_events.onTable(std::move(batch));
         else
@@ -299,6 +304,7 @@
     milliseconds m_retry = firstRetry;
     bool m_lost = false;
     bool m_outdated = false; ///< what the relay said last
+    bool m_newsRelayed = false;
     time_point m_storeDueAt{}; ///< next call of the store while it is lost
     time_point m_lostAt{};
     time_point m_confirmedAt{};
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -85,7 +85,10 @@
     const auto take = [this, table, apply](row_news news) {
         noteTime(news.batch);
         (this->*apply)(news);
-        m_mirror.take(table, news.batch, news.whole, m_followers.at(table)->confirmedAt());
+        // The relay's news are in the mirror already, with the age that the relay told.
+        const follower &reader = *m_followers.at(table);
+        if (!reader.isNewsRelayed())
+            m_mirror.take(table, news.batch, news.whole, reader.confirmedAt());
     };
     events.onTable = [take](row_batch &&batch) { take({std::move(batch), true}); };
     events.onChanges = [take](row_batch &&batch) { take({std::move(batch), false}); };
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -106,29 +106,20 @@
     return fields(*this) == fields(other);
 }
 
-static bool shareAddress(const endpoint_record &a, const endpoint_record &b)
-{
-    return a.port != 0 && a.port == b.port && a.host == b.host && a.id != b.id;
-}
-
-bool service_directory::isSuperseded(const endpoint_record &record) const
-{
-    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto &item) {
-        const endpoint_record &other = item.second->record();
-        return shareAddress(other, record) && other.heardAt > record.heardAt;
-    });
-}
-
-void service_directory::dropSuperseded(const endpoint_record &record)
-{
-    std::vector<std::string> earlier;
-    for (const auto &[id, endpoint] : m_endpoints) {
-        const endpoint_record &other = endpoint->record();
-        if (shareAddress(other, record) && other.heardAt < record.heardAt)
-            earlier.push_back(id);
+bool service_directory::takeAddress(const endpoint_record &record)
+{
+    if (record.heardAt == 0)
+        return true;
+    const address place{record.host, record.port};
+    const auto holder = m_atAddress.find(place);
+    if (holder != m_atAddress.end() && holder->second != record.id) {
+        const std::string other = holder->second;
+        if (m_endpoints.at(other)->record().heardAt > record.heardAt)
+            return false;
+        drop(other);
     }
-    for (const std::string &id : earlier)
-        drop(id);
+    m_atAddress[place] = record.id;
+    return true;
 }
 
 void service_directory::apply(endpoint_record record, time_point now)
@@ -144,9 +135,8 @@
         it->second->update(std::move(record));
         return;
     }
-    if (isSuperseded(record))
+    if (!takeAddress(record))
         return;
-    dropSuperseded(record);
     const std::string id = record.id;
     m_endpoints.emplace(id, std::make_shared<service_endpoint>(std::move(record)));
     expire(now);
@@ -163,6 +153,10 @@
             m_departed.erase(m_departed.begin());
         m_departed.insert(it->first);
     }
+    const endpoint_record &record = it->second->record();
+    const auto place = m_atAddress.find({record.host, record.port});
+    if (place != m_atAddress.end() && place->second == id)
+        m_atAddress.erase(place);
     m_endpoints.erase(it);
 }
 
