--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -108,7 +108,7 @@
 
 bool service_directory::takeAddress(const endpoint_record &record)
 {
-    if (record.heardAt == 0)
+    if (record.port == 0 || record.heardAt == 0)
         return true;
     const address place{record.host, record.port};
     const auto holder = m_atAddress.find(place);
