Strong instances read the store for the others

Change: entries tell their processor share in their rows; readers and standbys are ranked among those with at least half of the largest share, and among the others where these are too few. Tests: strong instances read the store; the setting may be missing.

--- a/include/laurelcroft/Proxy/RolloutRows.h
+++ b/include/laurelcroft/Proxy/RolloutRows.h
@@ -69,6 +69,7 @@
     std::string address; ///< "host:port" where other entries may read its rows; empty: nowhere
     std::string dataCentre;
     milliseconds writtenAt{0}; ///< on the store's clock
+    double processorShare = 0; ///< of a core, that the instance gives; 0: not told
 };
 using entry_map = std::map<std::string, entry_place>; ///< by name
 
--- a/lib/Proxy/RolloutRows.cpp
+++ b/lib/Proxy/RolloutRows.cpp
@@ -78,7 +78,8 @@
 {
     return nlohmann::json{{"address", place.address},
                           {"data_centre", place.dataCentre},
-                          {"written_ms", place.writtenAt.count()}}
+                          {"written_ms", place.writtenAt.count()},
+                          {"processor_share", place.processorShare}}
             .dump();
 }
 
@@ -89,7 +90,8 @@
         return {};
     try {
         return {json.value("address", ""), json.value("data_centre", ""),
-                milliseconds(json.value("written_ms", std::int64_t(0)))};
+                milliseconds(json.value("written_ms", std::int64_t(0))),
+                json.value("processor_share", 0.0)};
     } catch (const nlohmann::json::exception &) {
         return {}; // a field of another type: as a row that can't be read
     }
--- a/lib/Proxy/StoreReaders.cpp
+++ b/lib/Proxy/StoreReaders.cpp
@@ -12,17 +12,37 @@
 
 using namespace laurelcroft;
 
-/// \returns names of entries that may be asked, the readers first, then as many standbys.
+namespace {
+
+/// An entry is strong when its instance gives this part of what the strongest gives. Reading
+/// thousands of heartbeats and giving on whole tables took 57% of an instance of 0.09 cores, where
+/// others had 0.5: endpoints that leave were known after 3.8 s.
+constexpr double strongPart = 0.5;
+
+} // namespace
+
+/// \returns names of entries that may be asked, the readers first, then as many standbys: strong
+/// entries, and others where those are too few.
 static std::vector<std::string> rankedSources(const entry_map &entries, std::size_t &readers)
 {
-    std::vector<std::string> names;
+    double strongest = 0;
+    for (const auto &[name, place] : entries)
+        strongest = std::max(strongest, place.processorShare);
+    std::vector<std::string> strong;
+    std::vector<std::string> others;
     for (const auto &[name, place] : entries) {
-        if (!place.address.empty())
-            names.push_back(name);
+        if (place.address.empty())
+            continue;
+        const bool isStrong = place.processorShare >= strongPart * strongest;
+        (isStrong ? strong : others).push_back(name);
     }
-    readers = std::max(fewestReaders, (names.size() + entriesOfReader - 1) / entriesOfReader);
-    readers = std::min(readers, names.size());
-    return rankFirst(names, "store reader", 2 * readers);
+    const std::size_t all = strong.size() + others.size();
+    readers = std::max(fewestReaders, (all + entriesOfReader - 1) / entriesOfReader);
+    readers = std::min(readers, all);
+    std::vector<std::string> ranked = rankFirst(strong, "store reader", 2 * readers);
+    for (std::string &name : rankFirst(others, "store reader", 2 * readers - ranked.size()))
+        ranked.push_back(std::move(name));
+    return ranked;
 }
 
 /// \returns the addresses of the first \p count of \p names in the order of \p own, those of its
--- a/unittests/Proxy/PeerRowsTests.cpp
+++ b/unittests/Proxy/PeerRowsTests.cpp
@@ -26,6 +26,26 @@
     return entries;
 }
 
+TEST_CASE("strong instances read the store, weak ones where those are too few")
+{
+    entry_map entries = entriesOf(103);
+    for (auto &[name, place] : entries)
+        place.processorShare = 0.09;
+    for (const char *name : {"e7", "e20", "e33", "e41"})
+        entries[name].processorShare = 0.5;
+    const std::vector<std::string> readers = storeReaders(entries);
+    CHECK(readers.size() == 3);
+    for (const std::string &name : readers)
+        CHECK(entries[name].processorShare == 0.5);
+    // One strong one is left to stand by, and two weak ones do.
+    std::size_t standbys = 0;
+    for (const auto &[name, place] : entries)
+        standbys += sourcesFor(entries, name).standbys.empty() ? 1 : 0;
+    CHECK(standbys == 2 * readers.size());
+    // A release that does not tell its share is as strong as any while nobody tells.
+    CHECK(storeReaders(entriesOf(103)).size() == 3);
+}
+
 TEST_CASE("as many entries as read the store stand by for them, and all others know one")
 {
     for (const std::size_t count : {3, 4, 32, 103, 380}) {
