--- /dev/null
+++ b/unittests/Proxy/StreamVersionTests.cpp
@@ -0,0 +1,95 @@
+//===-- StreamVersionTests.cpp - begun streams and roll-outs ----------------===//
+//
+// Which version goes on with a stream that another endpoint has begun.
+//
+//===----------------------------------------------------------------------===//
+#include "FlowWorld.h"
+
+#include <doctest/doctest.h>
+
+using namespace laurelcroft;
+
+namespace {
+
+/// A stream's world with three endpoints of the settled version and one of a version on trial.
+struct trial_world : flow_world
+{
+    trial_world()
+    {
+        useRoute(draftRoute());
+        for (const char *id : {"old1", "old2", "old3"})
+            addEndpoint(id, "pool", "v1");
+        addEndpoint("new", "pool", "v2");
+        routing.rollouts("pool").setOrder({"pool", "v2", seconds(20), 7});
+        setTrial(0);
+    }
+    void setTrial(double share)
+    {
+        const rollout_row row{7,    "v2", rollout_stage::trial, milliseconds(1), milliseconds(1),
+                              share};
+        routing.rollouts("pool").setRow(row);
+    }
+    /// Plays \p event of call \p index, after which the endpoint breaks off.
+    void breakAfter(std::size_t index, unsigned event)
+    {
+        answer(index, 200, 90);
+        data(index, eventText(event));
+        end(index, call_end::broken);
+    }
+    std::string versionOf(std::size_t index) const
+    {
+        return calls[index].attempt.endpoint->record().softwareVersion;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a stream that has begun does not go over to a version whose trial starts meanwhile")
+{
+    trial_world world;
+    startFlow(world, requestFor(draftRoute()));
+    world.breakAfter(0, 1);
+    world.setTrial(1.0);
+    REQUIRE(world.calls.size() == 2);
+    CHECK(world.versionOf(1) == "v1");
+    world.breakAfter(1, 2);
+    REQUIRE(world.calls.size() == 3);
+    CHECK(world.versionOf(2) == "v1");
+}
+
+TEST_CASE("the last attempt of a stream that a version on trial began is the settled version's")
+{
+    trial_world world;
+    world.setTrial(1.0);
+    world.addEndpoint("new2", "pool", "v2");
+    startFlow(world, requestFor(draftRoute()));
+    CHECK(world.versionOf(0) == "v2");
+    world.breakAfter(0, 1);
+    REQUIRE(world.calls.size() == 2);
+    CHECK(world.versionOf(1) == "v2");
+    world.breakAfter(1, 2);
+    REQUIRE(world.calls.size() == 3);
+    CHECK(world.versionOf(2) == "v1");
+}
+
+TEST_CASE("a stream whose version has ended goes on at the one that took its place")
+{
+    // The entry has heard of it, or finds out by connections that are refused.
+    for (const bool hasHeard : {true, false}) {
+        trial_world world;
+        for (const char *id : {"old4", "old5", "old6", "old7"})
+            world.addEndpoint(id, "pool", "v1");
+        startFlow(world, requestFor(draftRoute()));
+        CHECK(world.versionOf(0) == "v1");
+        const rollout_stage stage = hasHeard ? rollout_stage::completed : rollout_stage::full;
+        world.routing.rollouts("pool").setRow(
+                {7, "v2", stage, milliseconds(1), milliseconds(2), 1});
+        world.breakAfter(0, 1);
+        for (std::size_t call = 1; call < world.calls.size() && !world.aborted; ++call) {
+            if (world.versionOf(call) == "v1")
+                world.end(call, call_end::notSent);
+        }
+        REQUIRE(!world.aborted);
+        CHECK(world.versionOf(world.calls.size() - 1) == "v2");
+    }
+}
