Tests: one codec of plain rows, one count of what a follower tells

FleetStartTests and StoreSyncTests each had a codec, the two worlds of RowFollowerTests the same events. A doc comment named a parameter that is not there.

--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -132,7 +132,7 @@
     /// Leaves in \p news the rows that say more than that an endpoint still lives.
     void applyEndpoints(row_news &news);
     void applyEndpointTable(row_batch &batch);
-    /// \returns removals of the endpoints that are known and not among \p rows.
+    /// \returns removals of the endpoints that are known and not in \p batch.
     std::vector<store_row> vanishedEndpoints(const row_batch &batch) const;
     bool takeEndpointRow(const store_row &row);
     std::optional<endpoint_record> endpointIn(const store_row &row) const;
--- a/unittests/Platform/RowFollowerTests.cpp
+++ b/unittests/Platform/RowFollowerTests.cpp
@@ -38,27 +38,33 @@
     milliseconds lastWait{-1};
 };
 
-struct follower_world
+/// Counts what a follower tells.
+struct counted_events
 {
-    manual_runtime runtime;
-    plain_store store;
-    bool relayFirst = true;
-    bool relayAway = false;
-    unsigned relayReads = 0;
+    unsigned tables = 0;
     unsigned lost = 0;
     unsigned regained = 0;
-    row_follower<plain_store, manual_runtime> follower{
-            store, runtime, "table", {milliseconds(800), milliseconds(500)}, events(), relay()};
 
     follow_events events()
     {
         follow_events events;
-        events.onTable = [](row_batch &&) {};
+        events.onTable = [this](row_batch &&) { ++tables; };
         events.onChanges = [](row_batch &&) {};
         events.onLost = [this](row_failure) { ++lost; };
         events.onRegained = [this](milliseconds) { ++regained; };
         return events;
     }
+};
+
+struct follower_world : counted_events
+{
+    manual_runtime runtime;
+    plain_store store;
+    bool relayFirst = true;
+    bool relayAway = false;
+    unsigned relayReads = 0;
+    row_follower<plain_store, manual_runtime> follower{
+            store, runtime, "table", {milliseconds(800), milliseconds(500)}, events(), relay()};
 
     row_relay relay()
     {
@@ -154,28 +160,16 @@
 namespace {
 
 /// A relay that answers when it is told to, as one that holds what has no news.
-struct holding_world
+struct holding_world : counted_events
 {
     manual_runtime runtime;
     plain_store store;
     std::vector<row_callback<row_news>> held;
-    unsigned tables = 0;
     bool outdated = false; ///< the relay answers at once that it is
     bool isStandby = false;
-    unsigned lost = 0;
-    unsigned regained = 0;
     row_follower<plain_store, manual_runtime> follower{
             store, runtime, "table", {milliseconds(800), milliseconds(500)}, events(), relay()};
 
-    follow_events events()
-    {
-        follow_events events;
-        events.onTable = [this](row_batch &&) { ++tables; };
-        events.onChanges = [](row_batch &&) {};
-        events.onLost = [this](row_failure) { ++lost; };
-        events.onRegained = [this](milliseconds) { ++regained; };
-        return events;
-    }
     row_relay relay()
     {
         row_relay relay;
--- a/unittests/Proxy/FleetStartTests.cpp
+++ b/unittests/Proxy/FleetStartTests.cpp
@@ -5,6 +5,7 @@
 //
 //===----------------------------------------------------------------------===//
 #include "FakeStore.h"
+#include "PlainCodec.h"
 
 #include "laurelcroft/Proxy/StoreReaders.h"
 #include "laurelcroft/Proxy/StoreSync.h"
@@ -24,33 +25,6 @@
 constexpr milliseconds hold{400};
 constexpr milliseconds lookAgain{10};
 
-row_codec fleetCodec()
-{
-    row_codec codec;
-    codec.operatorTable = "orders";
-    codec.endpointTable = "endpoints";
-    codec.statusTable = "status";
-    codec.isContract = [](std::string_view key) { return key == "contract"; };
-    codec.orderedService = [](std::string_view) { return std::nullopt; };
-    codec.decodeContract = [](const std::string &value) -> decoded<service_contract> {
-        service_contract contract;
-        contract.version = std::stoul(value);
-        return contract;
-    };
-    codec.decodeEndpoint
-            = [](const std::string &key, const std::string &value) -> decoded<endpoint_record> {
-        endpoint_record record;
-        record.id = key;
-        record.service = "pool";
-        record.softwareVersion = value;
-        return record;
-    };
-    codec.decodeOrder
-            = [](const std::string &) -> decoded<rollout_order> { return rollout_order{}; };
-    codec.encodeStatus = [](const rollout_order &, rollout_stage) { return row_write{}; };
-    return codec;
-}
-
 struct fleet;
 
 /// The way of one entry to the store; it ends with the entry's power.
@@ -143,7 +117,7 @@
     , isFirstPeer(number < firstPeers)
     , store{all.store}
     , routing({}, {}, number)
-    , sync(store, all.runtime, routing, mirror, metrics, fleetCodec(), linksOf())
+    , sync(store, all.runtime, routing, mirror, metrics, plainCodec(), linksOf())
 {
 }
 
--- a/unittests/Proxy/StoreSyncTests.cpp
+++ b/unittests/Proxy/StoreSyncTests.cpp
@@ -5,6 +5,7 @@
 //
 //===----------------------------------------------------------------------===//
 #include "FakeStore.h"
+#include "PlainCodec.h"
 
 #include "laurelcroft/Proxy/StoreSync.h"
 
@@ -17,44 +18,6 @@
 
 namespace {
 
-/// A contract's value is its version; an endpoint's its software version, "-" when leaving.
-row_codec plainCodec()
-{
-    row_codec codec;
-    codec.operatorTable = "orders";
-    codec.endpointTable = "endpoints";
-    codec.statusTable = "status";
-    codec.isContract = [](std::string_view key) { return key == "contract"; };
-    codec.orderedService = [](std::string_view key) -> std::optional<std::string> {
-        if (key == "contract")
-            return std::nullopt;
-        return std::string(key);
-    };
-    codec.decodeContract = [](const std::string &value) -> decoded<service_contract> {
-        if (value == "wrong")
-            return failure(std::string("routes: missing"));
-        service_contract contract;
-        contract.version = std::stoul(value);
-        return contract;
-    };
-    codec.decodeEndpoint
-            = [](const std::string &key, const std::string &value) -> decoded<endpoint_record> {
-        endpoint_record record;
-        record.id = key;
-        record.service = "pool";
-        record.softwareVersion = value.substr(0, 2);
-        record.leaving = value.ends_with('-');
-        return record;
-    };
-    codec.decodeOrder = [](const std::string &value) -> decoded<rollout_order> {
-        return rollout_order{"", value, seconds(10), 0};
-    };
-    codec.encodeStatus = [](const rollout_order &order, rollout_stage stage) {
-        return row_write{"status", order.service, std::string(textOf(stage)), std::nullopt};
-    };
-    return codec;
-}
-
 struct sync_world
 {
     explicit sync_world(const std::string &name = "e1",
