Endpoints that return after a lapse are told to the entries that others read for

Cause: an entry that reads the store keeps, for 2.2 s after the store's return, endpoints whose rows were removed. The removals went into its mirror at once, but the returned rows were compared with the endpoints it had kept, said the same as before, and were left out as heartbeats. So entries that it reads for dropped all endpoints and never heard of their return: no_endpoint, and the few that had restarted were full.

A removal now enters the mirror when the reader believes it, the return of a lapsed row is news, and what another entry says was removed is dropped at once, because that one has waited.

Ruled out: the grace itself (the readers kept all 60 endpoints) and the order within one batch.

--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -138,9 +138,16 @@
     /// earlier id stays listed for seconds.
     void apply(endpoint_record record, time_point now);
 
-    /// An endpoint's record was removed. Just after the store was away the endpoint is
-    /// kept for \c lapseGrace, since its record may have lapsed although it lives.
-    void remove(std::string_view id, time_point now);
+    /// The store says that an endpoint's record was removed. Just after the store was away the
+    /// endpoint is kept for \c lapseGrace, since its record may have lapsed although it lives.
+    /// \returns false when it is kept.
+    bool remove(std::string_view id, time_point now);
+
+    /// The endpoint is gone: whoever says so has waited for its return.
+    void drop(std::string_view id);
+
+    /// \returns true while \p id is kept although its record was removed.
+    bool isLapsed(std::string_view id) const;
 
     /// Takes a whole list; endpoints that are not in it are removed.
     void replaceAll(std::vector<endpoint_record> records, time_point now);
@@ -152,6 +159,9 @@
     /// Drops the endpoints whose grace has passed.
     void expire(time_point now);
 
+    /// \returns endpoints that were dropped since the last call because their grace had passed.
+    std::vector<std::string> takeExpired() { return std::exchange(m_expired, {}); }
+
     /// \returns the endpoints of \p service that may get new requests.
     std::vector<endpoint_ptr> usable(std::string_view service) const;
 
@@ -172,13 +182,13 @@
         time_point until;
     };
     using address = std::pair<std::string, std::uint16_t>;
-    void drop(std::string_view id);
     /// \returns false when a later one than \p record lives at its address; drops an earlier one.
     bool takeAddress(const endpoint_record &record);
 
     std::map<std::string, endpoint_ptr, std::less<>> m_endpoints;
     std::map<address, std::string> m_atAddress; ///< id of the endpoint that was heard of last
     std::vector<lapse> m_lapsed;
+    std::vector<std::string> m_expired; ///< dropped after their grace, not yet taken
     std::set<std::string, std::less<>> m_departed; ///< had begun to leave and are gone
     bool m_storeAway = false;
     time_point m_trustedFrom{};
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -135,6 +135,8 @@
     /// \returns removals of the endpoints that are known and not in \p batch.
     std::vector<store_row> vanishedEndpoints(const row_batch &batch) const;
     bool takeEndpointRow(const store_row &row);
+    /// \returns removals of the endpoints whose grace after an outage has passed.
+    std::vector<store_row> expiredEndpoints(std::uint64_t version);
     std::optional<endpoint_record> endpointIn(const store_row &row) const;
     bool takeEndpoint(endpoint_record &&record);
     void applyOwn(row_news &news);
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -215,9 +215,26 @@
         if (takeEndpointRow(row))
             changes.push_back(std::move(row));
     }
+    // Other entries hear of an endpoint that vanished with the store when this one believes it:
+    // they would leave a living one alone until its row is back.
+    for (store_row &row : expiredEndpoints(news.batch.version))
+        changes.push_back(std::move(row));
     news.batch.rows = std::move(changes);
 }
 
+template <row_store_like Store, runtime_like Runtime>
+std::vector<store_row> store_sync<Store, Runtime>::expiredEndpoints(std::uint64_t version)
+{
+    std::vector<store_row> expired;
+    m_state.directory().expire(m_runtime.now());
+    for (std::string &id : m_state.directory().takeExpired()) {
+        logInfo(log_part::fleet, "endpoint did not return after the store's loss",
+                {{"endpoint", id}});
+        expired.push_back({std::move(id), "", version, true});
+    }
+    return expired;
+}
+
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::applyEndpointTable(row_batch &batch)
 {
@@ -247,9 +264,14 @@
 bool store_sync<Store, Runtime>::takeEndpointRow(const store_row &row)
 {
     if (row.removed) {
-        logInfo(log_part::fleet, "endpoint's record removed", {{"endpoint", row.key}});
-        m_state.directory().remove(row.key, m_runtime.now());
-        return true;
+        // An entry that gives rows on has waited for the endpoint's return itself.
+        const bool isRelayed = m_followers.at(m_codec.endpointTable)->isNewsRelayed();
+        const bool isBelieved = isRelayed || m_state.directory().remove(row.key, m_runtime.now());
+        if (isRelayed)
+            m_state.directory().drop(row.key);
+        logInfo(log_part::fleet, "endpoint's record removed",
+                {{"endpoint", row.key}, {"kept", isBelieved ? "no" : "yes"}});
+        return isBelieved;
     }
     std::optional<endpoint_record> record = endpointIn(row);
     return !record || takeEndpoint(std::move(*record));
@@ -274,7 +296,9 @@
     const auto &all = m_state.directory().all();
     const auto known = all.find(record.id);
     const bool isNew = known == all.end();
-    const bool saysMore = isNew || !record.saysTheSame(known->second->record());
+    // Of a record that lapsed the others may have heard as removed, from another reader.
+    const bool isBack = m_state.directory().isLapsed(record.id);
+    const bool saysMore = isNew || isBack || !record.saysTheSame(known->second->record());
     if (isNew || known->second->record().leaving != record.leaving) {
         logInfo(log_part::fleet, isNew ? "endpoint listed" : "endpoint is leaving",
                 {{"endpoint", record.id},
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -128,6 +128,7 @@
     if (m_departed.count(record.id) != 0)
         return;
     std::erase_if(m_lapsed, [&](const lapse &item) { return item.id == record.id; });
+    std::erase(m_expired, record.id);
     const auto it = m_endpoints.find(record.id);
     if (it != m_endpoints.end()) {
         // An endpoint that has begun to leave never comes back under the same id.
@@ -144,6 +145,7 @@
 
 void service_directory::drop(std::string_view id)
 {
+    std::erase_if(m_lapsed, [&](const lapse &item) { return item.id == id; });
     const auto it = m_endpoints.find(id);
     if (it == m_endpoints.end())
         return;
@@ -160,19 +162,24 @@
     m_endpoints.erase(it);
 }
 
-void service_directory::remove(std::string_view id, time_point now)
+bool service_directory::isLapsed(std::string_view id) const
+{
+    return std::any_of(m_lapsed.begin(), m_lapsed.end(),
+                       [&](const lapse &item) { return item.id == id; });
+}
+
+bool service_directory::remove(std::string_view id, time_point now)
 {
     const auto it = m_endpoints.find(id);
     if (it == m_endpoints.end())
-        return;
+        return true;
     if (now >= m_trustedFrom || it->second->record().leaving) {
         drop(id);
-        return;
+        return true;
     }
-    const bool known = std::any_of(m_lapsed.begin(), m_lapsed.end(),
-                                   [&](const lapse &item) { return item.id == id; });
-    if (!known)
+    if (!isLapsed(id))
         m_lapsed.push_back({std::string(id), m_trustedFrom});
+    return false;
 }
 
 void service_directory::replaceAll(std::vector<endpoint_record> records, time_point now)
@@ -211,8 +218,10 @@
         return;
     const std::vector<lapse> due = std::move(m_lapsed);
     m_lapsed.clear();
-    for (const lapse &item : due)
+    for (const lapse &item : due) {
         drop(item.id);
+        m_expired.push_back(item.id);
+    }
 }
 
 std::vector<endpoint_ptr> service_directory::usable(std::string_view service) const
--- /dev/null
+++ b/unittests/Proxy/EntryFleet.h
@@ -0,0 +1,199 @@
+//===-- EntryFleet.h - many entries over one store ---------------*- C++ -*-===//
+//
+// Entries that share one store in memory and read each other's mirrors as the relays do, on
+// a paused clock.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_UNITTESTS_PROXY_ENTRYFLEET_H
+#define LAURELCROFT_UNITTESTS_PROXY_ENTRYFLEET_H
+
+#include "FakeStore.h"
+#include "PlainCodec.h"
+
+#include "laurelcroft/Proxy/StoreReaders.h"
+#include "laurelcroft/Proxy/StoreSync.h"
+
+#include <algorithm>
+#include <list>
+#include <string>
+#include <vector>
+
+namespace laurelcroft {
+
+inline constexpr std::size_t entriesOfFleet = 100;
+inline constexpr std::size_t firstPeers = 3;
+inline constexpr milliseconds way{1};
+inline constexpr milliseconds hold{400};
+inline constexpr milliseconds lookAgain{10};
+
+struct fleet;
+
+/// The way of one entry to the store; it ends with the entry's power.
+struct gated_store
+{
+    void list(const std::string &table, row_callback<row_batch> done)
+    {
+        if (mayCall(done))
+            store.list(table, std::move(done));
+    }
+    void follow(const std::string &table, std::uint64_t since, milliseconds wait,
+                row_callback<row_batch> done)
+    {
+        if (mayCall(done))
+            store.follow(table, since, wait, std::move(done));
+    }
+    void write(const std::vector<row_write> &rows, row_callback<conditional_write> done)
+    {
+        if (mayCall(done))
+            store.write(rows, std::move(done));
+    }
+
+    /// \returns false when a call does not get through; one that is turned away fails at once.
+    template <class T>
+    bool mayCall(const row_callback<T> &done)
+    {
+        if (isUp && isTurnedAway)
+            runtime.after(fake_store::way, [done] { done(failure(row_failure::unknown)); });
+        return isUp && !isTurnedAway;
+    }
+
+    fake_store &store;
+    manual_runtime &runtime;
+    bool isUp = true;
+    bool isTurnedAway = false; ///< the store serves others
+};
+
+/// One entry: what it knows, and whom it asks.
+struct fleet_entry
+{
+    fleet_entry(fleet &all, std::size_t number);
+
+    entry_links linksOf();
+    bool isReady() { return routing.contract() && !routing.directory().all().empty(); }
+    std::vector<std::string> asked() const;
+    void read(const std::string &table, std::uint64_t since, row_callback<row_news> done,
+              time_point until);
+
+    fleet &all;
+    std::string name;
+    std::string address;
+    bool isFirstPeer;
+    bool listed = false;
+    std::vector<std::string> readers;
+    std::size_t next = 0;
+    gated_store store;
+    routing_state routing;
+    row_mirror mirror{milliseconds(1500)};
+    metric_registry metrics;
+    store_sync<gated_store, manual_runtime> sync;
+};
+
+struct fleet
+{
+    manual_runtime runtime;
+    fake_store store{runtime};
+    std::list<fleet_entry> entries;
+
+    /// \param from number of the first entry that starts now; the others are started already.
+    void start(std::size_t from, std::size_t to)
+    {
+        for (std::size_t i = from; i < to; ++i)
+            entries.emplace_back(*this, i).sync.start();
+    }
+    fleet_entry *find(const std::string &address)
+    {
+        const auto it = std::find_if(entries.begin(), entries.end(), [&](const fleet_entry &entry) {
+            return entry.store.isUp && entry.address == address;
+        });
+        return it == entries.end() ? nullptr : &*it;
+    }
+    std::size_t ready()
+    {
+        return static_cast<std::size_t>(
+                std::count_if(entries.begin(), entries.end(), [](fleet_entry &entry) {
+                    return entry.store.isUp && entry.isReady();
+                }));
+    }
+    /// All entries lose power; what they have under way comes to nothing.
+    void powerOff()
+    {
+        for (fleet_entry &entry : entries)
+            entry.store.isUp = false;
+    }
+    unsigned calls() const { return store.lists + store.follows + store.writes; }
+};
+
+inline fleet_entry::fleet_entry(fleet &all, std::size_t number)
+    : all(all)
+    , name("e" + std::to_string(number))
+    , address("10.0.0." + std::to_string(number) + ":1")
+    , isFirstPeer(number < firstPeers)
+    , store{all.store, all.runtime}
+    , routing({}, {}, number)
+    , sync(store, all.runtime, routing, mirror, metrics, plainCodec(), linksOf())
+{
+}
+
+inline std::vector<std::string> fleet_entry::asked() const
+{
+    if (listed)
+        return readers;
+    std::vector<std::string> addresses;
+    for (std::size_t i = 0; !isFirstPeer && i < firstPeers; ++i)
+        addresses.push_back("10.0.0." + std::to_string(i) + ":1");
+    return addresses;
+}
+
+inline void fleet_entry::read(const std::string &table, std::uint64_t since,
+                              row_callback<row_news> done, time_point until)
+{
+    if (!store.isUp)
+        return;
+    const std::vector<std::string> from = asked();
+    fleet_entry *peer = from.empty() ? nullptr : all.find(from[next++ % from.size()]);
+    const auto news = peer ? peer->mirror.read(table, since, all.runtime.now()) : std::nullopt;
+    const bool isNews = news && (news->news.whole || !news->news.batch.rows.empty());
+    const bool isStarting = peer && !peer->mirror.look(table, since, all.runtime.now()).isKnown;
+    if ((isStarting || (news && !isNews)) && all.runtime.now() < until) {
+        all.runtime.after(lookAgain,
+                          [this, table, since, done, until] { read(table, since, done, until); });
+        return;
+    }
+    const bool isOutdated = peer && peer->mirror.look(table, since, all.runtime.now()).isOutdated;
+    all.runtime.after(way, [this, table, news, isOutdated, done] {
+        if (!news)
+            return done(failure(isOutdated ? row_failure::outdated : row_failure::notDone));
+        mirror.take(table, news->news.batch, news->news.whole, all.runtime.now() - news->age);
+        done(news->news);
+    });
+}
+
+inline entry_links fleet_entry::linksOf()
+{
+    entry_links links;
+    links.entry = name;
+    links.place = {address, "hall"};
+    links.relay.isPreferred = [this] { return !asked().empty(); };
+    links.relay.read
+            = [this](const std::string &table, std::uint64_t since, row_callback<row_news> done) {
+                  read(table, since, std::move(done), all.runtime.now() + hold);
+              };
+    links.onEntries = [this](const entry_map &known) {
+        listed = known.count(name) != 0;
+        readers = sourcesFor(known, name).readers;
+    };
+    links.onContract = [] {};
+    return links;
+}
+
+/// Fills the store as before traffic begins.
+inline void fill(fleet &fleet)
+{
+    fleet.store.put("orders", "contract", "7");
+    for (unsigned i = 0; i < 60; ++i)
+        fleet.store.put("endpoints", "p" + std::to_string(i), "v1");
+}
+
+} // namespace laurelcroft
+
+#endif
--- a/unittests/Proxy/FakeStore.h
+++ b/unittests/Proxy/FakeStore.h
@@ -35,11 +35,11 @@
     {
         ++follows;
         if (forgetful) {
-            m_runtime.after(milliseconds(1), [done] { done(failure(row_failure::historyGone)); });
+            m_runtime.after(way, [done] { done(failure(row_failure::historyGone)); });
             return;
         }
         const bool news = changedSince(table, since);
-        const milliseconds delay = news || wait.count() == 0 ? milliseconds(1) : wait;
+        const milliseconds delay = away ? awayDelay : (news || wait.count() == 0 ? way : wait);
         m_runtime.after(delay, [this, table, since, done] {
             if (away)
                 done(failure(row_failure::unknown));
@@ -69,7 +69,11 @@
         return m_tables[table][key].value;
     }
 
+    /// Time from a call to its answer.
+    static constexpr milliseconds way{1};
+
     bool away = false;
+    milliseconds awayDelay = way; ///< until a call fails while the store is away
     bool forgetful = false;
     unsigned lists = 0;
     unsigned follows = 0;
@@ -79,7 +83,7 @@
     template <class T>
     void answer(row_callback<T> done, std::function<T()> result)
     {
-        m_runtime.after(milliseconds(1), [this, done, result] {
+        m_runtime.after(away ? awayDelay : way, [this, done, result] {
             if (away)
                 done(failure(row_failure::unknown));
             else
