Endpoints of a data centre that operators evacuate get nothing

Nothing read the operator's row. All sends take their endpoints from one list, which leaves these out: first sends, repeats, rests of streams, trials, larger models, homes. A service that has nothing left is refused at once, with the reason evacuated.

--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -162,9 +162,16 @@
     /// \returns endpoints that were dropped since the last call because their grace had passed.
     std::vector<std::string> takeExpired() { return std::exchange(m_expired, {}); }
 
+    /// Data centres whose endpoints must get nothing, until the next call.
+    void setEvacuated(std::set<std::string> dataCentres, time_point now);
+    const std::set<std::string> &evacuated() const { return m_evacuated; }
+
     /// \returns the endpoints of \p service that may get new requests.
     std::vector<endpoint_ptr> usable(std::string_view service) const;
 
+    /// \returns true when \p service would have endpoints but for the evacuated data centres.
+    bool isEvacuated(std::string_view service) const;
+
     /// \returns all endpoints that are listed.
     const std::map<std::string, endpoint_ptr, std::less<>> &all() const { return m_endpoints; }
 
@@ -190,6 +197,7 @@
     std::vector<lapse> m_lapsed;
     std::vector<std::string> m_expired; ///< dropped after their grace, not yet taken
     std::set<std::string, std::less<>> m_departed; ///< had begun to leave and are gone
+    std::set<std::string> m_evacuated; ///< data centres
     bool m_storeAway = false;
     time_point m_trustedFrom{};
 };
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -24,6 +24,7 @@
     unknownKey,
     tooLarge,
     noEndpoint, ///< none that may be used is listed or reachable
+    evacuated, ///< all that are listed stand in data centres that must get nothing
     refusedByEndpoints, ///< all that were asked refused without running it
     brokenAttempt, ///< an endpoint broke off and nothing more may be tried
     silentEndpoint,
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -261,11 +261,14 @@
         deliver();
     } else if (m_mayHaveRun) {
         refuse(http_status::badGateway, flow_reason::noEndpoint, std::nullopt);
+    } else if (m_sends > 0) {
+        refuse(http_status::unavailable, flow_reason::refusedByEndpoints,
+               flow_bounds::retryAfterFull);
     } else {
-        const bool asked = m_sends > 0;
+        const bool evacuated = m_env.routing().directory().isEvacuated(m_service);
         refuse(http_status::unavailable,
-               asked ? flow_reason::refusedByEndpoints : flow_reason::noEndpoint,
-               asked ? flow_bounds::retryAfterFull : flow_bounds::retryAfterNothing);
+               evacuated ? flow_reason::evacuated : flow_reason::noEndpoint,
+               flow_bounds::retryAfterNothing);
     }
 }
 
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -20,6 +20,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -40,6 +41,8 @@
     std::function<bool(std::string_view key)> isContract;
     /// \returns the service that an operator's row of this key orders a roll-out for.
     std::function<std::optional<std::string>(std::string_view key)> orderedService;
+    /// \returns the data centre that an operator's row of this key asks to be left alone.
+    std::function<std::optional<std::string>(std::string_view key)> evacuatedDataCentre;
     std::function<decoded<service_contract>(const std::string &value)> decodeContract;
     std::function<decoded<endpoint_record>(const std::string &key, const std::string &value)>
             decodeEndpoint;
@@ -142,6 +145,7 @@
     void applyOwn(row_news &news);
     void takeContract(const store_row &row);
     void takeOrder(const std::string &service, const store_row &row);
+    void setEvacuated(std::set<std::string> dataCentres, std::uint64_t version);
     void noteTime(const row_batch &batch);
     milliseconds storeNow();
     void keepListed();
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 
 namespace laurelcroft {
 
@@ -129,15 +128,26 @@
 void store_sync<Store, Runtime>::applyOperator(row_news &news)
 {
     std::set<std::string> ordered;
+    std::set<std::string> evacuated;
+    if (!news.whole)
+        evacuated = m_state.directory().evacuated();
     for (const store_row &row : news.batch.rows) {
         if (!row.removed && m_codec.isContract(row.key))
             takeContract(row);
+        if (const std::optional<std::string> place = m_codec.evacuatedDataCentre(row.key)) {
+            if (row.removed)
+                evacuated.erase(*place);
+            else
+                evacuated.insert(*place);
+            continue;
+        }
         const std::optional<std::string> service = m_codec.orderedService(row.key);
         if (!service)
             continue;
         ordered.insert(*service);
         takeOrder(*service, row);
     }
+    setEvacuated(std::move(evacuated), news.batch.version);
     if (!news.whole)
         return;
     for (auto &[service, tracker] : m_state.allRollouts()) {
@@ -194,6 +204,33 @@
              {"row_version", std::int64_t(row.version)}});
 }
 
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::setEvacuated(std::set<std::string> dataCentres,
+                                              std::uint64_t version)
+{
+    const std::set<std::string> before = m_state.directory().evacuated();
+    if (dataCentres == before)
+        return;
+    const std::string_view toldBy
+            = m_followers.at(m_codec.operatorTable)->isNewsRelayed() ? "entry" : "store";
+    const auto log = [&](const std::string &place, const char *what) {
+        logInfo(log_part::fleet, what,
+                {{"data_centre", place},
+                 {"table_version", std::int64_t(version)},
+                 {"told_by", toldBy}});
+    };
+    for (const std::string &place : dataCentres) {
+        if (before.count(place) == 0)
+            log(place, "data centre is evacuated");
+    }
+    for (const std::string &place : before) {
+        if (dataCentres.count(place) == 0)
+            log(place, "data centre is taken back");
+    }
+    m_metrics.set("data_centres_evacuated", static_cast<double>(dataCentres.size()));
+    m_state.directory().setEvacuated(std::move(dataCentres), m_runtime.now());
+}
+
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::applyEndpoints(row_news &news)
 {
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -224,11 +224,30 @@
     }
 }
 
+void service_directory::setEvacuated(std::set<std::string> dataCentres, time_point)
+{
+    m_evacuated = std::move(dataCentres);
+}
+
+static bool serves(const service_endpoint &endpoint, std::string_view service)
+{
+    return endpoint.record().service == service && !endpoint.record().leaving;
+}
+
+bool service_directory::isEvacuated(std::string_view service) const
+{
+    const bool isListed
+            = std::any_of(m_endpoints.begin(), m_endpoints.end(),
+                          [&](const auto &item) { return serves(*item.second, service); });
+    return isListed && usable(service).empty();
+}
+
 std::vector<endpoint_ptr> service_directory::usable(std::string_view service) const
 {
     std::vector<endpoint_ptr> found;
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (endpoint->record().service == service && !endpoint->record().leaving)
+        const bool isLeftAlone = m_evacuated.count(endpoint->record().dataCentre) != 0;
+        if (serves(*endpoint, service) && !isLeftAlone)
             found.push_back(endpoint);
     }
     return found;
--- a/unittests/Proxy/PlainCodec.h
+++ b/unittests/Proxy/PlainCodec.h
@@ -14,7 +14,8 @@
 
 namespace laurelcroft {
 
-/// A contract's value is its version; an endpoint's its software version, "-" when leaving.
+/// A contract's value is its version; an endpoint's its software version, "-" when leaving; it
+/// stands in the data centre that its id ends with, behind a '@'. "evacuate X" empties X.
 inline row_codec plainCodec()
 {
     row_codec codec;
@@ -22,8 +23,13 @@
     codec.endpointTable = "endpoints";
     codec.statusTable = "status";
     codec.isContract = [](std::string_view key) { return key == "contract"; };
+    codec.evacuatedDataCentre = [](std::string_view key) -> std::optional<std::string> {
+        if (!key.starts_with("evacuate "))
+            return std::nullopt;
+        return std::string(key.substr(key.find(' ') + 1));
+    };
     codec.orderedService = [](std::string_view key) -> std::optional<std::string> {
-        if (key == "contract")
+        if (key == "contract" || key.starts_with("evacuate "))
             return std::nullopt;
         return std::string(key);
     };
@@ -39,6 +45,8 @@
         endpoint_record record;
         record.id = key;
         record.service = "pool";
+        if (const std::size_t at = key.find('@'); at != std::string::npos)
+            record.dataCentre = key.substr(at + 1);
         record.softwareVersion = value.substr(0, 2);
         record.leaving = value.ends_with('-');
         return record;
