--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -298,6 +298,11 @@
     metrics.set("caller_connections", static_cast<double>(callers.connections()));
     metrics.set("endpoint_connections_opened", static_cast<double>(endpoints.opened()));
     metrics.set("endpoints_listed", static_cast<double>(routing.directory().all().size()));
+    const auto &endpointsById = routing.directory().all();
+    const auto cold
+            = std::count_if(endpointsById.begin(), endpointsById.end(),
+                            [&](const auto &item) { return item.second->isCold(runtime.now()); });
+    metrics.set("endpoints_cold", static_cast<double>(cold));
     metrics.set("entries_known", static_cast<double>(routing.entries()));
     if (isReady() != lastReady) {
         lastReady = isReady();
