A request that met another process goes on to an endpoint that is meant

421 from a process that is not the one named counted as the one endpoint that a request which may run once is allowed, so that it was refused beside endpoints with room: the endpoint that was meant saw nothing of it.

--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -170,7 +170,8 @@
     std::vector<std::string> m_tried;
     std::size_t m_model = 0;
     unsigned m_sends = 0; ///< that reached or may have reached an endpoint
-    unsigned m_unreached = 0; ///< endpoints that no connection could be made to
+    unsigned m_unreached = 0; ///< endpoints that were not found at their addresses
+    unsigned m_arrivals = 0; ///< sends that some process took
     bool m_coldLeftOut = false; ///< the last choice passed over an endpoint that bears no more now
     std::optional<time_point> m_waitsSince; ///< for room at a cold endpoint
     unsigned m_number = 0; ///< of the current attempt; older ones' events are void
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -237,10 +237,14 @@
     closeAttempt(end);
     // A call that is still under way must not run beside the next one.
     m_env.cancel(m_call);
-    if (end == attempt_end::notSent) {
+    // Another process lives at the address: the endpoint that was meant saw nothing. A request for
+    // which one endpoint is allowed would be refused beside others that have room.
+    const bool isMisdirected = end == attempt_end::refused && m_answer.misdirected;
+    if (end == attempt_end::notSent || isMisdirected) {
         --m_sends;
         ++m_unreached;
     }
+    m_arrivals += end == attempt_end::notSent ? 0 : 1;
     m_record.attemptTook = std::chrono::duration_cast<milliseconds>(now() - m_attemptAt);
     m_record.left = timeLeft();
     const next_step step = stepAfter(end, facts());
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -300,7 +300,7 @@
 template <flow_environment Env>
 void request_flow<Env>::refuseUnsent()
 {
-    if (m_sends > 0) {
+    if (m_arrivals > 0) {
         refuse(http_status::unavailable, flow_reason::refusedByEndpoints,
                flow_bounds::retryAfterFull);
     } else if (m_env.routing().directory().isEvacuated(m_service)) {
@@ -354,7 +354,7 @@
     state.noteSend(*endpoint, m_readingMs, m_prefixes);
     m_endpoint->prompts().note(m_prefixes);
     m_tried.push_back(endpoint->record().id);
-    if (m_sends > 0)
+    if (m_arrivals > 0)
         state.repeats(m_service).repeat(m_attemptAt);
     ++m_sends;
     ++m_number;
--- a/unittests/Proxy/FlowTests.cpp
+++ b/unittests/Proxy/FlowTests.cpp
@@ -113,6 +113,24 @@
     }
 }
 
+TEST_CASE("a request for one endpoint goes on when another process lives at the address")
+{
+    flow_world world(fetchRoute(), {"e1", "e2"});
+    startFlow(world, requestFor(fetchRoute()));
+    proxy_answer answer;
+    answer.status = 421;
+    answer.notRun = true;
+    answer.misdirected = true;
+    world.calls[0].events.onAnswer(std::move(answer));
+    world.end(0, call_end::complete);
+    REQUIRE(world.calls.size() == 2);
+    CHECK(world.calls[1].attempt.endpoint != world.calls[0].attempt.endpoint);
+    // The one that is meant has it now: its refusal is the last word.
+    world.refuseNotRun(1);
+    CHECK(world.calls.size() == 2);
+    CHECK(world.status == 503);
+}
+
 TEST_CASE("after a run anywhere, no refusal claims that there was none")
 {
     flow_world world(lookupRoute(), {"e1", "e2"});
