--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -55,6 +55,11 @@
 
 void routing_state::setEntries(std::vector<std::string> names, std::string own)
 {
+    // Entries that start renew their rows, which changes no share: ranking a hundred entries for
+    // each of a thousand cold endpoints again would take a small instance a tenth of a second each
+    // time.
+    if (names == m_entries && own == m_own)
+        return;
     m_entries = std::move(names);
     m_own = std::move(own);
     m_coldShares.clear();
