--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -184,6 +184,7 @@
 
 } // namespace laurelcroft
 
+#include "laurelcroft/Proxy/StoreSyncEndpoints.h"
 #include "laurelcroft/Proxy/StoreSyncImpl.h"
 #include "laurelcroft/Proxy/StoreSyncRollouts.h"
 
--- /dev/null
+++ b/include/laurelcroft/Proxy/StoreSyncEndpoints.h
@@ -0,0 +1,187 @@
+//===-- Proxy/StoreSyncEndpoints.h - members of store_sync -------*- C++ -*-===//
+//
+// Endpoints, cold ones, those that vanish with the store, and evacuated data centres. Included by
+// StoreSync.h only.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_PROXY_STORESYNCENDPOINTS_H
+#define LAURELCROFT_PROXY_STORESYNCENDPOINTS_H
+
+namespace laurelcroft {
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::doubtRemovals(row_failure why)
+{
+    const time_point now = m_runtime.now();
+    if (why != row_failure::outdated) {
+        m_state.directory().storeLost(now);
+        return;
+    }
+    // The store may have been there for all others: an endpoint that left after the rows were
+    // confirmed last must still be left alone in time.
+    const milliseconds age = m_mirror.look(m_codec.endpointTable, nothingKnown, now).age;
+    m_state.directory().doubtRemovals(now - age + m_links.paces.removalDoubt);
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::setEvacuated(std::set<std::string> dataCentres,
+                                              std::uint64_t version)
+{
+    const std::set<std::string> before = m_state.directory().evacuated();
+    if (dataCentres == before)
+        return;
+    const std::string_view toldBy
+            = m_followers.at(m_codec.operatorTable)->isNewsRelayed() ? "entry" : "store";
+    const auto log = [&](const std::string &place, const char *what) {
+        logInfo(log_part::fleet, what,
+                {{"data_centre", place},
+                 {"table_version", std::int64_t(version)},
+                 {"told_by", toldBy}});
+    };
+    for (const std::string &place : dataCentres) {
+        if (before.count(place) == 0)
+            log(place, "data centre is evacuated");
+    }
+    for (const std::string &place : before) {
+        if (dataCentres.count(place) == 0)
+            log(place, "data centre is taken back");
+    }
+    m_metrics.set("data_centres_evacuated", static_cast<double>(dataCentres.size()));
+    m_state.directory().setEvacuated(std::move(dataCentres), m_runtime.now());
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::applyEndpoints(row_news &news)
+{
+    if (news.whole && !m_endpointsRead) {
+        m_endpointsRead = true;
+        applyEndpointTable(news.batch);
+        return;
+    }
+    // A table that is read again is mostly heartbeats, too: where the store drops its history
+    // all the time, other entries would get all rows with each read.
+    if (news.whole) {
+        for (store_row &row : vanishedEndpoints(news.batch))
+            news.batch.rows.push_back(std::move(row));
+        news.whole = false;
+    }
+    // In order: one batch may list an endpoint and remove it again.
+    std::vector<store_row> changes;
+    for (store_row &row : news.batch.rows) {
+        if (takeEndpointRow(row))
+            changes.push_back(std::move(row));
+    }
+    // Other entries hear of an endpoint that vanished with the store when this one believes it:
+    // they would leave a living one alone until its row is back.
+    for (store_row &row : expiredEndpoints(news.batch.version))
+        changes.push_back(std::move(row));
+    news.batch.rows = std::move(changes);
+}
+
+template <row_store_like Store, runtime_like Runtime>
+std::vector<store_row> store_sync<Store, Runtime>::expiredEndpoints(std::uint64_t version)
+{
+    std::vector<store_row> expired;
+    m_state.directory().expire(m_runtime.now());
+    for (std::string &id : m_state.directory().takeExpired()) {
+        logInfo(log_part::fleet, "endpoint did not return after the store's loss",
+                {{"endpoint", id}});
+        expired.push_back({std::move(id), "", version, true});
+    }
+    return expired;
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::applyEndpointTable(row_batch &batch)
+{
+    std::vector<endpoint_record> records;
+    for (const store_row &row : batch.rows) {
+        if (std::optional<endpoint_record> record = endpointIn(row))
+            records.push_back(std::move(*record));
+    }
+    m_state.directory().replaceAll(std::move(records), m_runtime.now());
+}
+
+template <row_store_like Store, runtime_like Runtime>
+std::vector<store_row> store_sync<Store, Runtime>::vanishedEndpoints(const row_batch &batch) const
+{
+    std::set<std::string_view> listed;
+    for (const store_row &row : batch.rows)
+        listed.insert(row.key);
+    std::vector<store_row> vanished;
+    for (const auto &[id, endpoint] : m_state.directory().all()) {
+        if (listed.count(id) == 0)
+            vanished.push_back({id, "", batch.version, true});
+    }
+    return vanished;
+}
+
+template <row_store_like Store, runtime_like Runtime>
+bool store_sync<Store, Runtime>::takeEndpointRow(const store_row &row)
+{
+    if (row.removed) {
+        // An entry that gives rows on has waited for the endpoint's return itself.
+        const bool isRelayed = m_followers.at(m_codec.endpointTable)->isNewsRelayed();
+        const bool isBelieved = isRelayed || m_state.directory().remove(row.key, m_runtime.now());
+        if (isRelayed)
+            m_state.directory().drop(row.key);
+        logInfo(log_part::fleet, "endpoint's record removed",
+                {{"endpoint", row.key}, {"kept", isBelieved ? "no" : "yes"}});
+        return isBelieved;
+    }
+    std::optional<endpoint_record> record = endpointIn(row);
+    return !record || takeEndpoint(std::move(*record));
+}
+
+template <row_store_like Store, runtime_like Runtime>
+std::optional<endpoint_record> store_sync<Store, Runtime>::endpointIn(const store_row &row) const
+{
+    decoded<endpoint_record> record = m_codec.decodeEndpoint(row.key, row.value);
+    if (record) {
+        record.value().heardAt = row.version;
+        return std::move(record.value());
+    }
+    logWarning(log_part::fleet, "endpoint's record refused",
+               {{"endpoint", row.key}, {"fault", record.error()}});
+    return std::nullopt;
+}
+
+template <row_store_like Store, runtime_like Runtime>
+bool store_sync<Store, Runtime>::takeEndpoint(endpoint_record &&record)
+{
+    const auto &all = m_state.directory().all();
+    const auto known = all.find(record.id);
+    const bool isNew = known == all.end();
+    // Of a record that lapsed the others may have heard as removed, from another reader.
+    const bool isBack = m_state.directory().isLapsed(record.id);
+    const bool saysMore = isNew || isBack || !record.saysTheSame(known->second->record())
+            || isOtherwiseCold(record, *known->second);
+    if (isNew || known->second->record().leaving != record.leaving) {
+        logInfo(log_part::fleet, isNew ? "endpoint listed" : "endpoint is leaving",
+                {{"endpoint", record.id},
+                 {"service", record.service},
+                 {"version", record.softwareVersion},
+                 {"leaving", record.leaving ? "yes" : "no"},
+                 {"cold_ms", std::int64_t(record.coldLeft.count())}});
+    }
+    m_state.directory().apply(std::move(record), m_runtime.now());
+    return saysMore;
+}
+
+template <row_store_like Store, runtime_like Runtime>
+bool store_sync<Store, Runtime>::isOtherwiseCold(const endpoint_record &record,
+                                                 const service_endpoint &known)
+{
+    const bool isColder = m_runtime.now() + record.coldLeft > known.coldUntil() + coldDifference
+            && record.coldLeft.count() > 0;
+    // Told as well, so that an entry that starts later doesn't take an old row's word.
+    const bool isWarm = record.coldLeft.count() == 0 && known.record().coldLeft.count() > 0;
+    if (isColder || isWarm)
+        logInfo(log_part::fleet, isWarm ? "endpoint is warm" : "endpoint is cold",
+                {{"endpoint", record.id}, {"left_ms", std::int64_t(record.coldLeft.count())}});
+    return isColder || isWarm;
+}
+
+} // namespace laurelcroft
+
+#endif
