A request waits only for cold endpoints that this entry has a share of

Where an entry owns none of the cold endpoints that are left, a wait of a quarter of the objective ended in the same refusal. It is refused at once now; red test first (no answer at once before).

--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -175,6 +175,7 @@
     unsigned m_unreached = 0; ///< endpoints that were not found at their addresses
     unsigned m_arrivals = 0; ///< sends that some process took
     bool m_coldLeftOut = false; ///< the last choice passed over an endpoint that bears no more now
+    bool m_roomComes = false; ///< one of those has a share for this entry
     std::optional<time_point> m_waitsSince; ///< for room at a cold endpoint
     unsigned m_number = 0; ///< of the current attempt; older ones' events are void
     call_id m_call = 0;
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -156,6 +156,7 @@
     routing_state &state = m_env.routing();
     state.directory().expire(now());
     m_coldLeftOut = false;
+    m_roomComes = false;
     rollout_tracker &rollouts = state.rollouts(m_service);
     const std::vector<endpoint_ptr> &usable = state.directory().usable(m_service);
     // Where a roll-out is over, the version that began the stream may have ended at once; before
@@ -227,8 +228,11 @@
             = std::find(m_tried.begin(), m_tried.end(), endpoint->record().id) != m_tried.end();
     candidate.sharesFailure = m_failedPlaces.count(endpoint->record().dataCentre) != 0;
     candidate.hasConnection = m_env.hasRoomAt(endpoint);
-    candidate.bearsMore = m_env.routing().bearsMore(*endpoint, at);
-    m_coldLeftOut = m_coldLeftOut || (!candidate.bearsMore && !candidate.tried);
+    if (const std::optional<double> share = m_env.routing().coldShare(*endpoint, at)) {
+        candidate.bearsMore = endpoint->hasRoomFor(*share, at);
+        m_coldLeftOut = m_coldLeftOut || !candidate.bearsMore;
+        m_roomComes = m_roomComes || (*share > 0 && !candidate.tried);
+    }
     return candidate;
 }
 
@@ -316,7 +320,8 @@
 template <flow_environment Env>
 bool request_flow<Env>::waitForRoom()
 {
-    if (!m_coldLeftOut)
+    // Where this entry owns none of the cold endpoints, waiting would end like this, only later.
+    if (!m_roomComes)
         return false;
     if (!m_waitsSince)
         m_waitsSince = now();
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -19,6 +19,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -92,9 +93,9 @@
     /// \returns what a choice must know to leave out some of \p endpoints.
     std::vector<sampled_endpoint> sampledOf(std::span<const endpoint_ptr> endpoints) const;
 
-    /// \returns true when \p endpoint is not cold, or this entry's share of what it bears then is
-    /// not used up.
-    bool bearsMore(const service_endpoint &endpoint, time_point now);
+    /// \returns requests a second that this entry may send to \p endpoint while it is cold; nothing
+    /// when there is no such bound now.
+    std::optional<double> coldShare(const service_endpoint &endpoint, time_point now);
 
     /// Number of entries that share the budgets, this one included; 1 while none is known.
     std::size_t entries() const { return std::max<std::size_t>(1, m_entries.size()); }
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -86,20 +86,20 @@
     return list.items;
 }
 
-bool routing_state::bearsMore(const service_endpoint &endpoint, time_point now)
+std::optional<double> routing_state::coldShare(const service_endpoint &endpoint, time_point now)
 {
     if (!endpoint.isCold(now) || !m_contract)
-        return true;
+        return std::nullopt;
     const service_description *service = m_contract->findService(endpoint.record().service);
     if (!service || service->coldPerSecond <= 0)
-        return true;
+        return std::nullopt;
     const std::string &id = endpoint.record().id;
     auto share = m_coldShares.find(id);
     if (share == m_coldShares.end()) {
         const double own = coldShareOf(id, service->coldPerSecond, m_entries, m_own);
         share = m_coldShares.emplace(id, own).first;
     }
-    return endpoint.hasRoomFor(share->second, now);
+    return share->second;
 }
 
 prompt_rate &routing_state::promptRate(std::string_view model)
--- a/unittests/Proxy/ColdEndpointTests.cpp
+++ b/unittests/Proxy/ColdEndpointTests.cpp
@@ -273,3 +273,18 @@
     CHECK(world.calls.size() == 2);
     CHECK(world.status == 0);
 }
+
+TEST_CASE("an entry that owns none of the cold endpoints refuses at once")
+{
+    flow_world world(lookupRoute(), {"e1"});
+    auto contract = std::make_shared<service_contract>(*world.routing.contract());
+    contract->version += 1;
+    contract->services.front().coldPerSecond = 1;
+    world.routing.setContract(contract);
+    world.routing.setEntries({"other"}, "own");
+    world.routing.directory().all().at("e1")->heardCold(seconds(5), world.runtime.now());
+    const auto flow = startFlow(world, requestFor(lookupRoute()));
+    CHECK(world.calls.empty());
+    CHECK(world.status == 503);
+    CHECK(world.record->reason == flow_reason::coldEndpoints);
+}
