An entry that lost the store tells the others of a removal within the bound

A reader that was cut off kept an endpoint for 2.2 s after its return and told the others of the removal only then. The other reader had told at once, but entries that had read the first one in between asked it for later versions only.

--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -129,8 +129,9 @@
     /// \returns removals of the endpoints that are known and not in \p batch.
     std::vector<store_row> vanishedEndpoints(const row_batch &batch) const;
     bool takeEndpointRow(const store_row &row);
-    /// \returns removals of the endpoints whose grace after an outage has passed.
-    std::vector<store_row> expiredEndpoints(std::uint64_t version);
+    /// \returns removals that the other entries must hear of now: of endpoints whose grace after an
+    /// outage has passed, or that were kept to this entry for as long as may be.
+    std::vector<store_row> removalsToTell(std::uint64_t version);
     std::optional<endpoint_record> endpointIn(const store_row &row) const;
     bool takeEndpoint(endpoint_record &&record);
     /// \returns true when an endpoint has turned cold, or is cold no more, and logs it.
@@ -166,6 +167,7 @@
     entry_links m_links;
     std::map<std::string, std::unique_ptr<follower>> m_followers; ///< by table
     std::map<std::string, std::uint64_t> m_rowVersions; ///< of roll-out rows, by service
+    std::map<std::string, time_point> m_untold; ///< kept endpoints, and when others must hear
     entry_roster m_roster;
     std::map<std::string, rollout_evidence> m_told; ///< in a row, by service
     std::map<std::string, rollout_evidence> m_toldReaders; ///< by datagram, by service
--- a/include/laurelcroft/Proxy/StoreSyncEndpoints.h
+++ b/include/laurelcroft/Proxy/StoreSyncEndpoints.h
@@ -71,24 +71,33 @@
         if (takeEndpointRow(row))
             changes.push_back(std::move(row));
     }
-    // Other entries hear of an endpoint that vanished with the store when this one believes it:
-    // they would leave a living one alone until its row is back.
-    for (store_row &row : expiredEndpoints(news.batch.version))
+    // Other entries hear late of an endpoint that vanished with the store: they would leave a
+    // living one alone until its row is back.
+    for (store_row &row : removalsToTell(news.batch.version))
         changes.push_back(std::move(row));
     news.batch.rows = std::move(changes);
 }
 
 template <row_store_like Store, runtime_like Runtime>
-std::vector<store_row> store_sync<Store, Runtime>::expiredEndpoints(std::uint64_t version)
+std::vector<store_row> store_sync<Store, Runtime>::removalsToTell(std::uint64_t version)
 {
-    std::vector<store_row> expired;
-    m_state.directory().expire(m_runtime.now());
+    const time_point now = m_runtime.now();
+    std::vector<store_row> removals;
+    m_state.directory().expire(now);
     for (std::string &id : m_state.directory().takeExpired()) {
         logInfo(log_part::fleet, "endpoint did not return after the store's loss",
                 {{"endpoint", id}});
-        expired.push_back({std::move(id), "", version, true});
+        m_untold.erase(id);
+        removals.push_back({std::move(id), "", version, true});
+    }
+    for (auto item = m_untold.begin(); item != m_untold.end();) {
+        const bool isBack = !m_state.directory().isLapsed(item->first);
+        const bool isDue = now >= item->second;
+        if (!isBack && isDue)
+            removals.push_back({item->first, "", version, true});
+        item = isBack || isDue ? m_untold.erase(item) : std::next(item);
     }
-    return expired;
+    return removals;
 }
 
 template <row_store_like Store, runtime_like Runtime>
@@ -125,6 +134,8 @@
         const bool isBelieved = isRelayed || m_state.directory().remove(row.key, m_runtime.now());
         if (isRelayed)
             m_state.directory().drop(row.key);
+        if (!isBelieved)
+            m_untold.emplace(row.key, m_runtime.now() + m_links.paces.untoldRemoval);
         logInfo(log_part::fleet, "endpoint's record removed",
                 {{"endpoint", row.key}, {"kept", isBelieved ? "no" : "yes"}});
         return isBelieved;
