--- a/unittests/Proxy/EntryFleet.h
+++ b/unittests/Proxy/EntryFleet.h
@@ -23,7 +23,7 @@
 inline constexpr std::size_t entriesOfFleet = 100;
 inline constexpr std::size_t firstPeers = 3;
 inline constexpr milliseconds way{1};
-inline constexpr milliseconds changeBound{2000};
+inline constexpr milliseconds changeBound{3000};
 inline constexpr milliseconds hold{400};
 inline constexpr milliseconds lookAgain{10};
 
