A removal that was kept back is told with each read for two seconds

Entries ask two readers by turns for what is newer than they have. One that had read versions from the reader that kept the removal back asked the other, which had told it, for later ones only; told once by the first, it fell between two turns again. Told with each read it is met at the next turn.

--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -92,6 +92,11 @@
     static constexpr milliseconds announcePause{2500};
     /// After a write that the store did not take.
     static constexpr milliseconds writeRetry{1000};
+    /// A removal that was kept back is told with each read for this long. The others ask readers by
+    /// turns for what is newer than they have, and may have newer versions from one that told of
+    /// the removal before: told once, it was missed by an entry that sent there 2.4 to 3.3 s after
+    /// the endpoint had begun to leave, where two were allowed.
+    static constexpr milliseconds tellAgainFor{2000};
     /// An endpoint that is cold for this much longer than was known has turned cold again; less is
     /// the way of its row.
     static constexpr milliseconds coldDifference{500};
--- a/include/laurelcroft/Proxy/StoreSyncEndpoints.h
+++ b/include/laurelcroft/Proxy/StoreSyncEndpoints.h
@@ -87,15 +87,16 @@
     for (std::string &id : m_state.directory().takeExpired()) {
         logInfo(log_part::fleet, "endpoint did not return after the store's loss",
                 {{"endpoint", id}});
-        m_untold.erase(id);
         removals.push_back({std::move(id), "", version, true});
     }
     for (auto item = m_untold.begin(); item != m_untold.end();) {
-        const bool isBack = !m_state.directory().isLapsed(item->first);
-        const bool isDue = now >= item->second;
-        if (!isBack && isDue)
-            removals.push_back({item->first, "", version, true});
-        item = isBack || isDue ? m_untold.erase(item) : std::next(item);
+        const std::string &id = item->first;
+        const bool isListed = m_state.directory().all().count(id) != 0;
+        const bool isBack = isListed && !m_state.directory().isLapsed(id);
+        if (!isBack && now >= item->second)
+            removals.push_back({id, "", version, true});
+        const bool isOver = isBack || now >= item->second + tellAgainFor;
+        item = isOver ? m_untold.erase(item) : std::next(item);
     }
     return removals;
 }
