Removals are told to other entries at once; each judges them by what it has lost itself

An entry applies what others tell as it applies the store's own word: kept for the grace after an own loss, until 0.85 of the bound where its sources were outdated, dropped at once where it has lost nothing. Rows that return are news as before.

The test of an outage that only readers notice (0.6 and 1.5 s) asks that all endpoints are known with their rows, in place of all the time: such an entry can't tell it from one reader that is cut off, where the rule binds. Outages of 4 and 9 s ask what they asked.

--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -161,9 +161,6 @@
     /// \returns false when it is kept.
     bool remove(std::string_view id, time_point now);
 
-    /// The endpoint is gone: whoever says so has waited for its return.
-    void drop(std::string_view id);
-
     /// \returns true while \p id is kept although its record was removed.
     bool isLapsed(std::string_view id) const;
 
@@ -181,9 +178,6 @@
     /// Drops the endpoints whose grace has passed.
     void expire(time_point now);
 
-    /// \returns endpoints that were dropped since the last call because their grace had passed.
-    std::vector<std::string> takeExpired() { return std::exchange(m_expired, {}); }
-
     /// Data centres whose endpoints must get nothing, until the next call. Those that are taken
     /// back may have turned cold: they count as cold until their rows say otherwise, or for
     /// \c coldSuspicion.
@@ -225,6 +219,7 @@
     };
     using address = std::pair<std::string, std::uint16_t>;
     void noteChange();
+    void drop(std::string_view id);
     /// \returns false when a later one than \p record lives at its address; drops an earlier one.
     bool takeAddress(const endpoint_record &record);
 
@@ -239,7 +234,6 @@
     mutable std::map<std::string, usable_list, std::less<>> m_usable; ///< by service
     std::uint64_t m_revision = 0;
     std::vector<lapse> m_lapsed;
-    std::vector<std::string> m_expired; ///< dropped after their grace, not yet taken
     std::set<std::string, std::less<>> m_departed; ///< had begun to leave and are gone
     std::set<std::string> m_evacuated; ///< data centres
     bool m_storeAway = false;
--- a/include/laurelcroft/Platform/RowFollower.h
+++ b/include/laurelcroft/Platform/RowFollower.h
@@ -30,7 +30,6 @@
     /// The relays' own calls fail then, and so would most others: where a hundred entries asked
     /// at once, a store that dropped its history for some seconds had 1,500 calls more.
     milliseconds staleWait{400};
-    milliseconds hurried{0}; ///< in place of \c between while the owner is in a hurry
 };
 
 /// What a follower tells its owner.
@@ -42,8 +41,6 @@
     /// Other processes were outdated before, and now the store fails this process as well.
     std::function<void()> onLostHere = [] {};
     std::function<void(milliseconds away)> onRegained;
-    /// \returns true while reads of the store must follow each other at the hurried pace.
-    std::function<bool()> isHurried = [] { return false; };
 };
 
 /// What is new in a table.
@@ -257,7 +254,7 @@
             m_events.onTable(std::move(batch));
         else
             m_events.onChanges(std::move(batch));
-        readAfter(m_events.isHurried() ? m_pace.hurried : m_pace.between);
+        readAfter(m_pace.between);
     }
 
     void noteRegained()
--- a/include/laurelcroft/Proxy/RowPaces.h
+++ b/include/laurelcroft/Proxy/RowPaces.h
@@ -40,13 +40,6 @@
     /// where only other entries have lost the store. The grace after an own loss, 2.2 s, sent 15
     /// requests to endpoints 3.2 s after they had begun to leave.
     milliseconds removalDoubt;
-    /// How long an entry that has lost the store keeps to itself that an endpoint's row is gone.
-    /// Only this entry may have lost it: told after its own grace of 2.2 s, the others sent 4
-    /// requests to an endpoint 3.04 s after it had begun to leave, where 3 were allowed.
-    milliseconds untoldRemoval;
-    /// From one read of the endpoints to the next while a removal is kept so: it is told with a
-    /// read.
-    milliseconds hurriedRead;
 };
 
 } // namespace laurelcroft
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -92,11 +92,6 @@
     static constexpr milliseconds announcePause{2500};
     /// After a write that the store did not take.
     static constexpr milliseconds writeRetry{1000};
-    /// A removal that was kept back is told with each read for this long. The others ask readers by
-    /// turns for what is newer than they have, and may have newer versions from one that told of
-    /// the removal before: told once, it was missed by an entry that sent there 2.4 to 3.3 s after
-    /// the endpoint had begun to leave, where two were allowed.
-    static constexpr milliseconds tellAgainFor{2000};
     /// An endpoint that is cold for this much longer than was known has turned cold again; less is
     /// the way of its row.
     static constexpr milliseconds coldDifference{500};
@@ -134,9 +129,6 @@
     /// \returns removals of the endpoints that are known and not in \p batch.
     std::vector<store_row> vanishedEndpoints(const row_batch &batch) const;
     bool takeEndpointRow(const store_row &row);
-    /// \returns removals that the other entries must hear of now: of endpoints whose grace after an
-    /// outage has passed, or that were kept to this entry for as long as may be.
-    std::vector<store_row> removalsToTell(std::uint64_t version);
     std::optional<endpoint_record> endpointIn(const store_row &row) const;
     bool takeEndpoint(endpoint_record &&record);
     /// \returns true when an endpoint has turned cold, or is cold no more, and logs it.
@@ -172,7 +164,6 @@
     entry_links m_links;
     std::map<std::string, std::unique_ptr<follower>> m_followers; ///< by table
     std::map<std::string, std::uint64_t> m_rowVersions; ///< of roll-out rows, by service
-    std::map<std::string, time_point> m_untold; ///< kept endpoints, and when others must hear
     entry_roster m_roster;
     std::map<std::string, rollout_evidence> m_told; ///< in a row, by service
     std::map<std::string, rollout_evidence> m_toldReaders; ///< by datagram, by service
--- a/include/laurelcroft/Proxy/StoreSyncEndpoints.h
+++ b/include/laurelcroft/Proxy/StoreSyncEndpoints.h
@@ -71,36 +71,9 @@
         if (takeEndpointRow(row))
             changes.push_back(std::move(row));
     }
-    // Other entries hear late of an endpoint that vanished with the store: they would leave a
-    // living one alone until its row is back.
-    for (store_row &row : removalsToTell(news.batch.version))
-        changes.push_back(std::move(row));
     news.batch.rows = std::move(changes);
 }
 
-template <row_store_like Store, runtime_like Runtime>
-std::vector<store_row> store_sync<Store, Runtime>::removalsToTell(std::uint64_t version)
-{
-    const time_point now = m_runtime.now();
-    std::vector<store_row> removals;
-    m_state.directory().expire(now);
-    for (std::string &id : m_state.directory().takeExpired()) {
-        logInfo(log_part::fleet, "endpoint did not return after the store's loss",
-                {{"endpoint", id}});
-        removals.push_back({std::move(id), "", version, true});
-    }
-    for (auto item = m_untold.begin(); item != m_untold.end();) {
-        const std::string &id = item->first;
-        const bool isListed = m_state.directory().all().count(id) != 0;
-        const bool isBack = isListed && !m_state.directory().isLapsed(id);
-        if (!isBack && now >= item->second)
-            removals.push_back({id, "", version, true});
-        const bool isOver = isBack || now >= item->second + tellAgainFor;
-        item = isOver ? m_untold.erase(item) : std::next(item);
-    }
-    return removals;
-}
-
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::applyEndpointTable(row_batch &batch)
 {
@@ -130,16 +103,12 @@
 bool store_sync<Store, Runtime>::takeEndpointRow(const store_row &row)
 {
     if (row.removed) {
-        // An entry that gives rows on has waited for the endpoint's return itself.
-        const bool isRelayed = m_followers.at(m_codec.endpointTable)->isNewsRelayed();
-        const bool isBelieved = isRelayed || m_state.directory().remove(row.key, m_runtime.now());
-        if (isRelayed)
-            m_state.directory().drop(row.key);
-        if (!isBelieved)
-            m_untold.emplace(row.key, m_runtime.now() + m_links.paces.untoldRemoval);
+        // Told to other entries whether this one believes it or not: kept back for a grace of this
+        // entry's, it was missed by others that had lost nothing.
+        const bool isBelieved = m_state.directory().remove(row.key, m_runtime.now());
         logInfo(log_part::fleet, "endpoint's record removed",
                 {{"endpoint", row.key}, {"kept", isBelieved ? "no" : "yes"}});
-        return isBelieved;
+        return true;
     }
     std::optional<endpoint_record> record = endpointIn(row);
     return !record || takeEndpoint(std::move(*record));
@@ -164,7 +133,7 @@
     const auto &all = m_state.directory().all();
     const auto known = all.find(record.id);
     const bool isNew = known == all.end();
-    // Of a record that lapsed the others may have heard as removed, from another reader.
+    // The others have heard of a record that lapsed as removed.
     const bool isBack = m_state.directory().isLapsed(record.id);
     const bool saysMore = isNew || isBack || !record.saysTheSame(known->second->record())
             || isOtherwiseCold(record, *known->second);
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -52,7 +52,6 @@
 {
     follow_pace pace;
     pace.between = m_links.paces.endpointRead;
-    pace.hurried = m_links.paces.hurriedRead;
     pace.staleWait = m_links.paces.staleWait;
     return pace;
 }
@@ -91,10 +90,8 @@
         if (listsEndpoints)
             doubtRemovals(why);
     };
-    if (listsEndpoints) {
-        events.isHurried = [this] { return !m_untold.empty(); };
+    if (listsEndpoints)
         events.onLostHere = [this] { m_state.directory().storeLost(m_runtime.now()); };
-    }
     events.onRegained = [this, table, listsEndpoints](milliseconds away) {
         logInfo(log_part::platform, "store regained",
                 {{"table", table}, {"away_ms", std::int64_t(away.count())}});
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -161,7 +161,6 @@
     if (m_departed.count(record.id) != 0)
         return;
     std::erase_if(m_lapsed, [&](const lapse &item) { return item.id == record.id; });
-    std::erase(m_expired, record.id);
     const auto it = m_endpoints.find(record.id);
     const bool isKnown = it != m_endpoints.end();
     if (!isKnown || !record.saysTheSame(it->second->record()))
@@ -268,10 +267,8 @@
     std::vector<lapse> due;
     std::copy_if(m_lapsed.begin(), m_lapsed.end(), std::back_inserter(due), isDue);
     std::erase_if(m_lapsed, isDue);
-    for (const lapse &item : due) {
+    for (const lapse &item : due)
         drop(item.id);
-        m_expired.push_back(item.id);
-    }
 }
 
 void service_directory::setEvacuated(std::set<std::string> dataCentres, time_point now)
--- a/lib/Proxy/RowPaces.cpp
+++ b/lib/Proxy/RowPaces.cpp
@@ -19,9 +19,6 @@
 constexpr double freshPart = 0.55;
 constexpr double staleWaitPart = 0.2;
 constexpr double removalDoubtPart = 0.85;
-constexpr milliseconds hurried{200};
-/// Left of the bound for the way of a told removal to the other entries.
-constexpr double tellingPart = 0.1;
 
 } // namespace
 
@@ -38,7 +35,5 @@
     , fresh(part(bound, freshPart))
     , staleWait(part(bound, staleWaitPart))
     , removalDoubt(part(bound, removalDoubtPart))
-    , untoldRemoval(bound - endpointRead - hurried - part(bound, tellingPart))
-    , hurriedRead(hurried)
 {
 }
--- a/unittests/Proxy/LapseTests.cpp
+++ b/unittests/Proxy/LapseTests.cpp
@@ -96,7 +96,7 @@
     // Before readers told of the return, entries that they read for kept none of 60 endpoints
     // from the outage on.
     lapse_world world;
-    for (const int ms : {600, 1500, 4000, 9000}) {
+    for (const int ms : {4000, 9000}) {
         CAPTURE(ms);
         world.outage(milliseconds(ms));
         world.pass(seconds(6));
@@ -104,6 +104,21 @@
     }
 }
 
+TEST_CASE("after an outage too short to be noticed by all, every entry knows all endpoints with "
+          "their rows")
+{
+    // Only the readers notice it. The others can't tell it from a reader that is cut off, and leave
+    // alone what is said to be gone until its row is back.
+    lapse_world world;
+    for (const int ms : {600, 1500}) {
+        CAPTURE(ms);
+        world.outage(milliseconds(ms));
+        world.pass(backWithin);
+        for (fleet_entry &entry : world.entries.entries)
+            CHECK(world.usableAt(entry) == endpoints);
+    }
+}
+
 TEST_CASE("the same when calls hang while the store is away")
 {
     lapse_world world;
