--- a/include/laurelcroft/Policy/CandidateSample.h
+++ b/include/laurelcroft/Policy/CandidateSample.h
@@ -2,9 +2,9 @@
 //
 // A choice looks at each candidate's load, prompts and connections. Before thousands of endpoints
 // that took most of a small instance's time: 570 us a choice at 3,000 endpoints on a whole core,
-// where an instance has a tenth of one; with the bound 30 to 72 us (three runs beside other work). So a choice
-// looks at a bounded number: some drawn anew for each request, so that all endpoints get their
-// part, and those that may be the home of its prompt.
+// where an instance has a tenth of one; with the bound 30 to 72 us (three runs beside other work).
+// So a choice looks at a bounded number: some drawn anew for each request, so that all endpoints
+// get their part, and those that may be the home of its prompt.
 //
 // The load that it answers is many entries before many endpoints; up to mostCandidates nothing is
 // left out.
