One function mixes the bits of a hash; the best ranks are kept in order

The finaliser of splitmix64 stood in stableHash and again in homeRank, and the tie between equal costs was named a home's rank. top_ranks kept flags and swapped its way through an array; it inserts in order now. Same ranks, same choices.

--- a/include/laurelcroft/Support/Crypto.h
+++ b/include/laurelcroft/Support/Crypto.h
@@ -46,6 +46,10 @@
 /// \returns the bytes, or nothing when \p text is not padded base64.
 std::optional<std::string> fromBase64(std::string_view text);
 
+/// Spreads the bits of \p value over all of a number, by the finaliser of splitmix64. Cheap where
+/// names were hashed before.
+std::uint64_t mixedBits(std::uint64_t value);
+
 /// A stable 64-bit hash for rendezvous ranking; not for security.
 std::uint64_t stableHash(std::string_view data, std::uint64_t seed = 0);
 
--- a/lib/Policy/CandidateSample.cpp
+++ b/lib/Policy/CandidateSample.cpp
@@ -5,8 +5,9 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Policy/CandidateSample.h"
 
+#include "laurelcroft/Support/Crypto.h"
+
 #include <algorithm>
-#include <array>
 #include <numeric>
 #include <utility>
 
@@ -14,44 +15,36 @@
 
 namespace {
 
-/// The indices that rank first, in order.
+/// The indices that rank first, best first.
 class top_ranks
 {
 public:
     void offer(std::uint64_t rank, std::size_t index)
     {
-        std::pair<std::uint64_t, std::size_t> item{rank, index};
-        for (auto &[kept, isSet] : m_kept) {
-            if (!isSet || item.first > kept.first)
-                std::swap(item, kept);
-            else
-                continue;
-            if (!std::exchange(isSet, true))
-                return;
-        }
+        const bool isFull = m_kept.size() == homeRanks;
+        if (isFull && rank <= m_kept.back().first)
+            return;
+        if (isFull)
+            m_kept.pop_back();
+        const auto place = std::find_if(m_kept.begin(), m_kept.end(),
+                                        [&](const auto &kept) { return rank > kept.first; });
+        m_kept.insert(place, {rank, index});
     }
     void appendTo(std::vector<std::size_t> &indices) const
     {
-        for (const auto &[kept, isSet] : m_kept) {
-            if (isSet)
-                indices.push_back(kept.second);
-        }
+        for (const auto &[rank, index] : m_kept)
+            indices.push_back(index);
     }
 
 private:
-    using ranked = std::pair<std::uint64_t, std::size_t>;
-    std::array<std::pair<ranked, bool>, homeRanks> m_kept{};
+    std::vector<std::pair<std::uint64_t, std::size_t>> m_kept; ///< ranks and indices
 };
 
 } // namespace
 
 std::uint64_t laurelcroft::homeRank(std::uint64_t idHash, std::uint64_t prompt)
 {
-    // The finaliser of splitmix64.
-    std::uint64_t hash = idHash ^ prompt;
-    hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    hash = (hash ^ (hash >> 27)) * 0x94d049bb133111ebULL;
-    return hash ^ (hash >> 31);
+    return mixedBits(idHash ^ prompt);
 }
 
 static void addHomes(std::span<const sampled_endpoint> endpoints, std::uint64_t prompt,
--- a/lib/Policy/DirectChoice.cpp
+++ b/lib/Policy/DirectChoice.cpp
@@ -7,6 +7,7 @@
 #include "laurelcroft/Policy/DirectChoice.h"
 
 #include "laurelcroft/Policy/CandidateSample.h"
+#include "laurelcroft/Support/Crypto.h"
 
 #include <algorithm>
 
@@ -106,7 +107,7 @@
         if (!mayBeSentTo(candidates[i]))
             continue;
         const double cost = costOf(candidates[i]);
-        const std::uint64_t tie = homeRank(candidates[i].idHash, tieBreaker);
+        const std::uint64_t tie = mixedBits(candidates[i].idHash ^ tieBreaker);
         if (best && (cost > best->cost || (cost == best->cost && tie < bestTie)))
             continue;
         best = {i, cost, candidates[i].waitMs,
--- a/lib/Support/Crypto.cpp
+++ b/lib/Support/Crypto.cpp
@@ -206,17 +206,22 @@
     return decodeSixBits(text, base64Digits);
 }
 
+std::uint64_t laurelcroft::mixedBits(std::uint64_t value)
+{
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
 std::uint64_t laurelcroft::stableHash(std::string_view data, std::uint64_t seed)
 {
-    // FNV-1a, then the finaliser of splitmix64: FNV alone ranks similar names alike.
+    // FNV-1a, then mixed: FNV alone ranks similar names alike.
     std::uint64_t hash = 14695981039346656037ULL ^ seed;
     for (const char c : data) {
         hash ^= static_cast<unsigned char>(c);
         hash *= 1099511628211ULL;
     }
-    hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    hash = (hash ^ (hash >> 27)) * 0x94d049bb133111ebULL;
-    return hash ^ (hash >> 31);
+    return mixedBits(hash);
 }
 
 signing_key laurelcroft::makeSigningKey()
