Endpoints that are kept are looked up by id; lists are worked out anew only when they change

Kept endpoints stood in a vector that each removal and each return searched: with 3,000 that lapse together some millions of comparisons. The endpoint's earlier id at an address, whose rows go on for seconds, threw the lists of usable endpoints away with each heartbeat although nothing had changed. Same endpoints at each moment.

--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -162,7 +162,7 @@
     bool remove(std::string_view id, time_point now);
 
     /// \returns true while \p id is kept although its record was removed.
-    bool isLapsed(std::string_view id) const;
+    bool isLapsed(std::string_view id) const { return m_lapsed.count(id) != 0; }
 
     /// Takes a whole list; endpoints that are not in it are removed.
     void replaceAll(std::vector<endpoint_record> records, time_point now);
@@ -212,11 +212,6 @@
     static constexpr std::size_t mostDeparted = 4096;
 
 private:
-    struct lapse
-    {
-        std::string id;
-        time_point until;
-    };
     using address = std::pair<std::string, std::uint16_t>;
     void noteChange();
     void drop(std::string_view id);
@@ -233,7 +228,7 @@
     const usable_list &listOf(std::string_view service) const;
     mutable std::map<std::string, usable_list, std::less<>> m_usable; ///< by service
     std::uint64_t m_revision = 0;
-    std::vector<lapse> m_lapsed;
+    std::map<std::string, time_point, std::less<>> m_lapsed; ///< kept until, by id
     std::set<std::string, std::less<>> m_departed; ///< had begun to leave and are gone
     std::set<std::string> m_evacuated; ///< data centres
     bool m_storeAway = false;
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 #include <tuple>
 
 using namespace laurelcroft;
@@ -160,12 +159,11 @@
     // A late heartbeat of an endpoint that has left.
     if (m_departed.count(record.id) != 0)
         return;
-    std::erase_if(m_lapsed, [&](const lapse &item) { return item.id == record.id; });
+    m_lapsed.erase(record.id);
     const auto it = m_endpoints.find(record.id);
-    const bool isKnown = it != m_endpoints.end();
-    if (!isKnown || !record.saysTheSame(it->second->record()))
-        noteChange();
-    if (isKnown) {
+    if (it != m_endpoints.end()) {
+        if (!record.saysTheSame(it->second->record()))
+            noteChange();
         // An endpoint that has begun to leave never comes back under the same id.
         record.leaving = record.leaving || it->second->record().leaving;
         it->second->heardCold(record.coldLeft, now);
@@ -179,12 +177,14 @@
     const auto endpoint = std::make_shared<service_endpoint>(std::move(record));
     endpoint->heardCold(coldLeft, now);
     m_endpoints.emplace(id, endpoint);
+    noteChange();
     expire(now);
 }
 
 void service_directory::drop(std::string_view id)
 {
-    std::erase_if(m_lapsed, [&](const lapse &item) { return item.id == id; });
+    if (const auto lapse = m_lapsed.find(id); lapse != m_lapsed.end())
+        m_lapsed.erase(lapse);
     const auto it = m_endpoints.find(id);
     if (it == m_endpoints.end())
         return;
@@ -202,12 +202,6 @@
     noteChange();
 }
 
-bool service_directory::isLapsed(std::string_view id) const
-{
-    return std::any_of(m_lapsed.begin(), m_lapsed.end(),
-                       [&](const lapse &item) { return item.id == id; });
-}
-
 bool service_directory::remove(std::string_view id, time_point now)
 {
     const auto it = m_endpoints.find(id);
@@ -217,8 +211,7 @@
         drop(id);
         return true;
     }
-    if (!isLapsed(id))
-        m_lapsed.push_back({std::string(id), m_trustedFrom});
+    m_lapsed.emplace(id, m_trustedFrom);
     return false;
 }
 
@@ -250,8 +243,8 @@
         return;
     m_storeAway = false;
     m_trustedFrom = now + lapseGrace;
-    for (lapse &item : m_lapsed)
-        item.until = m_trustedFrom;
+    for (auto &[id, until] : m_lapsed)
+        until = m_trustedFrom;
 }
 
 void service_directory::doubtRemovals(time_point until)
@@ -263,12 +256,13 @@
 {
     if (m_storeAway || m_lapsed.empty())
         return;
-    const auto isDue = [now](const lapse &item) { return now >= item.until; };
-    std::vector<lapse> due;
-    std::copy_if(m_lapsed.begin(), m_lapsed.end(), std::back_inserter(due), isDue);
-    std::erase_if(m_lapsed, isDue);
-    for (const lapse &item : due)
-        drop(item.id);
+    std::vector<std::string> due;
+    for (const auto &[id, until] : m_lapsed) {
+        if (now >= until)
+            due.push_back(id);
+    }
+    for (const std::string &id : due)
+        drop(id);
 }
 
 void service_directory::setEvacuated(std::set<std::string> dataCentres, time_point now)
