--- a/unittests/Proxy/ColdEndpointTests.cpp
+++ b/unittests/Proxy/ColdEndpointTests.cpp
@@ -249,13 +249,8 @@
 
 TEST_CASE("a request waits for room at the only cold endpoint, and is refused when none comes")
 {
-    flow_world world(lookupRoute(), {"e1"});
-    auto contract = std::make_shared<service_contract>(*world.routing.contract());
-    contract->version += 1;
-    contract->services.front().coldPerSecond = 1;
-    world.routing.setContract(contract);
-    world.routing.setEntries({"own"}, "own");
-    world.routing.directory().all().at("e1")->heardCold(seconds(5), world.runtime.now());
+    flow_world world(lookupRoute(), {});
+    world.addColdEndpoint("e1", "own");
     const auto first = startFlow(world, requestFor(lookupRoute()));
     CHECK(world.calls.size() == 1);
     const auto second = startFlow(world, requestFor(lookupRoute()));
@@ -276,13 +271,8 @@
 
 TEST_CASE("an entry that owns none of the cold endpoints refuses at once")
 {
-    flow_world world(lookupRoute(), {"e1"});
-    auto contract = std::make_shared<service_contract>(*world.routing.contract());
-    contract->version += 1;
-    contract->services.front().coldPerSecond = 1;
-    world.routing.setContract(contract);
-    world.routing.setEntries({"other"}, "own");
-    world.routing.directory().all().at("e1")->heardCold(seconds(5), world.runtime.now());
+    flow_world world(lookupRoute(), {});
+    world.addColdEndpoint("e1", "other");
     const auto flow = startFlow(world, requestFor(lookupRoute()));
     CHECK(world.calls.empty());
     CHECK(world.status == 503);
--- a/unittests/Proxy/EvacuationTests.cpp
+++ b/unittests/Proxy/EvacuationTests.cpp
@@ -46,13 +46,6 @@
     }
 };
 
-void setDataCentre(flow_world &world, const std::string &id, const std::string &dataCentre)
-{
-    endpoint_record record = world.routing.directory().all().at(id)->record();
-    record.dataCentre = dataCentre;
-    world.routing.directory().apply(record, world.runtime.now());
-}
-
 } // namespace
 
 TEST_CASE("every entry leaves an evacuated data centre alone, and takes it back")
@@ -135,12 +128,12 @@
     const service_route route = draftRoute();
     flow_world world(route, {"e1", "e2", "e3"});
     for (const char *id : {"e1", "e2", "e3"})
-        setDataCentre(world, id, "east");
+        world.setDataCentre(id, "east");
     const auto flow = startFlow(world, requestFor(route));
     REQUIRE(world.calls.size() == 1);
     const std::string first = world.calls[0].attempt.endpoint->record().id;
     const std::string other = first == "e1" ? "e2" : "e1";
-    setDataCentre(world, other, "west");
+    world.setDataCentre(other, "west");
     world.answer(0, 200, 90);
     world.data(0, eventText(1));
     world.routing.directory().setEvacuated({"east"}, world.runtime.now());
@@ -155,7 +148,7 @@
 TEST_CASE("a request that only evacuated endpoints could serve is refused at once, with a time")
 {
     flow_world world(lookupRoute(), {"e1"});
-    setDataCentre(world, "e1", "east");
+    world.setDataCentre("e1", "east");
     world.routing.directory().setEvacuated({"east"}, world.runtime.now());
     const auto flow = startFlow(world, requestFor(lookupRoute()));
     CHECK(world.calls.empty());
--- a/unittests/Proxy/FlowTests.cpp
+++ b/unittests/Proxy/FlowTests.cpp
@@ -101,12 +101,7 @@
         flow_world world(lookupRoute(), {"e1", "e2"});
         startFlow(world, requestFor(lookupRoute()));
         const endpoint_ptr asked = world.calls[0].attempt.endpoint;
-        proxy_answer answer;
-        answer.status = misdirected ? 421 : 503;
-        answer.notRun = true;
-        answer.misdirected = misdirected;
-        world.calls[0].events.onAnswer(std::move(answer));
-        world.end(0, call_end::complete);
+        world.refuseNotRun(0, misdirected);
         CHECK(world.calls.size() == 2);
         world.runtime.advance(milliseconds(300));
         CHECK(asked->isAvoided(world.runtime.now()) == misdirected);
@@ -117,12 +112,7 @@
 {
     flow_world world(fetchRoute(), {"e1", "e2"});
     startFlow(world, requestFor(fetchRoute()));
-    proxy_answer answer;
-    answer.status = 421;
-    answer.notRun = true;
-    answer.misdirected = true;
-    world.calls[0].events.onAnswer(std::move(answer));
-    world.end(0, call_end::complete);
+    world.refuseNotRun(0, true);
     REQUIRE(world.calls.size() == 2);
     CHECK(world.calls[1].attempt.endpoint != world.calls[0].attempt.endpoint);
     // The one that is meant has it now: its refusal is the last word.
@@ -453,11 +443,7 @@
     // Three endpoints here and one elsewhere; an endpoint elsewhere costs more while all is well.
     const service_route route = draftRoute();
     flow_world world(route, {"a1", "a2", "a3", "b1"});
-    for (const char *id : {"a1", "a2", "a3", "b1"}) {
-        endpoint_record record = world.routing.directory().all().at(id)->record();
-        record.dataCentre = id[0] == 'a' ? "" : "other";
-        world.routing.directory().apply(record, world.runtime.now());
-    }
+    world.setDataCentre("b1", "other");
     const auto flow = startFlow(world, requestFor(route));
     world.answer(0, 200, 90);
     world.data(0, eventText(1));
--- a/unittests/Proxy/FlowWorld.cpp
+++ b/unittests/Proxy/FlowWorld.cpp
@@ -27,6 +27,24 @@
     routing.directory().apply(record, runtime.now());
 }
 
+void flow_world::setDataCentre(const std::string &id, const std::string &dataCentre)
+{
+    endpoint_record record = routing.directory().all().at(id)->record();
+    record.dataCentre = dataCentre;
+    routing.directory().apply(record, runtime.now());
+}
+
+void flow_world::addColdEndpoint(const std::string &id, const std::string &owner)
+{
+    addEndpoint(id);
+    auto contract = std::make_shared<service_contract>(*routing.contract());
+    contract->version += 1;
+    contract->services.front().coldPerSecond = 1;
+    routing.setContract(contract);
+    routing.setEntries({owner}, "own");
+    routing.directory().all().at(id)->heardCold(seconds(5), runtime.now());
+}
+
 void flow_world::useRoute(const service_route &route)
 {
     auto contract = std::make_shared<service_contract>();
@@ -53,11 +71,13 @@
     calls[index].events.onAnswer(std::move(answer));
 }
 
-void flow_world::refuseNotRun(std::size_t index)
+void flow_world::refuseNotRun(std::size_t index, bool misdirected)
 {
+    constexpr int misdirectedStatus = 421;
     proxy_answer answer;
-    answer.status = http_status::unavailable;
+    answer.status = misdirected ? misdirectedStatus : http_status::unavailable;
     answer.notRun = true;
+    answer.misdirected = misdirected;
     calls[index].events.onAnswer(std::move(answer));
     calls[index].events.onEnd(call_end::complete);
 }
--- a/unittests/Proxy/FlowWorld.h
+++ b/unittests/Proxy/FlowWorld.h
@@ -49,12 +49,16 @@
 
     void addEndpoint(const std::string &id, const std::string &service = "pool",
                      const std::string &version = "v1");
+    void setDataCentre(const std::string &id, const std::string &dataCentre);
+    /// An endpoint that is cold and bears one request a second, which \p owner may send.
+    void addColdEndpoint(const std::string &id, const std::string &owner);
     /// Puts a contract of this one route in force.
     void useRoute(const service_route &route);
 
     /// Plays the head, and the end, of the answer of call \p index.
     void answer(std::size_t index, int status, std::optional<int> confidence = std::nullopt);
-    void refuseNotRun(std::size_t index);
+    /// \param misdirected another process than the one meant says so.
+    void refuseNotRun(std::size_t index, bool misdirected = false);
     void data(std::size_t index, const std::string &text) { calls[index].events.onData(text); }
     void end(std::size_t index, call_end how) { calls[index].events.onEnd(how); }
     std::size_t openCalls() const;
