A packed table is looked for before its rows are copied; evidence of earlier orders is dropped

Each entry that starts had the mirror copy a whole table, and the rows went away when the packed ones were already there. A table that replaces a known one copied all rows to go over their keys. Evidence that was received stayed for as long as the process, some hundred bytes for each restart of an entry. The follower uses the name of the version that it compares with.

--- a/include/laurelcroft/Platform/RowFollower.h
+++ b/include/laurelcroft/Platform/RowFollower.h
@@ -105,7 +105,7 @@
         m_startedAt = m_runtime.now();
         if (asksRelayFirst()) {
             m_runtime.after(m_pace.firstWait, [this, alive = m_alive] {
-                if (*alive && m_since == 0)
+                if (*alive && m_since == nothingKnown)
                     readStore();
             });
         }
@@ -170,8 +170,8 @@
         }
         if (!isCurrent)
             return;
-        const bool starting
-                = m_since == 0 && m_runtime.now() - m_startedAt < m_pace.firstWait && !m_lost;
+        const bool starting = m_since == nothingKnown
+                && m_runtime.now() - m_startedAt < m_pace.firstWait && !m_lost;
         m_outdated = result.error() == row_failure::outdated;
         if (starting && !isStandby()) {
             readAfter(relayPause);
@@ -220,7 +220,7 @@
         // While the store is lost nothing is held: its return shows at once, and a call that
         // hangs is given up sooner.
         const milliseconds held = m_lost ? milliseconds(0) : m_pace.held;
-        if (m_since == 0)
+        if (m_since == nothingKnown)
             m_store.list(m_table, std::move(done));
         else
             m_store.follow(m_table, m_since, held, std::move(done));
@@ -246,7 +246,7 @@
             m_steadySince = m_confirmedAt;
         noteRegained();
         row_batch batch = std::move(result.value());
-        const bool whole = m_since == 0;
+        const bool whole = m_since == nothingKnown;
         m_since = std::max(m_since, batch.version);
         m_newest = std::max(m_newest, m_since);
         m_newsRelayed = false;
@@ -270,7 +270,7 @@
     void onFailure(row_failure why)
     {
         if (why == row_failure::historyGone) {
-            m_since = 0;
+            m_since = nothingKnown;
             readAfter(milliseconds(0));
             return;
         }
--- a/include/laurelcroft/Proxy/RowMirror.h
+++ b/include/laurelcroft/Proxy/RowMirror.h
@@ -63,6 +63,9 @@
     /// else goes by these rows while the store is away.
     std::optional<aged_news> readForStart(const std::string &table, time_point now) const;
 
+    /// \returns what readForStart() would tell, without the rows.
+    std::optional<aged_news> headForStart(const std::string &table, time_point now) const;
+
     /// \returns what read() would tell, without the rows.
     news_state look(const std::string &table, std::uint64_t since, time_point now) const;
 
@@ -82,6 +85,7 @@
         milliseconds storeTime{0};
         time_point confirmedAt{};
     };
+    static aged_news headSince(const copy &known, std::uint64_t since, const news_state &state);
     static aged_news newsSince(const copy &known, std::uint64_t since, const news_state &state);
     static void forget(copy &known, const std::string &key);
     static void setRow(copy &known, const store_row &row);
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -46,6 +46,9 @@
         m_slowAt.reset();
         m_own = {order.orderedAt, {}};
         m_others.clear();
+        // Evidence of earlier orders counts no more; each restart of an entry left some.
+        std::erase_if(m_received,
+                      [&](const auto &item) { return item.second.orderedAt < order.orderedAt; });
         // Rows of evidence may have been read before their order.
         judgeReceived();
     }
--- a/lib/Proxy/RowMirror.cpp
+++ b/lib/Proxy/RowMirror.cpp
@@ -6,6 +6,7 @@
 #include "laurelcroft/Proxy/RowMirror.h"
 
 #include <algorithm>
+#include <vector>
 
 using namespace laurelcroft;
 
@@ -56,8 +57,10 @@
     if (isFirst)
         known.changesFrom = batch.version;
     if (whole) {
-        const auto before = known.rows;
-        for (const auto &[key, row] : before)
+        std::vector<std::string> before;
+        for (const auto &[key, row] : known.rows)
+            before.push_back(key);
+        for (const std::string &key : before)
             setRemoved(known, key, batch.version);
     }
     for (const store_row &row : batch.rows) {
@@ -106,15 +109,29 @@
     return newsSince(m_tables.at(table), nothingKnown, state);
 }
 
-aged_news row_mirror::newsSince(const copy &known, std::uint64_t since, const news_state &state)
+std::optional<aged_news> row_mirror::headForStart(const std::string &table, time_point now) const
+{
+    const news_state state = look(table, nothingKnown, now);
+    if (!state.isKnown)
+        return std::nullopt;
+    return headSince(m_tables.at(table), nothingKnown, state);
+}
+
+aged_news row_mirror::headSince(const copy &known, std::uint64_t since, const news_state &state)
 {
     aged_news result;
     result.age = state.age;
     result.changedAt = known.changes.empty() ? 0 : known.changes.rbegin()->first;
     result.news.whole = since < known.changesFrom;
+    result.news.batch.version = known.version;
+    result.news.batch.storeTime = known.storeTime + result.age;
+    return result;
+}
+
+aged_news row_mirror::newsSince(const copy &known, std::uint64_t since, const news_state &state)
+{
+    aged_news result = headSince(known, since, state);
     row_batch &batch = result.news.batch;
-    batch.version = known.version;
-    batch.storeTime = known.storeTime + result.age;
     if (result.news.whole) {
         for (const auto &[key, row] : known.rows)
             batch.rows.push_back(row);
--- a/lib/Proxy/RowServer.cpp
+++ b/lib/Proxy/RowServer.cpp
@@ -78,6 +78,7 @@
     void holdRead(std::vector<table_since> tables, caller_exchange &exchange, milliseconds time);
     milliseconds longestHoldOf(const std::vector<table_since> &tables) const;
     void answer(const std::vector<table_since> &tables, caller_exchange &exchange);
+    std::optional<packed_news> newsFor(const table_since &asked);
     packed_news packedNews(const std::string &table, aged_news news);
     void noteChange();
     void answerHeld();
@@ -191,16 +192,31 @@
     return result;
 }
 
+std::optional<packed_news> row_server::state::newsFor(const table_since &asked)
+{
+    const time_point now = bootNow();
+    if (asked.since != nothingKnown) {
+        std::optional<aged_news> news = mirror.read(asked.table, asked.since, now);
+        if (!news)
+            return std::nullopt;
+        return packedNews(asked.table, std::move(*news));
+    }
+    std::optional<aged_news> head = mirror.headForStart(asked.table, now);
+    if (!head)
+        return std::nullopt;
+    // Of a hundred entries that start together the first one's rows are copied and packed.
+    const auto kept = packed.find(asked.table);
+    if (kept != packed.end() && kept->second.changedAt == head->changedAt)
+        return packed_news{asked.table, std::move(*head), kept->second.rows};
+    return packedNews(asked.table, *mirror.readForStart(asked.table, now));
+}
+
 void row_server::state::answer(const std::vector<table_since> &tables, caller_exchange &exchange)
 {
     std::vector<packed_news> found;
     for (const table_since &item : tables) {
-        const time_point now = bootNow();
-        std::optional<aged_news> news = item.since == nothingKnown
-                ? mirror.readForStart(item.table, now)
-                : mirror.read(item.table, item.since, now);
-        if (news)
-            found.push_back(packedNews(item.table, std::move(*news)));
+        if (std::optional<packed_news> news = newsFor(item))
+            found.push_back(std::move(*news));
     }
     if (found.empty()) {
         exchange.reply(http_status::unavailable, {}, "");
