Sight: what a further attempt lacked, what the budget had left, and what it was spent on

Cause: 'attempt ended next=refuse' did not tell whether endpoints, time or the budget had run out, and no metric showed what the budget of further sends had left or went to, so that the hypotheses on the incident could not be told apart. Now the line has lacks= and budget_left=, and metrics count further sends by what they are for, last attempts by what lacked, and show what is left for each service. No decision is changed.

--- a/include/laurelcroft/Policy/AttemptOutcome.h
+++ b/include/laurelcroft/Policy/AttemptOutcome.h
@@ -43,8 +43,15 @@
     cut ///< break the begun answer off, so that it can't look whole
 };
 
+/// What a further attempt lacked, the first that applies.
+enum class attempt_lack { nothing, endpoints, time, budget };
+
 std::string_view textOf(attempt_end end);
 std::string_view textOf(next_step step);
+std::string_view textOf(attempt_lack lack);
+
+/// \returns why no further attempt may be made, whatever the one before came to.
+attempt_lack lackOf(const attempt_facts &facts);
 
 /// \returns what follows from \p end.
 next_step stepAfter(attempt_end end, const attempt_facts &facts);
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -6,6 +6,7 @@
 #ifndef LAURELCROFT_PROXY_FLOWTYPES_H
 #define LAURELCROFT_PROXY_FLOWTYPES_H
 
+#include "laurelcroft/Policy/AttemptOutcome.h"
 #include "laurelcroft/Support/Runtime.h"
 
 #include <cstdint>
@@ -56,6 +57,8 @@
     unsigned attempts = 0;
     milliseconds attemptTook{0}; ///< the last attempt
     milliseconds left{0}; ///< of the deadline, when the last attempt ended
+    attempt_lack lack = attempt_lack::nothing; ///< of a further attempt, when the last one ended
+    double budgetLeft = 0; ///< further sends that the budget had left then
     unsigned resumes = 0;
     unsigned escalations = 0;
     std::optional<int> confidence;
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -54,6 +54,7 @@
     env.attemptEnded(record, attempt_end::notSent, next_step::refuse);
     env.checkEnded(endpoint);
     env.escalated(record, body);
+    env.sentFurther(record, further_send::repeat);
 };
 
 /// An endpoint that was picked for a send.
@@ -125,6 +126,8 @@
                                            std::span<const sampled_endpoint> items);
     std::optional<endpoint_pick> pickEligible(const std::vector<endpoint_ptr> &usable);
     void send(const endpoint_pick &pick);
+    /// \returns what the current send is for, when it isn't the first.
+    further_send furtherSend() const;
     call_events eventsFor(unsigned number);
     void watchProgress(unsigned number);
     /// Tells the judge of versions when the current attempt's first part is late.
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -286,7 +286,11 @@
     m_record.left = timeLeft();
     if (end == attempt_end::broken && !m_record.key)
         m_record.key = keyOf(*m_request);
-    const next_step step = stepAfter(end, facts());
+    const attempt_facts facts = this->facts();
+    const next_step step = stepAfter(end, facts);
+    m_record.lack = lackOf(facts);
+    m_record.budgetLeft
+            = m_env.routing().repeats(m_service).left(now(), m_env.routing().entries());
     const bool ran = end != attempt_end::notSent && end != attempt_end::refused;
     m_mayHaveRun = m_mayHaveRun || ran;
     m_hasFailure = end == attempt_end::failed;
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -287,8 +287,10 @@
     state.noteSend(*endpoint, m_readingMs, m_prefixes);
     m_endpoint->prompts().note(m_prefixes);
     m_tried.push_back(endpoint->record().id);
-    if (m_arrivals > 0)
+    if (m_arrivals > 0) {
         state.repeats(m_service).repeat(m_attemptAt);
+        m_env.sentFurther(m_record, furtherSend());
+    }
     ++m_sends;
     ++m_number;
 
@@ -316,6 +318,14 @@
     watchProgress(m_number);
 }
 
+template <flow_environment Env>
+further_send request_flow<Env>::furtherSend() const
+{
+    if (m_begun)
+        return further_send::resume;
+    return m_droppedAt ? further_send::largerModel : further_send::repeat;
+}
+
 template <flow_environment Env>
 call_events request_flow<Env>::eventsFor(unsigned number)
 {
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -65,6 +65,7 @@
     rollout_tracker &rollouts(std::string_view service);
     std::map<std::string, rollout_tracker, std::less<>> &allRollouts() { return m_rollouts; }
     send_budget &repeats(std::string_view service);
+    std::map<std::string, send_budget, std::less<>> &allRepeats() { return m_repeats; }
 
     /// Recent waits for first parts at endpoints of \p service.
     recent_wait &waits(std::string_view service);
--- a/lib/Policy/AttemptOutcome.cpp
+++ b/lib/Policy/AttemptOutcome.cpp
@@ -45,6 +45,30 @@
     return "unknown";
 }
 
+std::string_view laurelcroft::textOf(attempt_lack lack)
+{
+    switch (lack) {
+    case attempt_lack::nothing:
+        return "nothing";
+    case attempt_lack::endpoints:
+        return "endpoints";
+    case attempt_lack::time:
+        return "time";
+    case attempt_lack::budget:
+        return "budget";
+    }
+    return "unknown";
+}
+
+attempt_lack laurelcroft::lackOf(const attempt_facts &facts)
+{
+    if (!facts.endpointsLeft)
+        return attempt_lack::endpoints;
+    if (!facts.timeLeft)
+        return attempt_lack::time;
+    return facts.budgetLeft ? attempt_lack::nothing : attempt_lack::budget;
+}
+
 next_step laurelcroft::stepAfter(attempt_end end, const attempt_facts &facts)
 {
     if (end == attempt_end::answered)
--- a/lib/Policy/SendBudget.cpp
+++ b/lib/Policy/SendBudget.cpp
@@ -38,21 +38,50 @@
     ++current(now).requests;
 }
 
-bool send_budget::allows(time_point now, std::size_t entries, further_send what)
+std::string_view laurelcroft::textOf(further_send what)
+{
+    switch (what) {
+    case further_send::repeat:
+        return "repeat";
+    case further_send::resume:
+        return "resume";
+    case further_send::largerModel:
+        return "larger_model";
+    }
+    return "unknown";
+}
+
+send_budget::window_sums send_budget::sums(time_point now)
 {
     current(now);
-    std::size_t requests = 0;
-    std::size_t repeats = 0;
+    window_sums sums;
     for (const bucket &item : m_buckets) {
         if (now - item.from <= m_bounds.window)
-            requests += item.requests;
-        repeats += item.repeats;
+            sums.requests += item.requests;
+        sums.repeats += item.repeats;
     }
+    return sums;
+}
+
+double send_budget::boundFor(std::size_t requests, std::size_t entries) const
+{
     const double sharers = static_cast<double>(std::max<std::size_t>(1, entries));
-    const double bound = spentPart * m_bounds.ratio * static_cast<double>(requests)
+    return spentPart * m_bounds.ratio * static_cast<double>(requests)
             + spentPart * m_bounds.allowance / sharers;
+}
+
+double send_budget::left(time_point now, std::size_t entries)
+{
+    const window_sums window = sums(now);
+    return boundFor(window.requests, entries) - static_cast<double>(window.repeats);
+}
+
+bool send_budget::allows(time_point now, std::size_t entries, further_send what)
+{
+    const window_sums window = sums(now);
     const double part = what == further_send::largerModel ? largerModelPart : 1;
-    return static_cast<double>(repeats) + 1 <= part * bound;
+    const double bound = boundFor(window.requests, entries);
+    return static_cast<double>(window.repeats) + 1 <= part * bound;
 }
 
 void send_budget::repeat(time_point now)
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -80,6 +80,10 @@
         {
             server->escalated(record, model);
         }
+        void sentFurther(const flow_record &record, further_send what)
+        {
+            server->sentFurther(record, what);
+        }
         void attemptEnded(const flow_record &record, attempt_end end, next_step step)
         {
             server->attemptEnded(record, end, step);
@@ -98,6 +102,7 @@
     void logHeldLines();
     void attemptEnded(const flow_record &record, attempt_end end, next_step step);
     void escalated(const flow_record &record, const std::string &model);
+    void sentFurther(const flow_record &record, further_send what);
     void checkEnded(const endpoint_ptr &endpoint);
     bool hasRoomAt(const service_endpoint &endpoint) const;
     bool isReady() const;
@@ -270,6 +275,8 @@
 void proxy_server::state::attemptEnded(const flow_record &record, attempt_end end, next_step step)
 {
     metrics.add("attempts_total{end=\"" + std::string(textOf(end)) + "\"}");
+    if (step != next_step::tryElsewhere && step != next_step::resumeElsewhere)
+        metrics.add("attempts_last_total{lacks=\"" + std::string(textOf(record.lack)) + "\"}");
     if (!unusual.allows(runtime.now()))
         return;
     logInfo(log_part::routing, "attempt ended",
@@ -283,6 +290,8 @@
              {"took_ms", std::int64_t(record.attemptTook.count())},
              {"left_ms", std::int64_t(record.left.count())},
              {"events", std::int64_t(record.events)},
+             {"lacks", textOf(record.lack)},
+             {"budget_left", std::lround(record.budgetLeft)},
              {"request_key", record.key ? textOf(*record.key) : ""}});
 }
 
@@ -298,6 +307,12 @@
              {"service_wait_percent", std::lround(record.serviceWait * 100)}});
 }
 
+void proxy_server::state::sentFurther(const flow_record &record, further_send what)
+{
+    metrics.add("further_sends_total{service=\"" + record.service + "\",for=\""
+                + std::string(textOf(what)) + "\"}");
+}
+
 void proxy_server::state::checkEnded(const endpoint_ptr &endpoint)
 {
     const time_point at = runtime.now();
@@ -329,6 +344,9 @@
     metrics.set("requests_withheld", static_cast<double>(routing.suspects().withheld().size()));
     metrics.set("requests_suspected", static_cast<double>(routing.suspects().suspects()));
     metrics.set("entries_known", static_cast<double>(routing.entries()));
+    for (auto &[service, budget] : routing.allRepeats())
+        metrics.set("further_sends_left{service=\"" + service + "\"}",
+                    budget.left(runtime.now(), routing.entries()));
     if (isReady() != lastReady) {
         lastReady = isReady();
         logInfo(log_part::routing, lastReady ? "ready" : "not ready",
--- a/unittests/Policy/DirectPolicyTests.cpp
+++ b/unittests/Policy/DirectPolicyTests.cpp
@@ -101,6 +101,18 @@
         CHECK(stepAfter(attempt_end::answered, factsOf(bits)) == next_step::deliver);
 }
 
+TEST_CASE("what a further attempt lacks is named, endpoints before time before the budget")
+{
+    attempt_facts facts;
+    CHECK(lackOf(facts) == attempt_lack::endpoints);
+    facts.endpointsLeft = true;
+    CHECK(lackOf(facts) == attempt_lack::time);
+    facts.timeLeft = true;
+    CHECK(lackOf(facts) == attempt_lack::budget);
+    facts.budgetLeft = true;
+    CHECK(lackOf(facts) == attempt_lack::nothing);
+}
+
 TEST_CASE("repeats stay within the ratio in every window, and return with time")
 {
     const send_budget_bounds bounds{0.5, 4, seconds(10)};
--- a/unittests/Proxy/ColdEndpointTests.cpp
+++ b/unittests/Proxy/ColdEndpointTests.cpp
@@ -45,6 +45,7 @@
     void abort() { }
     void finished(const flow_record &) { }
     void escalated(const flow_record &, const std::string &) { }
+    void sentFurther(const flow_record &, further_send) { }
     void attemptEnded(const flow_record &, attempt_end, next_step) { }
     void checkEnded(const endpoint_ptr &) { }
 };
--- a/unittests/Proxy/CrashingRequestTests.cpp
+++ b/unittests/Proxy/CrashingRequestTests.cpp
@@ -67,6 +67,7 @@
     void ended(int status);
     void finished(const flow_record &record);
     void escalated(const flow_record &, const std::string &) { }
+    void sentFurther(const flow_record &, further_send) { }
     void attemptEnded(const flow_record &, attempt_end, next_step) { }
     void checkEnded(const endpoint_ptr &endpoint);
 };
--- a/unittests/Proxy/FlowWorld.h
+++ b/unittests/Proxy/FlowWorld.h
@@ -105,6 +105,7 @@
     void abort() { world->aborted = true; }
     void finished(const flow_record &record) { world->record = record; }
     void escalated(const flow_record &, const std::string &) { }
+    void sentFurther(const flow_record &, further_send) { }
     void attemptEnded(const flow_record &, attempt_end end, next_step step)
     {
         world->steps.emplace_back(end, step);
