Reproduction: repeats beyond their bound, failing, with real flows of 3, 12 and 100 entries

Entries with real flows before endpoints that refuse or fail, on the paused clock, and the rule checked over every window.

--- /dev/null
+++ b/unittests/Proxy/RepeatBoundTests.cpp
@@ -0,0 +1,206 @@
+//===-- RepeatBoundTests.cpp - repeats stay within their bound --------------===//
+//
+// What users saw: the model service got more arrivals beyond the first of each request than are
+// allowed in ten seconds.
+//
+// The order of events: (1) all endpoints of the service refuse, so that each request is sent to
+// three of them, until its entry's budget is used up; (2) an entry ends, is killed or joins; (3)
+// the process that takes its place, or whoever gets its callers, has a budget of its own, and
+// spends that as well, within the same window.
+//
+//===----------------------------------------------------------------------===//
+#include "RepeatWorld.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+
+using namespace laurelcroft;
+
+namespace {
+
+constexpr seconds playTime{24};
+constexpr milliseconds step{100};
+
+/// Called each \c step with the time since the play began.
+using series = std::function<void(repeat_world &world, milliseconds at)>;
+
+bool isEach(milliseconds at, milliseconds pause)
+{
+    return at.count() % pause.count() == 0;
+}
+
+bool isOneOf(milliseconds at, std::initializer_list<int> moments)
+{
+    return std::find(moments.begin(), moments.end(), int(at.count())) != moments.end();
+}
+
+void nothingElse(repeat_world &, milliseconds) { }
+
+void killAllAgainAndAgain(repeat_world &world, milliseconds at)
+{
+    for (std::size_t i = 0; i < world.entries.size(); ++i) {
+        if (isOneOf(at, {13000, 15000, 17000}))
+            world.kill(i);
+        if (isOneOf(at, {13400, 15400, 17400}))
+            world.start(i);
+    }
+}
+
+void killInTurn(repeat_world &world, milliseconds at)
+{
+    const std::size_t count = world.entries.size();
+    const milliseconds pause{std::max<std::int64_t>(100, 2500 / std::int64_t(count) / 100 * 100)};
+    const auto turn = std::size_t(at / pause);
+    if (!isEach(at, pause) || at < seconds(5))
+        return;
+    world.start((turn + count - 1) % count);
+    world.kill(turn % count);
+}
+
+void restartInTurn(repeat_world &world, milliseconds at)
+{
+    const milliseconds pause{800};
+    if (isEach(at, pause) && at > seconds(5))
+        world.restart(std::size_t(at / pause) % world.entries.size());
+}
+
+void joinAsMany(repeat_world &world, milliseconds at)
+{
+    if (!isOneOf(at, {14000}))
+        return;
+    for (std::size_t i = world.plan.entries; i > 0; --i)
+        world.join();
+}
+
+void callersMove(repeat_world &world, milliseconds at)
+{
+    if (isOneOf(at, {5000}))
+        world.favour(0);
+    if (isOneOf(at, {14000}))
+        world.favour(1);
+}
+
+/// All endpoints refuse from 12 s on, for 7 s.
+played_end refusedForSeconds(repeat_world &world, milliseconds at)
+{
+    (void)world;
+    return at >= seconds(12) && at < seconds(19) ? played_end::refuses : played_end::answers;
+}
+
+/// Six of each seven seconds.
+played_end refusedMostly(repeat_world &world, milliseconds at)
+{
+    (void)world;
+    return at % seconds(7) >= seconds(1) ? played_end::refuses : played_end::answers;
+}
+
+/// From 11 s on most answers are errors, and others never come.
+played_end failsMostly(repeat_world &world, milliseconds at)
+{
+    if (at < seconds(11))
+        return played_end::answers;
+    const std::array ends{played_end::fails, played_end::fails, played_end::breaks,
+                          played_end::hangs, played_end::answers};
+    return ends[world.random.index(ends.size())];
+}
+
+using fault = played_end (*)(repeat_world &world, milliseconds at);
+
+struct named_series
+{
+    const char *name;
+    series action;
+};
+
+struct named_fault
+{
+    const char *name;
+    fault ends;
+};
+
+struct fleet_size
+{
+    std::size_t entries;
+    double perSecond;
+    double allowance;
+};
+
+double worstOf(const fleet_size &size, const series &action, fault ends, repeat_plan plan)
+{
+    plan.entries = size.entries;
+    plan.perSecond = size.perSecond;
+    plan.allowance = size.allowance;
+    repeat_world world(plan);
+    const time_point begin = world.runtime.now();
+    world.endpointEnds = [&](const std::string &) {
+        return ends(world, std::chrono::floor<milliseconds>(world.runtime.now() - begin));
+    };
+    for (milliseconds at{0}; at < playTime; at += step) {
+        action(world, at);
+        world.play(step);
+    }
+    return world.worstShare();
+}
+
+} // namespace
+
+TEST_CASE("repeats stay within their bound through kills, stops, joins and a lost store")
+{
+    const std::array faults{named_fault{"refuse for seconds", refusedForSeconds},
+                            named_fault{"refuse mostly", refusedMostly},
+                            named_fault{"fail mostly", failsMostly}};
+    const std::array actions{named_series{"nothing else", nothingElse},
+                             named_series{"all killed three times", killAllAgainAndAgain},
+                             named_series{"killed in turn", killInTurn},
+                             named_series{"restarted in turn", restartInTurn},
+                             named_series{"as many join", joinAsMany},
+                             named_series{"callers move to another entry", callersMove}};
+    const std::array sizes{fleet_size{3, 100, 52}, fleet_size{12, 200, 60},
+                           fleet_size{100, 400, 246}};
+    for (const fleet_size &size : sizes) {
+        for (const named_fault &ends : faults) {
+            for (const named_series &action : actions) {
+                for (const bool storeAway : {false, true}) {
+                    CAPTURE(size.entries);
+                    CAPTURE(ends.name);
+                    CAPTURE(action.name);
+                    CAPTURE(storeAway);
+                    repeat_plan plan;
+                    plan.route = draftRoute();
+                    plan.storeAway = storeAway;
+                    CHECK(worstOf(size, action.action, ends.ends, plan) <= 1.0);
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("requests that wait for room do not all spend the same budget")
+{
+    // Callers' requests are refused by the only warm endpoint and wait for room at cold ones. Each
+    // found the budget unspent when it began to wait; then all cold endpoints bear one more.
+    constexpr unsigned requests = 60;
+    constexpr unsigned coldEndpoints = 40;
+    const send_budget_bounds bounds; // those of flow_world
+    flow_world world(draftRoute(), {"warm"});
+    for (unsigned i = 0; i < coldEndpoints; ++i) {
+        const std::string id = "cold" + std::to_string(i);
+        world.addColdEndpoint(id, "own");
+        world.routing.directory().all().at(id)->sent(world.runtime.now());
+    }
+    world.runtime.advance(milliseconds(800));
+    for (unsigned i = 0; i < requests; ++i) {
+        const auto request = requestFor(draftRoute());
+        request->id = "r" + std::to_string(i);
+        startFlow(world, request);
+    }
+    REQUIRE(world.calls.size() == requests);
+    for (unsigned i = 0; i < requests; ++i)
+        world.refuseNotRun(i);
+    world.runtime.advance(milliseconds(450));
+    const double further = double(world.calls.size() - requests);
+    CHECK(further > 0);
+    CHECK(further <= bounds.ratio * requests + bounds.allowance);
+}
--- /dev/null
+++ b/unittests/Proxy/RepeatWorld.cpp
@@ -0,0 +1,222 @@
+//===-- RepeatWorld.cpp - entries that share a budget of repeats ------------===//
+//
+// A killed process takes its flows and all that it knew with it; what it had sent arrives.
+//
+//===----------------------------------------------------------------------===//
+#include "RepeatWorld.h"
+
+#include <algorithm>
+#include <cmath>
+
+using namespace laurelcroft;
+
+namespace {
+
+constexpr milliseconds way{1};
+constexpr std::size_t sessions = 100;
+
+/// \returns how many of \p moments, which are in order, lie after \p from and up to \p to.
+std::size_t countWithin(std::span<const time_point> moments, time_point from, time_point to)
+{
+    const auto first = std::upper_bound(moments.begin(), moments.end(), from);
+    const auto last = std::upper_bound(moments.begin(), moments.end(), to);
+    return std::size_t(std::max<std::ptrdiff_t>(0, last - first));
+}
+
+} // namespace
+
+double repeat_rule::worstShare(std::span<const time_point> requests,
+                               std::span<const time_point> further) const
+{
+    const duration window = bounds.window;
+    const auto shareOfWindow = [&](time_point from, time_point to) {
+        const std::size_t most = std::max({countWithin(requests, from, to),
+                                           countWithin(requests, from - window / 2, to - window / 2),
+                                           countWithin(requests, from - window, to - window)});
+        const double allowed = bounds.ratio * double(most) + bounds.allowance;
+        return double(countWithin(further, from, to)) / allowed;
+    };
+    double worst = 0;
+    for (const time_point at : further) {
+        const time_point before = at - duration(1);
+        worst = std::max({worst, shareOfWindow(at - window, at),
+                          shareOfWindow(before, before + window)});
+    }
+    return worst;
+}
+
+manual_runtime &repeat_environment::runtime()
+{
+    return world->runtime;
+}
+
+call_id repeat_environment::call(proxy_attempt attempt, call_events events)
+{
+    const std::string request = attempt.request->id;
+    const std::string endpoint = attempt.endpoint->record().id;
+    world->runtime.after(way, [world = world, request, endpoint, events = std::move(events)] {
+        ++world->arrivals[request];
+        if (world->arrivals[request] > 1)
+            world->further.push_back(world->runtime.now());
+        const played_end how = world->endpointEnds(endpoint);
+        world->runtime.after(world->plan.answerTime, [world, request, how, events] {
+            proxy_answer answer;
+            answer.requestId = request;
+            answer.signedByEndpoint = true;
+            answer.status = how == played_end::answers ? http_status::ok : http_status::unavailable;
+            answer.notRun = how == played_end::refuses;
+            answer.confidence = int(world->random.index(100));
+            if (how == played_end::hangs)
+                return;
+            if (how != played_end::breaks)
+                events.onAnswer(std::move(answer));
+            events.onEnd(how == played_end::breaks ? call_end::broken : call_end::complete);
+        });
+    });
+    return ++world->lastCall;
+}
+
+void repeat_environment::reply(int status, const http_headers &headers, std::string_view)
+{
+    ++world->statuses[status];
+    for (const http_header &header : headers) {
+        if (header.name == "Retry-After")
+            world->retryAfter.push_back(std::stod(header.value));
+    }
+}
+
+void repeat_environment::end()
+{
+    ++world->statuses[http_status::ok];
+}
+
+void repeat_environment::abort()
+{
+    ++world->statuses[0];
+}
+
+repeat_world::repeat_world(repeat_plan given)
+    : plan(std::move(given))
+    , rule{{0.9, plan.allowance, seconds(10)}}
+    , random(plan.seed)
+{
+    for (std::size_t i = 0; i < plan.entries; ++i) {
+        entries.emplace_back();
+        start(i);
+    }
+    const bool away = std::exchange(plan.storeAway, false);
+    learn();
+    plan.storeAway = away;
+}
+
+void repeat_world::learn()
+{
+    if (plan.storeAway)
+        return;
+    std::vector<std::string> names;
+    for (const auto &entry : entries) {
+        if (entry)
+            names.push_back(entry->name);
+    }
+    for (const auto &entry : entries) {
+        if (entry)
+            entry->routing.setEntries(names, entry->name);
+    }
+}
+
+void repeat_world::start(std::size_t index)
+{
+    if (entries[index])
+        return;
+    routing_bounds bounds;
+    bounds.repeats = rule.bounds;
+    entries[index].reset(new repeat_entry{"e" + std::to_string(index),
+                                          routing_state(bounds, {0, 50}, random.bits()),
+                                          {}});
+    routing_state &routing = entries[index]->routing;
+    auto contract = std::make_shared<service_contract>();
+    contract->version = 1;
+    contract->routes.push_back(plan.route);
+    service_description pool;
+    pool.name = "pool";
+    pool.models = {{"small", 1}, {"middle", 3}, {"large", 10}};
+    contract->services.push_back(pool);
+    routing.setContract(contract);
+    for (unsigned i = 0; i < plan.endpoints; ++i) {
+        endpoint_record record;
+        record.id = "p" + std::to_string(i);
+        record.service = "pool";
+        record.host = "127.0.0.1";
+        record.port = std::uint16_t(i + 1);
+        record.softwareVersion = "v1";
+        record.slots = 16;
+        routing.directory().apply(record, runtime.now());
+    }
+    runtime.after(plan.learnTime, [this] { learn(); });
+}
+
+void repeat_world::kill(std::size_t index)
+{
+    entries[index].reset();
+    runtime.after(plan.learnTime, [this] { learn(); });
+}
+
+void repeat_world::join()
+{
+    entries.emplace_back();
+    start(entries.size() - 1);
+}
+
+void repeat_world::restart(std::size_t index)
+{
+    constexpr milliseconds drainTime{300};
+    if (!entries[index])
+        return;
+    entries[index]->takesRequests = false;
+    runtime.after(drainTime, [this, index] {
+        entries[index].reset();
+        start(index);
+    });
+}
+
+std::vector<std::size_t> repeat_world::taking() const
+{
+    std::vector<std::size_t> indices;
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        if (entries[i] && entries[i]->takesRequests)
+            indices.push_back(i);
+    }
+    return indices;
+}
+
+void repeat_world::request()
+{
+    requests.push_back(runtime.now());
+    const std::string id = "r" + std::to_string(++lastRequest);
+    runtime.after(way, [this, id] {
+        const std::vector<std::size_t> places = taking();
+        if (places.empty())
+            return;
+        const bool goesToFavoured
+                = favoured && std::find(places.begin(), places.end(), *favoured) != places.end();
+        const std::size_t place = goesToFavoured ? *favoured : places[random.index(places.size())];
+        repeat_entry &entry = *entries[place];
+        auto item = requestFor(plan.route);
+        item->id = id;
+        item->key.clear();
+        item->session = "s" + std::to_string(random.index(sessions));
+        const auto flow = std::make_shared<repeat_flow>(repeat_environment{this, &entry}, item);
+        entry.flows.push_back(flow);
+        flow->start();
+    });
+}
+
+void repeat_world::play(milliseconds time)
+{
+    const time_point end = runtime.now() + time;
+    while (runtime.now() < end) {
+        request();
+        const double pause = -std::log(1 - random.uniform()) / plan.perSecond;
+        runtime.advance(std::chrono::duration_cast<duration>(std::chrono::duration<double>(pause)));
+    }
+}
