Repeats: a further send is taken when it is decided on, and given back when it isn't made

60 callers' requests that waited for room at cold endpoints were all sent on, 40 where 16 are allowed.

Cause: the budget was read when an attempt ended and charged when the next one was sent. Whoever waited between the two had seen the same budget; a send that then reached nobody was charged as well.

Now a flow takes one further send out of the budget in the step that decides on it, keeps it while it waits or when nobody was reached, and gives it back at its end. A send beyond the first without one is asserted against.

After: the red test passes; two tests on what is given back.

--- a/include/laurelcroft/Policy/SendBudget.h
+++ b/include/laurelcroft/Policy/SendBudget.h
@@ -66,8 +66,12 @@
     /// \returns true when one more send for \p what may be made at \p now.
     bool allows(time_point now, double share, further_send what);
 
-    /// Counts a further send, whatever it is for.
-    void repeat(time_point now, double share);
+    /// Takes one further send out of the budget, before it is made.
+    /// \returns false when none is left for \p what.
+    bool take(time_point now, double share, further_send what);
+
+    /// A send that was taken is not made after all.
+    void giveBack() { m_saved += 1; }
 
 private:
     struct bucket
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -126,8 +126,12 @@
                                            std::span<const sampled_endpoint> items);
     std::optional<endpoint_pick> pickEligible(const std::vector<endpoint_ptr> &usable);
     void send(const endpoint_pick &pick);
-    /// \returns what the current send is for, when it isn't the first.
-    further_send furtherSend() const;
+    send_budget &budget() { return m_env.routing().repeats(m_service); }
+    double allowanceShare() { return m_env.routing().shareOfEntries(); }
+    bool mayTakeFurtherSend(further_send what);
+    /// Takes a further send out of the budget, unless one is held already.
+    /// \returns false when there is none.
+    bool takeFurtherSend(further_send what);
     call_events eventsFor(unsigned number);
     void watchProgress(unsigned number);
     /// Tells the judge of versions when the current attempt's first part is late.
@@ -149,7 +153,7 @@
     void onEvent(const stream_event &event);
     void onEnd(call_end end);
     void endAttempt(attempt_end end);
-    void sendAgain();
+    void sendAgain(further_send what);
     void closeAttempt(attempt_end end);
     void leaveRun();
     /// \returns the request's key where something speaks against any request; it costs a hash of
@@ -200,6 +204,8 @@
     unsigned m_sends = 0; ///< that reached or may have reached an endpoint
     unsigned m_unreached = 0; ///< endpoints that were not found at their addresses
     unsigned m_arrivals = 0; ///< sends that some process took
+    std::optional<further_send> m_heldSend; ///< out of the budget and not made yet
+    std::optional<further_send> m_sentFor; ///< the current attempt, when it is a further send
     bool m_coldLeftOut = false; ///< the last choice passed over an endpoint that bears no more now
     suspicion m_suspicion = suspicion::none; ///< of this request, at the last choice
     bool m_isTrial = false; ///< the current attempt is one of a suspected request
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -59,9 +59,8 @@
     view.confidence = m_answer.confidence;
     view.wait = m_env.routing().waits(m_service).mean();
     view.draw = m_env.routing().random().uniform();
-    const bool budgetLeft = m_env.routing().repeats(m_service).allows(
-            this->now(), m_env.routing().shareOfEntries(), further_send::largerModel);
-    view.mayRunAgain = m_route->mayRepeat() && now.endpointsLeft && budgetLeft && now.timeLeft;
+    view.mayRunAgain = m_route->mayRepeat() && now.endpointsLeft && now.timeLeft
+            && mayTakeFurtherSend(further_send::largerModel);
     return view;
 }
 
@@ -87,7 +86,7 @@
         view.expectedAt = ofObjective(now() - m_arrivedAt + wait);
     }
     m_record.largerExpectedAt = view.expectedAt;
-    if (!pick || !escalatesTo(settings, view)) {
+    if (!pick || !escalatesTo(settings, view) || !takeFurtherSend(further_send::largerModel)) {
         m_tried = tried;
         m_model = smaller;
         m_prefixes = prefixesOf(modelName());
@@ -250,8 +249,7 @@
     facts.mayHaveRun = m_mayHaveRun;
     facts.endpointsLeft
             = m_sends < m_route->mostEndpoints && m_unreached < flow_bounds::mostUnreached;
-    facts.budgetLeft = m_env.routing().repeats(m_service).allows(
-            now(), m_env.routing().shareOfEntries(), further_send::repeat);
+    facts.budgetLeft = mayTakeFurtherSend(further_send::repeat);
     facts.timeLeft = timeLeft() >= flow_bounds::leastForAttempt;
     return facts;
 }
@@ -281,7 +279,10 @@
         --m_sends;
         ++m_unreached;
     }
-    m_arrivals += end == attempt_end::notSent ? 0 : 1;
+    if (end == attempt_end::notSent)
+        m_heldSend = std::exchange(m_sentFor, std::nullopt);
+    else
+        ++m_arrivals;
     m_record.attemptTook = std::chrono::duration_cast<milliseconds>(now() - m_attemptAt);
     m_record.left = timeLeft();
     if (end == attempt_end::broken && !m_record.key)
@@ -289,8 +290,7 @@
     const attempt_facts facts = this->facts();
     const next_step step = stepAfter(end, facts);
     m_record.lack = lackOf(facts);
-    m_record.budgetLeft
-            = m_env.routing().repeats(m_service).left(now(), m_env.routing().shareOfEntries());
+    m_record.budgetLeft = budget().left(now(), allowanceShare());
     const bool ran = end != attempt_end::notSent && end != attempt_end::refused;
     m_mayHaveRun = m_mayHaveRun || ran;
     m_hasFailure = end == attempt_end::failed;
@@ -303,10 +303,10 @@
         return;
     case next_step::resumeElsewhere:
         ++m_record.resumes;
-        sendAgain();
+        sendAgain(further_send::resume);
         return;
     case next_step::tryElsewhere:
-        sendAgain();
+        sendAgain(further_send::repeat);
         return;
     case next_step::cut:
         m_env.abort();
@@ -330,8 +330,10 @@
 }
 
 template <flow_environment Env>
-void request_flow<Env>::sendAgain()
+void request_flow<Env>::sendAgain(further_send what)
 {
+    if (m_arrivals > 0)
+        takeFurtherSend(what);
     if (ownSuspicion() == suspicion::none)
         sendNext();
     else
@@ -419,6 +421,8 @@
 void request_flow<Env>::finish(flow_reason why, int status)
 {
     m_done = true;
+    if (std::exchange(m_heldSend, std::nullopt))
+        budget().giveBack();
     m_env.runtime().cancel(m_deadlineTimer);
     m_env.runtime().cancel(m_progressTimer);
     m_record.reason = why;
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -38,7 +38,7 @@
 {
     m_service = pickService().name;
     m_record.service = m_service;
-    m_env.routing().repeats(m_service).request(m_arrivedAt, m_env.routing().shareOfEntries());
+    budget().request(m_arrivedAt, allowanceShare());
     m_env.routing().rollouts(m_service).arrived(m_arrivedAt);
 
     m_session = stableHash(m_request->session.empty() ? m_request->id : m_request->session);
@@ -287,10 +287,10 @@
     state.noteSend(*endpoint, m_readingMs, m_prefixes);
     m_endpoint->prompts().note(m_prefixes);
     m_tried.push_back(endpoint->record().id);
-    if (m_arrivals > 0) {
-        state.repeats(m_service).repeat(m_attemptAt, state.shareOfEntries());
-        m_env.sentFurther(m_record, furtherSend());
-    }
+    assert((m_arrivals == 0 || m_heldSend) && "a further send is taken out of the budget first");
+    m_sentFor = m_arrivals > 0 ? std::exchange(m_heldSend, std::nullopt) : std::nullopt;
+    if (m_sentFor)
+        m_env.sentFurther(m_record, *m_sentFor);
     ++m_sends;
     ++m_number;
 
@@ -319,11 +319,19 @@
 }
 
 template <flow_environment Env>
-further_send request_flow<Env>::furtherSend() const
+bool request_flow<Env>::mayTakeFurtherSend(further_send what)
+{
+    return m_heldSend || budget().allows(now(), allowanceShare(), what);
+}
+
+template <flow_environment Env>
+bool request_flow<Env>::takeFurtherSend(further_send what)
 {
-    if (m_begun)
-        return further_send::resume;
-    return m_droppedAt ? further_send::largerModel : further_send::repeat;
+    // Taken when it is decided on: of requests that wait before they are sent, each would find the
+    // same budget else.
+    if (!m_heldSend && budget().take(now(), allowanceShare(), what))
+        m_heldSend = what;
+    return m_heldSend.has_value();
 }
 
 template <flow_environment Env>
--- a/lib/Policy/SendBudget.cpp
+++ b/lib/Policy/SendBudget.cpp
@@ -87,8 +87,10 @@
     return m_saved >= 1 + kept;
 }
 
-void send_budget::repeat(time_point now, double share)
+bool send_budget::take(time_point now, double share, further_send what)
 {
-    advance(now, share);
+    if (!allows(now, share, what))
+        return false;
     m_saved -= 1;
+    return true;
 }
--- a/unittests/Policy/DirectPolicyTests.cpp
+++ b/unittests/Policy/DirectPolicyTests.cpp
@@ -113,16 +113,6 @@
     CHECK(lackOf(facts) == attempt_lack::nothing);
 }
 
-/// Makes one further send where the budget has it.
-static bool takeFrom(send_budget &budget, time_point now, double share,
-                     further_send what = further_send::repeat)
-{
-    if (!budget.allows(now, share, what))
-        return false;
-    budget.repeat(now, share);
-    return true;
-}
-
 TEST_CASE("repeats stay within the ratio in every window, and return with time")
 {
     const send_budget_bounds bounds{0.5, 4, seconds(10)};
@@ -133,7 +123,7 @@
         now += milliseconds(50);
         budget.request(now, 0.5);
         for (int j = 0; j < 3; ++j)
-            repeats += takeFrom(budget, now, 0.5) ? 1 : 0;
+            repeats += budget.take(now, 0.5, further_send::repeat) ? 1 : 0;
     }
     CHECK(repeats <= 102);
     CHECK(repeats > 70);
@@ -147,7 +137,7 @@
         send_budget budget({0.5, 40, seconds(10)});
         unsigned count = 0;
         for (int i = 0; i <= 100; ++i) {
-            while (takeFrom(budget, time_point(milliseconds(100 * i)), share))
+            while (budget.take(time_point(milliseconds(100 * i)), share, further_send::repeat))
                 ++count;
         }
         return count;
@@ -164,7 +154,7 @@
     const send_budget_bounds bounds{0.9, 0, seconds(10)};
     const auto spent = [](send_budget &budget, time_point now) {
         unsigned count = 0;
-        while (takeFrom(budget, now, 0))
+        while (budget.take(now, 0, further_send::repeat))
             ++count;
         return count;
     };
@@ -189,11 +179,23 @@
     for (int i = 0; i < 1000; ++i)
         budget.request(now += milliseconds(10), 0);
     unsigned larger = 0;
-    while (takeFrom(budget, now, 0, further_send::largerModel))
+    while (budget.take(now, 0, further_send::largerModel))
         ++larger;
     CHECK(larger > 0);
     CHECK(budget.left(now, 0) >= larger - 1);
-    CHECK(takeFrom(budget, now, 0));
+    CHECK(budget.take(now, 0, further_send::repeat));
+}
+
+TEST_CASE("a send that is given back can be made again")
+{
+    send_budget budget({0.9, 0, seconds(10)});
+    const time_point now{seconds(100)};
+    for (int i = 0; i < 100; ++i)
+        budget.request(now, 0);
+    const double before = budget.left(now, 0);
+    REQUIRE(budget.take(now, 0, further_send::repeat));
+    budget.giveBack();
+    CHECK(budget.left(now, 0) == doctest::Approx(before));
 }
 
 static std::vector<direct_candidate> threeCandidates()
--- a/unittests/Proxy/RepeatBoundTests.cpp
+++ b/unittests/Proxy/RepeatBoundTests.cpp
@@ -187,8 +187,9 @@
 
 TEST_CASE("requests that wait for room do not all spend the same budget")
 {
-    // Callers' requests are refused by the only warm endpoint and wait for room at cold ones. Each
-    // found the budget unspent when it began to wait; then all cold endpoints bear one more.
+    // Callers' requests are refused by the only warm endpoint and wait for room at cold ones. The
+    // budget was read when the refusal came and charged at the next send, so that each of those
+    // that waited had found it unspent: 40 went on where 16 were allowed.
     constexpr unsigned requests = 60;
     constexpr unsigned coldEndpoints = 40;
     const send_budget_bounds bounds; // those of flow_world
@@ -212,3 +213,34 @@
     CHECK(further > 0);
     CHECK(further <= bounds.ratio * requests + bounds.allowance);
 }
+
+TEST_CASE("a further send that finds no endpoint is given back")
+{
+    flow_world world(draftRoute(), {"only"});
+    const auto left = [&] {
+        return world.routing.repeats("pool").left(world.runtime.now(),
+                                                  world.routing.shareOfEntries());
+    };
+    startFlow(world, requestFor(draftRoute()));
+    const double before = left();
+    world.refuseNotRun(0);
+    REQUIRE(world.record);
+    CHECK(world.status == http_status::unavailable);
+    CHECK(left() == doctest::Approx(before));
+}
+
+TEST_CASE("a further send that reached nobody is made at the next endpoint")
+{
+    flow_world world(draftRoute(), {"a", "b", "c"});
+    const auto left = [&] {
+        return world.routing.repeats("pool").left(world.runtime.now(),
+                                                  world.routing.shareOfEntries());
+    };
+    startFlow(world, requestFor(draftRoute()));
+    const double before = left();
+    world.refuseNotRun(0);
+    REQUIRE(world.calls.size() == 2);
+    world.end(1, call_end::notSent);
+    REQUIRE(world.calls.size() == 3);
+    CHECK(left() == doctest::Approx(before - 1));
+}
