--- a/lib/Policy/SendBudget.cpp
+++ b/lib/Policy/SendBudget.cpp
@@ -22,7 +22,7 @@
 constexpr double allowanceGiven = 0.25;
 /// Part of the savings that is kept from larger models: a repeat saves an answer, a larger model
 /// betters it.
-constexpr double keptForRepeats = 0.5;
+constexpr double keptForRepeats = 0.33;
 
 } // namespace
 
