Repeats: none where the service answers nobody; callers come back after as long as it has lasted

Callers of a service whose endpoints all refuse within 2 ms were refused after three sends each, until the budget of repeats was used up (519 further sends for 653 requests, paused clock; 0.85 a request, real processes), and were told to come back after 250 ms into seconds of the same.

Cause: the budget limits how many repeats there are; nothing judged whether one has a chance.

Now an entry makes no repeat at a service whose last 30 attempts, at whichever endpoints, all came to nothing within a second of each other. First sends go on and show the end. A begun stream goes on against the odds. The caller is told to come back after as long as it has lasted, 0.25 to 4 s.

--- a/include/laurelcroft/Policy/AttemptOutcome.h
+++ b/include/laurelcroft/Policy/AttemptOutcome.h
@@ -30,6 +30,7 @@
     bool mayHaveRun = false; ///< at this endpoint or an earlier one
     bool endpointsLeft = false; ///< one more endpoint may be tried
     bool budgetLeft = false; ///< the fleet's budget for repeats has room
+    bool hasChance = false; ///< one more attempt may bring an answer, or is worth it anyway
     bool timeLeft = false; ///< enough of the deadline for another attempt
 };
 
@@ -44,7 +45,7 @@
 };
 
 /// What a further attempt lacked, the first that applies.
-enum class attempt_lack { nothing, endpoints, time, budget };
+enum class attempt_lack { nothing, endpoints, time, chance, budget };
 
 std::string_view textOf(attempt_end end);
 std::string_view textOf(next_step step);
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -98,6 +98,9 @@
 inline constexpr milliseconds roomCheck{25};
 /// Told to callers that are refused: about the time in which a place becomes free.
 inline constexpr milliseconds retryAfterFull{250};
+/// The most that is told to callers while a service answers nobody: a third of the time that most
+/// of them have, and they wait no longer than that.
+inline constexpr milliseconds retryAfterOutage{4000};
 /// Told when there is no contract or no endpoint at all: some reads of the store.
 inline constexpr milliseconds retryAfterNothing{600};
 /// Weight of the reading that other entries told of, against an entry's own: it is a guess of how
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -126,6 +126,7 @@
                                            std::span<const sampled_endpoint> items);
     std::optional<endpoint_pick> pickEligible(const std::vector<endpoint_ptr> &usable);
     void send(const endpoint_pick &pick);
+    repeat_outlook &outlook() { return m_env.routing().outlook(m_service); }
     send_budget &budget() { return m_env.routing().repeats(m_service); }
     double allowanceShare() { return m_env.routing().shareOfEntries(); }
     bool mayTakeFurtherSend(further_send what);
@@ -170,6 +171,8 @@
     attempt_facts facts();
     bool isValidSuccess() const;
     void deliver();
+    /// \returns when a caller should come back whom endpoints had no room for.
+    milliseconds untilRoom();
     void refuse(int status, flow_reason why, std::optional<milliseconds> retryAfter);
     void finish(flow_reason why, int status);
 
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -32,7 +32,10 @@
         endAttempt(attempt_end::broken);
         return;
     }
-    if (!success || m_begun)
+    if (!success)
+        return;
+    outlook().succeeded();
+    if (m_begun)
         return;
     noteWait();
     m_record.confidence = m_answer.confidence;
@@ -251,6 +254,8 @@
             = m_sends < m_route->mostEndpoints && m_unreached < flow_bounds::mostUnreached;
     facts.budgetLeft = mayTakeFurtherSend(further_send::repeat);
     facts.timeLeft = timeLeft() >= flow_bounds::leastForAttempt;
+    // A stream that has begun goes on against the odds: its caller would lose what it holds.
+    facts.hasChance = m_begun || !outlook().isHopeless(now());
     return facts;
 }
 
@@ -283,6 +288,8 @@
         m_heldSend = std::exchange(m_sentFor, std::nullopt);
     else
         ++m_arrivals;
+    if (end != attempt_end::answered && end != attempt_end::notSent && !isMisdirected)
+        outlook().failed(now());
     m_record.attemptTook = std::chrono::duration_cast<milliseconds>(now() - m_attemptAt);
     m_record.left = timeLeft();
     if (end == attempt_end::broken && !m_record.key)
@@ -324,7 +331,7 @@
         refuse(http_status::unavailable,
                end == attempt_end::refused ? flow_reason::refusedByEndpoints
                                            : flow_reason::noEndpoint,
-               flow_bounds::retryAfterFull);
+               untilRoom());
         return;
     }
 }
@@ -368,6 +375,13 @@
     finish(why, m_answer.status);
 }
 
+template <flow_environment Env>
+milliseconds request_flow<Env>::untilRoom()
+{
+    return std::clamp(outlook().expectedLeft(now()), flow_bounds::retryAfterFull,
+                      flow_bounds::retryAfterOutage);
+}
+
 template <flow_environment Env>
 void request_flow<Env>::refuse(int status, flow_reason why, std::optional<milliseconds> retryAfter)
 {
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -163,8 +163,7 @@
         refuse(http_status::unavailable, flow_reason::withheld,
                std::chrono::ceil<milliseconds>(*until - now()));
     } else if (m_arrivals > 0) {
-        refuse(http_status::unavailable, flow_reason::refusedByEndpoints,
-               flow_bounds::retryAfterFull);
+        refuse(http_status::unavailable, flow_reason::refusedByEndpoints, untilRoom());
     } else if (state.directory().isEvacuated(m_service)) {
         refuse(http_status::unavailable, flow_reason::evacuated, flow_bounds::retryAfterNothing);
     } else {
@@ -417,8 +416,7 @@
                       self->watchProgress(number);
                       return;
                   }
-                  const attempt_facts facts = self->facts();
-                  if (facts.endpointsLeft && facts.budgetLeft && facts.timeLeft)
+                  if (lackOf(self->facts()) == attempt_lack::nothing)
                       self->endAttempt(attempt_end::silent);
               });
 }
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -12,6 +12,7 @@
 #include "laurelcroft/Policy/CandidateSample.h"
 #include "laurelcroft/Policy/ConfidenceCascade.h"
 #include "laurelcroft/Policy/PromptRate.h"
+#include "laurelcroft/Policy/RepeatOutlook.h"
 #include "laurelcroft/Policy/SendBudget.h"
 #include "laurelcroft/Proxy/CrashWatch.h"
 #include "laurelcroft/Proxy/RolloutTracker.h"
@@ -67,6 +68,9 @@
     send_budget &repeats(std::string_view service);
     std::map<std::string, send_budget, std::less<>> &allRepeats() { return m_repeats; }
 
+    /// How the last attempts at endpoints of \p service ended.
+    repeat_outlook &outlook(std::string_view service);
+
     /// Recent waits for first parts at endpoints of \p service.
     recent_wait &waits(std::string_view service);
 
@@ -105,8 +109,8 @@
     /// Number of entries that share the budgets, this one included; 1 while none is known.
     std::size_t entries() const { return std::max<std::size_t>(1, m_entries.size()); }
 
-    /// \returns this entry's part of what all entries share; 0 while its own row is not known, since
-    /// others don't count it then.
+    /// \returns this entry's part of what all entries share; 0 while its own row is not known,
+    /// since others don't count it then.
     double shareOfEntries() const { return m_share; }
 
     /// \param names of all entries; \param own this one's.
@@ -121,6 +125,7 @@
     crash_watch m_crashes;
     std::map<std::string, rollout_tracker, std::less<>> m_rollouts;
     std::map<std::string, send_budget, std::less<>> m_repeats;
+    std::map<std::string, repeat_outlook, std::less<>> m_outlooks;
     std::map<std::string, recent_wait, std::less<>> m_waits;
     std::map<std::string, prompt_rate, std::less<>> m_promptRates;
     struct sample_list
--- a/lib/Policy/AttemptOutcome.cpp
+++ b/lib/Policy/AttemptOutcome.cpp
@@ -54,6 +54,8 @@
         return "endpoints";
     case attempt_lack::time:
         return "time";
+    case attempt_lack::chance:
+        return "chance";
     case attempt_lack::budget:
         return "budget";
     }
@@ -66,6 +68,8 @@
         return attempt_lack::endpoints;
     if (!facts.timeLeft)
         return attempt_lack::time;
+    if (!facts.hasChance)
+        return attempt_lack::chance;
     return facts.budgetLeft ? attempt_lack::nothing : attempt_lack::budget;
 }
 
@@ -74,8 +78,10 @@
     if (end == attempt_end::answered)
         return next_step::deliver;
 
+    // An endpoint that saw nothing says nothing of its service, and costs no budget.
+    const bool sawNothing = end == attempt_end::notSent;
     const bool mayGoOn = facts.endpointsLeft && facts.timeLeft
-            && (facts.budgetLeft || end == attempt_end::notSent);
+            && (sawNothing || (facts.budgetLeft && facts.hasChance));
     if (facts.passedOn) {
         const bool resumes = facts.resumable && mayGoOn;
         return resumes ? next_step::resumeElsewhere : next_step::cut;
--- /dev/null
+++ b/lib/Policy/RepeatOutlook.cpp
@@ -0,0 +1,29 @@
+//===-- RepeatOutlook.cpp - does a repeat have a chance? --------------------===//
+//
+// A run of failures without a success between. It ends by a success or by age.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Policy/RepeatOutlook.h"
+
+using namespace laurelcroft;
+
+void repeat_outlook::failed(time_point now)
+{
+    const bool isNew = m_failuresInRow == 0 || now - m_last > fresh;
+    if (isNew) {
+        m_failuresInRow = 0;
+        m_since = now;
+    }
+    ++m_failuresInRow;
+    m_last = now;
+}
+
+bool repeat_outlook::isHopeless(time_point now) const
+{
+    return m_failuresInRow >= hopelessAfter && now - m_last <= fresh;
+}
+
+milliseconds repeat_outlook::expectedLeft(time_point now) const
+{
+    return isHopeless(now) ? std::chrono::ceil<milliseconds>(now - m_since) : milliseconds(0);
+}
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -40,6 +40,11 @@
     return itemOf(m_repeats, service, m_bounds.repeats);
 }
 
+repeat_outlook &routing_state::outlook(std::string_view service)
+{
+    return itemOf(m_outlooks, service);
+}
+
 recent_wait &routing_state::waits(std::string_view service)
 {
     return itemOf(m_waits, service);
--- a/unittests/Policy/DirectPolicyTests.cpp
+++ b/unittests/Policy/DirectPolicyTests.cpp
@@ -8,6 +8,7 @@
 #include "laurelcroft/Policy/DirectChoice.h"
 #include "laurelcroft/Policy/Patience.h"
 #include "laurelcroft/Policy/PromptRate.h"
+#include "laurelcroft/Policy/RepeatOutlook.h"
 #include "laurelcroft/Policy/SendBudget.h"
 #include "laurelcroft/Policy/ServiceRollout.h"
 #include "laurelcroft/Support/Crypto.h"
@@ -33,10 +34,11 @@
     facts.endpointsLeft = (bits & 16) != 0;
     facts.budgetLeft = (bits & 32) != 0;
     facts.timeLeft = (bits & 64) != 0;
+    facts.hasChance = (bits & 128) != 0;
     return facts;
 }
 
-constexpr unsigned allFacts = 128;
+constexpr unsigned allFacts = 256;
 
 } // namespace
 
@@ -91,6 +93,7 @@
             CHECK(facts.timeLeft);
             // What never reached an endpoint costs no budget.
             CHECK((facts.budgetLeft || end == attempt_end::notSent));
+            CHECK((facts.hasChance || end == attempt_end::notSent));
         }
     }
 }
@@ -101,18 +104,39 @@
         CHECK(stepAfter(attempt_end::answered, factsOf(bits)) == next_step::deliver);
 }
 
-TEST_CASE("what a further attempt lacks is named, endpoints before time before the budget")
+TEST_CASE("what a further attempt lacks is named: endpoints, time, a chance, the budget")
 {
     attempt_facts facts;
     CHECK(lackOf(facts) == attempt_lack::endpoints);
     facts.endpointsLeft = true;
     CHECK(lackOf(facts) == attempt_lack::time);
     facts.timeLeft = true;
+    CHECK(lackOf(facts) == attempt_lack::chance);
+    facts.hasChance = true;
     CHECK(lackOf(facts) == attempt_lack::budget);
     facts.budgetLeft = true;
     CHECK(lackOf(facts) == attempt_lack::nothing);
 }
 
+TEST_CASE("a repeat has no chance after many failures in a row, until one succeeds or they are old")
+{
+    repeat_outlook outlook;
+    time_point now{seconds(100)};
+    const time_point begin = now;
+    for (unsigned i = 1; i < repeat_outlook::hopelessAfter; ++i) {
+        outlook.failed(now);
+        CHECK(!outlook.isHopeless(now));
+        now += milliseconds(50);
+    }
+    outlook.failed(now);
+    CHECK(outlook.isHopeless(now));
+    CHECK(outlook.expectedLeft(now) == std::chrono::ceil<milliseconds>(now - begin));
+    CHECK(!outlook.isHopeless(now + repeat_outlook::fresh + milliseconds(1)));
+    outlook.succeeded();
+    CHECK(!outlook.isHopeless(now));
+    CHECK(outlook.expectedLeft(now) == milliseconds(0));
+}
+
 TEST_CASE("repeats stay within the ratio in every window, and return with time")
 {
     const send_budget_bounds bounds{0.5, 4, seconds(10)};
