An attempt's end in steps: leave, count, decide, follow; gauges apart from housekeeping

endAttempt had grown to 75 lines that a reader had to take in at once, housekeep to 40, and the test world's start to 30.

--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -154,6 +154,11 @@
     void onEvent(const stream_event &event);
     void onEnd(call_end end);
     void endAttempt(attempt_end end);
+    /// Ends the call; where the connection was lost, it is looked up whether the endpoint lives.
+    void leaveEndpoint(attempt_end end);
+    void countAttempt(attempt_end end);
+    next_step decideAfter(attempt_end end);
+    void follow(next_step step, attempt_end end);
     void sendAgain(further_send what);
     void closeAttempt(attempt_end end);
     void leaveRun();
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -261,6 +261,17 @@
 
 template <flow_environment Env>
 void request_flow<Env>::endAttempt(attempt_end end)
+{
+    leaveEndpoint(end);
+    countAttempt(end);
+    const next_step step = decideAfter(end);
+    if (step != next_step::deliver || end != attempt_end::answered)
+        m_env.attemptEnded(m_record, end, step);
+    follow(step, end);
+}
+
+template <flow_environment Env>
+void request_flow<Env>::leaveEndpoint(attempt_end end)
 {
     const bool isLost = end == attempt_end::broken || end == attempt_end::notSent;
     if (isLost)
@@ -277,10 +288,16 @@
         m_env.checkEnded(std::exchange(m_droppedAt, nullptr));
     // A call that is still under way must not run beside the next one.
     m_env.cancel(m_call);
+}
+
+template <flow_environment Env>
+void request_flow<Env>::countAttempt(attempt_end end)
+{
     // Another process lives at the address: the endpoint that was meant saw nothing. A request for
     // which one endpoint is allowed would be refused beside others that have room.
     const bool isMisdirected = end == attempt_end::refused && m_answer.misdirected;
-    if (end == attempt_end::notSent || isMisdirected) {
+    const bool metEndpoint = end != attempt_end::notSent && !isMisdirected;
+    if (!metEndpoint) {
         --m_sends;
         ++m_unreached;
     }
@@ -288,22 +305,31 @@
         m_heldSend = std::exchange(m_sentFor, std::nullopt);
     else
         ++m_arrivals;
-    if (end != attempt_end::answered && end != attempt_end::notSent && !isMisdirected)
+    if (metEndpoint && end != attempt_end::answered)
         outlook().failed(now());
     m_record.attemptTook = std::chrono::duration_cast<milliseconds>(now() - m_attemptAt);
     m_record.left = timeLeft();
     if (end == attempt_end::broken && !m_record.key)
         m_record.key = keyOf(*m_request);
+}
+
+template <flow_environment Env>
+next_step request_flow<Env>::decideAfter(attempt_end end)
+{
     const attempt_facts facts = this->facts();
-    const next_step step = stepAfter(end, facts);
     m_record.lack = lackOf(facts);
     m_record.budgetLeft = budget().left(now(), allowanceShare());
     const bool ran = end != attempt_end::notSent && end != attempt_end::refused;
     m_mayHaveRun = m_mayHaveRun || ran;
     m_hasFailure = end == attempt_end::failed;
-    if (step != next_step::deliver || end != attempt_end::answered)
-        m_env.attemptEnded(m_record, end, step);
+    return stepAfter(end, facts);
+}
 
+template <flow_environment Env>
+void request_flow<Env>::follow(next_step step, attempt_end end)
+{
+    const flow_reason noAnswer
+            = end == attempt_end::silent ? flow_reason::silentEndpoint : flow_reason::brokenAttempt;
     switch (step) {
     case next_step::deliver:
         deliver();
@@ -317,15 +343,10 @@
         return;
     case next_step::cut:
         m_env.abort();
-        finish(end == attempt_end::silent ? flow_reason::silentEndpoint
-                                          : flow_reason::brokenAttempt,
-               0);
+        finish(noAnswer, 0);
         return;
     case next_step::fail:
-        refuse(http_status::badGateway,
-               end == attempt_end::silent ? flow_reason::silentEndpoint
-                                          : flow_reason::brokenAttempt,
-               std::nullopt);
+        refuse(http_status::badGateway, noAnswer, std::nullopt);
         return;
     case next_step::refuse:
         refuse(http_status::unavailable,
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -106,7 +106,8 @@
     /// when there is no such bound now.
     std::optional<double> coldShare(const service_endpoint &endpoint, time_point now);
 
-    /// Number of entries that share the budgets, this one included; 1 while none is known.
+    /// Number of entries that share connections and duties, this one included; 1 while none is
+    /// known.
     std::size_t entries() const { return std::max<std::size_t>(1, m_entries.size()); }
 
     /// \returns this entry's part of what all entries share; 0 while its own row is not known,
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -107,6 +107,7 @@
     bool hasRoomAt(const service_endpoint &endpoint) const;
     bool isReady() const;
     void housekeep();
+    void setGauges();
     void removeDone();
     void acceptWhenReady(time_point latest);
     void checkDrained();
@@ -328,32 +329,37 @@
 {
     endpoints.sweep();
     routing.runs().sweep(runtime.now());
-    logHeldLines();
     routing.directory().expire(runtime.now());
+    routing.suspects().expire(runtime.now());
+    logHeldLines();
+    setGauges();
+    if (isReady() != lastReady) {
+        lastReady = isReady();
+        logInfo(log_part::routing, lastReady ? "ready" : "not ready",
+                {{"endpoints", std::int64_t(routing.directory().all().size())},
+                 {"draining", draining ? "yes" : "no"}});
+    }
+    runtime.after(housekeepingEvery, [this] { housekeep(); });
+}
+
+void proxy_server::state::setGauges()
+{
+    const time_point now = runtime.now();
     metrics.set("in_flight", static_cast<double>(flows.size()));
     metrics.set("caller_connections", static_cast<double>(callers.connections()));
     metrics.set("endpoint_connections_opened", static_cast<double>(endpoints.opened()));
-    metrics.set("endpoints_listed", static_cast<double>(routing.directory().all().size()));
-    const auto &endpointsById = routing.directory().all();
-    const auto cold
-            = std::count_if(endpointsById.begin(), endpointsById.end(),
-                            [&](const auto &item) { return item.second->isCold(runtime.now()); });
+    const auto &listed = routing.directory().all();
+    const auto cold = std::count_if(listed.begin(), listed.end(),
+                                    [now](const auto &item) { return item.second->isCold(now); });
+    metrics.set("endpoints_listed", static_cast<double>(listed.size()));
     metrics.set("endpoints_cold", static_cast<double>(cold));
-    routing.suspects().expire(runtime.now());
     metrics.add("requests_withheld_total", routing.crashes().takeNewlyWithheld());
     metrics.set("requests_withheld", static_cast<double>(routing.suspects().withheld().size()));
     metrics.set("requests_suspected", static_cast<double>(routing.suspects().suspects()));
     metrics.set("entries_known", static_cast<double>(routing.entries()));
     for (auto &[service, budget] : routing.allRepeats())
         metrics.set("further_sends_left{service=\"" + service + "\"}",
-                    budget.left(runtime.now(), routing.shareOfEntries()));
-    if (isReady() != lastReady) {
-        lastReady = isReady();
-        logInfo(log_part::routing, lastReady ? "ready" : "not ready",
-                {{"endpoints", std::int64_t(routing.directory().all().size())},
-                 {"draining", draining ? "yes" : "no"}});
-    }
-    runtime.after(housekeepingEvery, [this] { housekeep(); });
+                    budget.left(now, routing.shareOfEntries()));
 }
 
 void proxy_server::state::acceptWhenReady(time_point latest)
--- a/unittests/Proxy/RepeatWorld.cpp
+++ b/unittests/Proxy/RepeatWorld.cpp
@@ -15,6 +15,18 @@
 constexpr milliseconds way{1};
 constexpr std::size_t sessions = 100;
 
+contract_ptr contractOf(const service_route &route)
+{
+    auto contract = std::make_shared<service_contract>();
+    contract->version = 1;
+    contract->routes.push_back(route);
+    service_description pool;
+    pool.name = "pool";
+    pool.models = {{"small", 1}, {"middle", 3}, {"large", 10}};
+    contract->services.push_back(pool);
+    return contract;
+}
+
 } // namespace
 
 manual_runtime &repeat_environment::runtime()
@@ -102,17 +114,16 @@
         return;
     routing_bounds bounds;
     bounds.repeats = rule.bounds;
+    const std::string name = "e" + std::to_string(index);
     entries[index].reset(new repeat_entry{
-            "e" + std::to_string(index), routing_state(bounds, {0, 50}, random.bits()), {}});
-    routing_state &routing = entries[index]->routing;
-    auto contract = std::make_shared<service_contract>();
-    contract->version = 1;
-    contract->routes.push_back(plan.route);
-    service_description pool;
-    pool.name = "pool";
-    pool.models = {{"small", 1}, {"middle", 3}, {"large", 10}};
-    contract->services.push_back(pool);
-    routing.setContract(contract);
+            name, routing_state(bounds, {0, 50}, random.bits()), {}, true, false, {}});
+    entries[index]->routing.setContract(contractOf(plan.route));
+    listEndpoints(entries[index]->routing);
+    runtime.after(plan.learnTime, [this] { learn(); });
+}
+
+void repeat_world::listEndpoints(routing_state &routing) const
+{
     for (unsigned i = 0; i < plan.endpoints; ++i) {
         endpoint_record record;
         record.id = "p" + std::to_string(i);
@@ -123,7 +134,6 @@
         record.slots = 16;
         routing.directory().apply(record, runtime.now());
     }
-    runtime.after(plan.learnTime, [this] { learn(); });
 }
 
 void repeat_world::kill(std::size_t index)
--- a/unittests/Proxy/RepeatWorld.h
+++ b/unittests/Proxy/RepeatWorld.h
@@ -119,6 +119,7 @@
 private:
     void request();
     void take(repeat_entry &entry, const std::string &id);
+    void listEndpoints(routing_state &routing) const;
     std::vector<std::size_t> taking() const;
 };
 
