Repeats: many entries with a request now and then make as many sends as they earn

Cause: each entry has earned less than one send, or just one, and a part of that was kept for repeats, so that no single entry ever had a whole one to make, though all together had hundreds.

Now a process has a rounding from 0 to 1 drawn at its start, which counts as earned when a send is decided on: the sum is right on average and off by about half the root of the number of processes, well within the quarter of the allowance that nobody uses. Of the first four sends nothing is kept from larger models, of what is beyond them half.

A test of a thousand entries with one request each fails without the rounding (none is sent).

--- a/include/laurelcroft/Policy/SendBudget.h
+++ b/include/laurelcroft/Policy/SendBudget.h
@@ -14,6 +14,8 @@
 //   ratio of the larger of the two.
 // - A process begins with nothing: one that is killed takes its savings with it, and the one in
 //   its place earns from new requests only.
+// - Sends are whole. Each process has a rounding of its own, so that many entries with less than one
+//   each make as many on average as they earn; the sum of n processes is off by about sqrt(n) / 2.
 // - An entry whose row others can read may save and be given a share of the allowance besides;
 //   one that knows of no row of its own is counted by nobody and has none.
 //
@@ -52,8 +54,12 @@
 class send_budget
 {
 public:
-    explicit send_budget(const send_budget_bounds &bounds)
+    /// \param rounding from 0 to 1, another one for each process: what is missing to a whole send
+    /// when it is made. Where many entries get a request now and then, none would ever have a whole
+    /// one; with roundings drawn at random they make as many on average as they have earned.
+    explicit send_budget(const send_budget_bounds &bounds, double rounding = 0)
         : m_bounds(bounds)
+        , m_rounding(rounding)
     {
     }
 
@@ -83,11 +89,12 @@
     double mostSaved() const;
 
     send_budget_bounds m_bounds;
+    double m_rounding;
     std::deque<bucket> m_buckets; ///< requests of the last window
     std::size_t m_requests = 0; ///< in all of them
     std::optional<time_point> m_at; ///< of the last call
     double m_share = 0;
-    double m_saved = 0; ///< further sends
+    double m_saved = 0; ///< further sends; above -1
 };
 
 } // namespace laurelcroft
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -46,6 +46,7 @@
         : m_bounds(std::move(bounds))
         , m_cascade(cascade)
         , m_random(seed)
+        , m_roundings(seed + 1)
     {
     }
 
@@ -121,6 +122,7 @@
     routing_bounds m_bounds;
     cascade_settings m_cascade;
     random_source m_random;
+    random_source m_roundings; ///< of budgets; apart, so that decisions draw as they would without
     contract_ptr m_contract;
     service_directory m_directory;
     crash_watch m_crashes;
--- a/lib/Policy/SendBudget.cpp
+++ b/lib/Policy/SendBudget.cpp
@@ -20,9 +20,11 @@
 /// window. The rest is for entries that have joined and that others don't know yet.
 constexpr double allowanceSaved = 0.5;
 constexpr double allowanceGiven = 0.25;
-/// Part of the savings that is kept from larger models: a repeat saves an answer, a larger model
-/// betters it.
-constexpr double keptForRepeats = 0.33;
+/// Part of the savings beyond a few sends that is kept from larger models: a repeat saves an
+/// answer, a larger model betters it. Of a few nothing is kept: an entry with a request now and
+/// then would hardly ever ask a larger model.
+constexpr double keptForRepeats = 0.5;
+constexpr double fewSends = 4;
 
 } // namespace
 
@@ -77,14 +79,15 @@
 double send_budget::left(time_point now, double share)
 {
     advance(now, share);
-    return m_saved;
+    return m_saved + m_rounding;
 }
 
 bool send_budget::allows(time_point now, double share, further_send what)
 {
     advance(now, share);
-    const double kept = what == further_send::largerModel ? keptForRepeats * mostSaved() : 0;
-    return m_saved >= 1 + kept;
+    const double beyondFew = std::max(0.0, mostSaved() - fewSends);
+    const double kept = what == further_send::largerModel ? keptForRepeats * beyondFew : 0;
+    return m_saved + m_rounding >= 1 + kept;
 }
 
 bool send_budget::take(time_point now, double share, further_send what)
--- a/unittests/Policy/SendBudgetTests.cpp
+++ b/unittests/Policy/SendBudgetTests.cpp
@@ -121,6 +121,23 @@
     CHECK(budget.left(now, 0) == doctest::Approx(before));
 }
 
+TEST_CASE("many entries with a request now and then make as many sends as they earn")
+{
+    // Each process alone has earned less than one send when its only request fails.
+    constexpr unsigned processes = 1000;
+    random_source random(7);
+    const send_budget_bounds bounds{0.9, 2 * processes, seconds(10)};
+    const time_point now{seconds(100)};
+    unsigned sends = 0;
+    for (unsigned i = 0; i < processes; ++i) {
+        send_budget budget(bounds, random.uniform());
+        budget.request(now, 1.0 / processes);
+        sends += budget.take(now, 1.0 / processes, further_send::largerModel) ? 1 : 0;
+    }
+    CHECK(sends > 0.65 * processes);
+    CHECK(sends < 0.79 * processes);
+}
+
 namespace {
 
 /// Processes that get pulses of requests, spend all that they have in pulses of their own, and are
