--- a/include/laurelcroft/Policy/SendBudget.h
+++ b/include/laurelcroft/Policy/SendBudget.h
@@ -14,8 +14,9 @@
 //   ratio of the larger of the two.
 // - A process begins with nothing: one that is killed takes its savings with it, and the one in
 //   its place earns from new requests only.
-// - Sends are whole. Each process has a rounding of its own, so that many entries with less than one
-//   each make as many on average as they earn; the sum of n processes is off by about sqrt(n) / 2.
+// - Sends are whole. Each process has a rounding of its own, so that many entries with less than
+//   one each make as many on average as they earn; the sum of n processes is off by about
+//   sqrt(n) / 2.
 // - An entry whose row others can read may save and be given a share of the allowance besides;
 //   one that knows of no row of its own is counted by nobody and has none.
 //
