Rows given on by several entries no longer set the store's clock ahead

Cause: an entry tells rows with their age added to the store's time; whoever took them kept that time as of the moment at which the store had confirmed them, so that the age was added once more at each further entry. An older word also replaced the time of a newer one.

--- a/include/laurelcroft/Proxy/RowMirror.h
+++ b/include/laurelcroft/Proxy/RowMirror.h
@@ -51,9 +51,15 @@
     /// the whole table.
     static constexpr std::size_t mostRemoved = 500;
 
-    /// Takes a whole table, or changes to it. \param confirmedAt when the store said so.
+    /// Takes a whole table, or changes to it. \param confirmedAt when the store said so, and when
+    /// its clock showed what \p batch says.
     void take(const std::string &table, const row_batch &batch, bool whole, time_point confirmedAt);
 
+    /// Takes what another entry's mirror has told. Its age is in the store's time already, and must
+    /// not be added once more by whoever reads it here: over some entries the store's clock would
+    /// run seconds ahead.
+    void takeRelayed(const std::string &table, const aged_news &found, time_point now);
+
     /// \returns what is new since a version, with its age; nothing when the table is not known
     /// or not fresh.
     std::optional<aged_news> read(const std::string &table, std::uint64_t since,
--- a/lib/Proxy/PeerRows.cpp
+++ b/lib/Proxy/PeerRows.cpp
@@ -324,6 +324,6 @@
 row_news peer_rows::state::taken(const std::string &table, const aged_news &found)
 {
     metrics.set("rows_age_ms{table=\"" + table + "\"}", static_cast<double>(found.age.count()));
-    mirror.take(table, found.news.batch, found.news.whole, bootNow() - found.age);
+    mirror.takeRelayed(table, found, bootNow());
     return found.news;
 }
--- a/lib/Proxy/RowMirror.cpp
+++ b/lib/Proxy/RowMirror.cpp
@@ -71,12 +71,21 @@
     }
     forgetRemoved(known);
     known.version = batch.version;
-    known.storeTime = batch.storeTime;
-    known.confirmedAt = std::max(known.confirmedAt, confirmedAt);
+    if (confirmedAt >= known.confirmedAt) {
+        known.storeTime = batch.storeTime;
+        known.confirmedAt = confirmedAt;
+    }
     if (m_onChange && (isFirst || !batch.rows.empty()))
         m_onChange();
 }
 
+void row_mirror::takeRelayed(const std::string &table, const aged_news &found, time_point now)
+{
+    row_batch confirmed = found.news.batch;
+    confirmed.storeTime -= found.age;
+    take(table, confirmed, found.news.whole, now - found.age);
+}
+
 news_state row_mirror::look(const std::string &table, std::uint64_t since, time_point now) const
 {
     news_state state;
--- a/unittests/Proxy/RowMirrorTests.cpp
+++ b/unittests/Proxy/RowMirrorTests.cpp
@@ -58,3 +58,37 @@
     CHECK(news->news.batch.rows[1].key == "a");
     CHECK(news->news.batch.rows[1].removed);
 }
+
+TEST_CASE("the store's clock is the same however many entries its rows have passed")
+{
+    constexpr milliseconds reading{1000};
+    constexpr milliseconds held{300};
+    time_point now{seconds(100)};
+    row_mirror first(milliseconds(1500));
+    first.take("t", {{{"a", "1", 5, false}}, 6, reading}, true, now);
+    row_mirror before = first;
+    milliseconds passed{0};
+    for (int hop = 0; hop < 4; ++hop) {
+        now += held;
+        passed += held;
+        const auto told = before.read("t", 0, now);
+        REQUIRE(told);
+        CHECK(told->age == passed);
+        CHECK(told->news.batch.storeTime == reading + passed);
+        row_mirror next(milliseconds(1500));
+        next.takeRelayed("t", *told, now);
+        before = next;
+    }
+}
+
+TEST_CASE("an older word of the store does not set its clock back")
+{
+    const time_point now{seconds(100)};
+    row_mirror mirror(milliseconds(1500));
+    mirror.take("t", {{}, 6, milliseconds(1000)}, true, now);
+    mirror.take("t", {{{"a", "1", 7, false}}, 7, milliseconds(400)}, false,
+                now - milliseconds(600));
+    const auto told = mirror.read("t", 6, now);
+    REQUIRE(told);
+    CHECK(told->news.batch.storeTime == milliseconds(1000));
+}
