--- a/include/laurelcroft/Platform/RowStore.h
+++ b/include/laurelcroft/Platform/RowStore.h
@@ -69,6 +69,8 @@
 struct conditional_write
 {
     bool done = false;
+    std::uint64_t version = 0; ///< of the rows that were written
+    milliseconds storeTime{0}; ///< when it was done
     /// After a conflict, the rows that had a condition as they stand now; a version of 0
     /// means that there is none.
     std::vector<table_entry> current;
--- a/include/laurelcroft/Proxy/EntryRoster.h
+++ b/include/laurelcroft/Proxy/EntryRoster.h
@@ -49,6 +49,10 @@
     /// \returns true when the own row is not listed, or has to be renewed.
     bool isOwnDue(milliseconds storeNow) const;
 
+    /// \returns how far true time is ahead of the store's clock: the median of what the entries'
+    /// times of day say, since some may be wrong by seconds. Nothing while no entry says it.
+    std::optional<milliseconds> wallAhead() const;
+
     /// \returns an entry that is gone, if there is one.
     std::optional<listed_entry> expired(milliseconds storeNow) const;
 
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -147,6 +147,11 @@
     bool seemsDead();
 
     void onAnswer(proxy_answer &&answer);
+    /// Tells, once a request, that an endpoint runs it from now on. It is so in nearly all cases;
+    /// what was counted when this process ends had mostly begun.
+    void noteRun();
+    /// Takes that back: the endpoint of the current attempt has not run it.
+    void noteNotRun();
     void noteWait();
     void escalate();
     cascade_view cascadeView();
@@ -228,6 +233,7 @@
     std::shared_ptr<endpoint_run> m_run; ///< of the current attempt
     proxy_answer m_answer;
     bool m_answered = false; ///< the current attempt's head has come
+    std::optional<time_point> m_runNotedAt; ///< when an endpoint is told to have begun to run it
     bool m_mayHaveRun = false; ///< at an earlier endpoint
     bool m_hasFailure = false; ///< the last attempt brought an endpoint's own whole failure
     bool m_begun = false; ///< the caller has the head of a stream
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -42,6 +42,24 @@
     escalate();
 }
 
+template <flow_environment Env>
+void request_flow<Env>::noteRun()
+{
+    if (m_runNotedAt)
+        return;
+    m_runNotedAt = m_attemptAt;
+    m_env.routing().noteRun({m_record.customer, m_attemptAt, true});
+}
+
+template <flow_environment Env>
+void request_flow<Env>::noteNotRun()
+{
+    if (m_runNotedAt != m_attemptAt)
+        return;
+    m_runNotedAt.reset();
+    m_env.routing().noteRun({m_record.customer, m_attemptAt, false});
+}
+
 template <flow_environment Env>
 void request_flow<Env>::noteWait()
 {
@@ -200,6 +218,8 @@
     endReading();
     m_endpoint->ended();
     leaveRun();
+    if (end == attempt_end::refused || end == attempt_end::notSent)
+        noteNotRun();
     switch (end) {
     case attempt_end::answered:
         m_endpoint->succeeded(at);
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -276,6 +276,7 @@
     m_endpoint = endpoint;
     m_endpoint->began();
     m_endpoint->sent(m_attemptAt);
+    noteRun();
     beginRun();
     m_readTokens = tokensToRead(endpoint->prompts().keptTokens(m_prefixes));
     m_readingMs = readingMsPerToken() * m_readTokens;
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -38,6 +38,14 @@
     std::string dataCentre; ///< of this entry
 };
 
+/// A request that an endpoint runs for a customer.
+struct customer_run
+{
+    std::string customer;
+    time_point began{};
+    bool hasRun = true; ///< false: it was told before, and has not run after all
+};
+
 /// State shared by all requests of an entry.
 class routing_state
 {
@@ -90,6 +98,15 @@
             m_onSend(endpoint, readingMs, prefixes);
     }
 
+    /// Is told of each request that an endpoint runs for a customer.
+    using run_listener = std::function<void(const customer_run &run)>;
+    void setRunListener(run_listener listener) { m_onRun = std::move(listener); }
+    void noteRun(const customer_run &run) const
+    {
+        if (m_onRun && !run.customer.empty())
+            m_onRun(run);
+    }
+
     /// Another entry sent a prompt to \p endpoint: it reads for so long, and then keeps the
     /// prefixes. An endpoint that is not listed is passed over.
     void noteSendElsewhere(std::string_view endpoint, milliseconds reading,
@@ -142,6 +159,7 @@
     double m_share = 0; ///< of what all entries share
     std::map<std::string, double, std::less<>> m_coldShares; ///< by endpoint, for these entries
     send_listener m_onSend;
+    run_listener m_onRun;
 };
 
 } // namespace laurelcroft
--- a/include/laurelcroft/Proxy/SendNotices.h
+++ b/include/laurelcroft/Proxy/SendNotices.h
@@ -52,6 +52,8 @@
     std::function<void(const end_notice &notice)> onEnd;
     std::function<void(const withheld_notice &notice)> onWithheld;
     std::function<void(const cleared_notice &notice)> onCleared;
+    /// Takes datagrams of no kind above. \returns true for one that it knows. May be empty.
+    std::function<bool(std::string_view bytes)> onOther = nullptr;
 };
 
 /// The datagrams between entries. One thread.
@@ -99,6 +101,9 @@
     /// Tells the entries that read the store. \returns false when not all could be told.
     bool tellReaders(const evidence_notice &notice);
 
+    /// Sends a datagram of another kind to \p entry, if it is known.
+    void send(const std::string &entry, std::string_view bytes);
+
     /// Tell other entries, \c mostListeners of them, and others the next time.
     void tellEnd(const end_notice &notice);
     void tellWithheld(const withheld_notice &notice);
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -115,6 +115,10 @@
 
     void start();
 
+    /// \returns true time since the start of 1970, alike at all entries; nothing before the store's
+    /// clock and the entries' rows are known.
+    std::optional<milliseconds> trueTime();
+
     /// Takes what another entry has told by datagram.
     void takeEvidence(const evidence_notice &notice);
 
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -116,6 +116,16 @@
     return m_clock.at(m_runtime.now());
 }
 
+template <row_store_like Store, runtime_like Runtime>
+std::optional<milliseconds> store_sync<Store, Runtime>::trueTime()
+{
+    if (!m_clock.isKnown() || !m_ownTableRead)
+        return std::nullopt;
+    if (const std::optional<milliseconds> ahead = m_roster.wallAhead())
+        return storeNow() + *ahead;
+    return milliseconds(wallMilliseconds());
+}
+
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::applyOperator(row_news &news)
 {
@@ -294,6 +304,7 @@
     m_nextAnnounceAt = m_runtime.now() + announcePause;
     entry_place place = m_links.place;
     place.writtenAt = storeNow();
+    place.wallAhead = milliseconds(wallMilliseconds()) - place.writtenAt;
     const row_write row{std::string(ownTable), entryKey(m_links.entry), encodeEntry(place),
                         std::nullopt};
     m_store.write({row}, [](outcome<conditional_write, row_failure> result) {
--- a/lib/Proxy/MessagePack.h
+++ b/include/laurelcroft/Support/MessagePack.h
@@ -1,10 +1,10 @@
-//===-- MessagePack.h - bytes that entries send each other -------*- C++ -*-===//
+//===-- Support/MessagePack.h - bytes that entries send each other -*- C++ -*-===//
 //
-// Private to this library.
+// Between a JSON value and its MessagePack.
 //
 //===----------------------------------------------------------------------===//
-#ifndef LAURELCROFT_LIB_PROXY_MESSAGEPACK_H
-#define LAURELCROFT_LIB_PROXY_MESSAGEPACK_H
+#ifndef LAURELCROFT_SUPPORT_MESSAGEPACK_H
+#define LAURELCROFT_SUPPORT_MESSAGEPACK_H
 
 #include <nlohmann/json.hpp>
 
--- a/include/laurelcroft/Support/Runtime.h
+++ b/include/laurelcroft/Support/Runtime.h
@@ -52,7 +52,8 @@
 /// which the steady clock does not count.
 void pretendSuspension(duration asleep);
 
-/// Milliseconds since the epoch, for records that people read; no decision uses it.
+/// Milliseconds since the epoch, for records that people read and for what is accounted by time of
+/// day. It may jump: no timer uses it.
 std::int64_t wallMilliseconds();
 
 /// Runtime over an asio context; use it from the context's own thread only.
--- /dev/null
+++ b/include/laurelcroft/Usage/UsageDuty.h
@@ -0,0 +1,137 @@
+//===-- Usage/UsageDuty.h - one entry's part in the usage duty ---*- C++ -*-===//
+//
+// Each entry counts, tells the holder its counts, and stands by to follow a holder that is silent.
+// Where the holder can't be reached, counts go to it through a row.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_USAGE_USAGEDUTY_H
+#define LAURELCROFT_USAGE_USAGEDUTY_H
+
+#include "laurelcroft/Usage/UsageHolder.h"
+#include "laurelcroft/Usage/UsageMeter.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace laurelcroft {
+
+/// The usage duty at one entry.
+template <usage_environment Env>
+class usage_duty
+{
+public:
+    /// How often anything is looked at, and counts are told.
+    static constexpr milliseconds tickEvery{50};
+    /// Notices a second that a holder gets from all entries together; where they are many, each
+    /// tells its counts less often.
+    static constexpr double noticesPerSecond = 400;
+    /// Batches that no word has come of are told again after this.
+    static constexpr milliseconds tellAgainAfter{400};
+    /// Bytes of a datagram that batches may fill.
+    static constexpr std::size_t mostNoticeBytes = 1200;
+    /// From a window's end until its counts are complete here: whole answers come later than the
+    /// requests that they belong to.
+    static constexpr milliseconds answerWait{1000};
+    /// A holder that was not heard for this long may be gone: three heartbeats, less what they are
+    /// late. The first in the order looks then, each further one this much later.
+    static constexpr milliseconds silence{2500};
+    /// The same for a process that has just started.
+    static constexpr milliseconds firstSilence{1200};
+    static constexpr milliseconds rankStep{150};
+    /// The same for an entry that is not among the successors and has counts to tell.
+    static constexpr milliseconds silenceOfOthers{4000};
+    static constexpr milliseconds spreadOfOthers{500};
+    /// From one look at the rows to the next.
+    static constexpr milliseconds shortestLook{300};
+    static constexpr milliseconds longestLook{1500};
+    /// Requests that are kept while no time is known.
+    static constexpr std::size_t mostEarly = 10'000;
+
+    /// \param metrics outlives this.
+    usage_duty(Env env, usage_settings settings, metric_registry &metrics);
+
+    void start();
+
+    /// Adds \p number to the requests of \p customer that endpoints began to run at \p at; a
+    /// negative one takes back what was counted there.
+    void count(std::string_view customer, time_point at, std::int64_t number);
+
+    /// \param names of all entries.
+    void setEntries(std::vector<std::string> names);
+
+    /// Takes a datagram of another entry.
+    void take(const usage_message &message);
+
+    /// This process will end: the duty is given back, and not taken again.
+    void retire();
+
+    /// Calls \p done when all counts are in a row, or after \p longest.
+    void finish(milliseconds longest, std::function<void()> done);
+
+    bool isHolder() const { return m_holder && !m_holder->isOver(); }
+
+private:
+    using holder = usage_holder<Env>;
+
+    void tick();
+    void countEarly(milliseconds trueTime);
+    void cutBatch(milliseconds trueTime);
+    milliseconds tellEvery() const;
+    void tellHolder(bool isNew);
+    void tell(std::size_t from);
+    usage_notice noticeFrom(std::size_t from) const;
+    void onAck(const usage_ack &ack);
+    void onHandover(const usage_handover &handover);
+    bool isSuccessor() const { return m_rank < holder::mostSuccessors; }
+    void watch();
+    void look();
+    void onRows(outcome<row_batch, row_failure> result, time_point askedAt);
+    void onRow(usage_row row, std::uint64_t version, const row_batch &rows);
+    void acquire(usage_row row, std::uint64_t version, const row_batch &rows);
+    void hold(const usage_row &row, std::uint64_t version, const row_batch &rows);
+    void writeOwnRow();
+    void dropOwnRow();
+    void checkFinished(time_point latest, std::function<void()> done);
+    usage_process process() const { return {m_settings.entry, m_life}; }
+    time_point now() { return m_env.runtime().now(); }
+
+    Env m_env;
+    usage_settings m_settings;
+    metric_registry &m_metrics;
+    usage_meter m_meter;
+    std::uint64_t m_life = 0; ///< true time of this process's first count; 0: not known yet
+    /// A count before true time is known.
+    struct early_count
+    {
+        std::string customer;
+        time_point at{};
+        std::int64_t number = 0;
+    };
+    std::vector<early_count> m_early;
+    std::vector<std::string> m_others; ///< in the order in which they follow a holder
+    std::size_t m_rank = 0; ///< of this entry in that order
+    std::shared_ptr<holder> m_holder; ///< while this entry has the duty
+    std::string m_holderName; ///< as known here
+    std::uint64_t m_token = 0;
+    store_time_bounds m_bounds;
+    time_point m_heardAt{};
+    time_point m_nextLookAt{};
+    time_point m_nextTellAt{};
+    time_point m_allToldAt{};
+    duration m_spread{}; ///< this entry's part of spreadOfOthers
+    bool m_isLooking = false;
+    bool m_isRetired = false;
+    bool m_hasOwnRow = false;
+    bool m_isWritingOwnRow = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace laurelcroft
+
+#include "laurelcroft/Usage/UsageDutyImpl.h"
+
+#endif
--- /dev/null
+++ b/include/laurelcroft/Usage/UsageDutyImpl.h
@@ -0,0 +1,419 @@
+//===-- Usage/UsageDutyImpl.h - members of usage_duty ------------*- C++ -*-===//
+//
+// Included by UsageDuty.h only.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_USAGE_USAGEDUTYIMPL_H
+#define LAURELCROFT_USAGE_USAGEDUTYIMPL_H
+
+#include "laurelcroft/Fleet/Ranking.h"
+#include "laurelcroft/Support/Crypto.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace laurelcroft {
+
+template <usage_environment Env>
+usage_duty<Env>::usage_duty(Env env, usage_settings settings, metric_registry &metrics)
+    : m_env(std::move(env))
+    , m_settings(std::move(settings))
+    , m_metrics(metrics)
+{
+    const auto parts = static_cast<std::uint64_t>(spreadOfOthers.count());
+    m_spread = milliseconds(static_cast<std::int64_t>(stableHash(m_settings.entry) % parts));
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::start()
+{
+    // A holder tells a new entry within a heartbeat; without one the duty is free at a first start.
+    m_heardAt = now() - (silence - firstSilence);
+    tick();
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::setEntries(std::vector<std::string> names)
+{
+    const std::vector<std::string> order = rankFirst(names, usageKey, names.size());
+    const auto own = std::find(order.begin(), order.end(), m_settings.entry);
+    m_rank = static_cast<std::size_t>(own - order.begin());
+    m_others.clear();
+    std::copy_if(order.begin(), order.end(), std::back_inserter(m_others),
+                 [this](const std::string &name) { return name != m_settings.entry; });
+    if (m_holder)
+        m_holder->setEntries(m_others);
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::count(std::string_view customer, time_point at, std::int64_t number)
+{
+    // The store may stay away from the start on: then there is no clock.
+    if (m_early.size() < mostEarly)
+        m_early.push_back({std::string(customer), at, number});
+    else
+        m_metrics.add("usage_requests_late_total");
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::countEarly(milliseconds trueTime)
+{
+    for (const early_count &item : m_early) {
+        const auto ago = std::chrono::duration_cast<milliseconds>(now() - item.at);
+        m_meter.count(item.customer, m_settings.windows.at(trueTime - ago), item.number);
+    }
+    m_early.clear();
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::cutBatch(milliseconds trueTime)
+{
+    m_meter.cut(m_settings.windows.at(trueTime - answerWait));
+    const std::int64_t givenUp = m_meter.takeGivenUp();
+    if (givenUp <= 0)
+        return;
+    m_metrics.add("usage_requests_late_total", static_cast<double>(givenUp));
+    logWarning(log_part::ledger, "usage counts given up, nobody took them in time",
+               {{"requests", givenUp}});
+}
+
+template <usage_environment Env>
+milliseconds usage_duty<Env>::tellEvery() const
+{
+    constexpr double msPerSecond = 1000;
+    const double entries = static_cast<double>(m_others.size() + 1);
+    const milliseconds shared(static_cast<std::int64_t>(entries * msPerSecond / noticesPerSecond));
+    return std::max(tickEvery, shared);
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::tick()
+{
+    m_env.runtime().after(tickEvery, [this, alive = m_alive] {
+        if (*alive)
+            tick();
+    });
+    const std::optional<milliseconds> trueTime = m_env.trueTime();
+    if (!trueTime)
+        return;
+    if (m_life == 0)
+        m_life = static_cast<std::uint64_t>(trueTime->count());
+    countEarly(*trueTime);
+    const bool isDue = now() >= m_nextTellAt;
+    const std::size_t before = m_meter.unacknowledged().size();
+    if (isDue) {
+        m_nextTellAt = now() + tellEvery() - tickEvery / 2;
+        cutBatch(*trueTime);
+    }
+    if (m_holder && m_holder->isOver())
+        m_holder = nullptr;
+    if (m_holder) {
+        m_holder->take(noticeFrom(0));
+        m_holder->tick();
+    } else {
+        tellHolder(m_meter.unacknowledged().size() > before);
+        watch();
+    }
+    if (m_hasOwnRow && m_meter.unacknowledged().empty())
+        dropOwnRow();
+}
+
+template <usage_environment Env>
+usage_notice usage_duty<Env>::noticeFrom(std::size_t from) const
+{
+    usage_notice notice{m_settings.entry, m_life, m_meter.lastAcknowledged(), {}};
+    const auto &batches = m_meter.unacknowledged();
+    notice.batches.assign(batches.begin() + static_cast<std::ptrdiff_t>(from), batches.end());
+    return notice;
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::tellHolder(bool isNew)
+{
+    const std::size_t batches = m_meter.unacknowledged().size();
+    if (m_holderName.empty() || m_holderName == m_settings.entry || batches == 0)
+        return;
+    if (now() - m_allToldAt >= tellAgainAfter) {
+        m_allToldAt = now();
+        tell(0);
+    } else if (isNew) {
+        tell(batches - 1);
+    }
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::tell(std::size_t from)
+{
+    // As many batches as fit, then the next ones.
+    usage_notice rest = noticeFrom(from);
+    usage_notice part = rest;
+    part.batches.clear();
+    std::size_t bytes = 0;
+    for (usage_batch &batch : rest.batches) {
+        usage_notice alone = part;
+        alone.batches = {batch};
+        const std::size_t size = encodeUsageMessage(alone).size();
+        if (!part.batches.empty() && bytes + size > mostNoticeBytes) {
+            m_env.tell(m_holderName, part);
+            part.batches.clear();
+            bytes = 0;
+        }
+        part.batches.push_back(std::move(batch));
+        bytes += size;
+    }
+    m_env.tell(m_holderName, part);
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::take(const usage_message &message)
+{
+    if (const auto *notice = std::get_if<usage_notice>(&message)) {
+        if (m_holder)
+            m_holder->take(*notice);
+    } else if (const auto *ack = std::get_if<usage_ack>(&message)) {
+        onAck(*ack);
+    } else {
+        onHandover(std::get<usage_handover>(message));
+    }
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::onAck(const usage_ack &ack)
+{
+    if (ack.token < m_token)
+        return;
+    if (m_holder && ack.holder != m_settings.entry && ack.token > m_holder->lease().token)
+        m_holder->takenOver();
+    if (ack.holder != m_holderName) {
+        logInfo(log_part::ledger, "usage duty is elsewhere",
+                {{"holder", ack.holder}, {"token", std::int64_t(ack.token)}});
+        m_allToldAt = {};
+    }
+    m_holderName = ack.holder;
+    m_token = ack.token;
+    m_heardAt = now();
+    if (ack.life == m_life)
+        m_meter.acknowledged(ack.number);
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::onHandover(const usage_handover &handover)
+{
+    if (handover.token < m_token)
+        return;
+    m_holderName = handover.holder;
+    m_token = handover.token;
+    m_heardAt = now() - silence;
+    m_nextLookAt = now();
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::watch()
+{
+    const bool hasCounts = !m_meter.unacknowledged().empty();
+    if (m_isLooking || now() < m_nextLookAt || (!isSuccessor() && !hasCounts))
+        return;
+    const duration patience = isSuccessor()
+            ? duration(silence + rankStep * static_cast<std::int64_t>(m_rank))
+            : duration(silenceOfOthers) + m_spread;
+    if (now() - m_heardAt >= patience)
+        look();
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::look()
+{
+    m_isLooking = true;
+    m_env.store().list(
+            std::string(usageTable),
+            [this, askedAt = now(), alive = m_alive](outcome<row_batch, row_failure> result) {
+                if (*alive)
+                    onRows(std::move(result), askedAt);
+            });
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::onRows(outcome<row_batch, row_failure> result, time_point askedAt)
+{
+    m_isLooking = false;
+    m_nextLookAt = now() + longestLook;
+    if (!result)
+        return;
+    const row_batch &rows = result.value();
+    m_bounds.note(rows.storeTime, askedAt, now());
+    const auto it = std::find_if(rows.rows.begin(), rows.rows.end(),
+                                 [](const store_row &row) { return row.key == usageKey; });
+    if (it == rows.rows.end()) {
+        onRow(usage_row(), 0, rows);
+        return;
+    }
+    outcome<usage_row, std::string> row = decodeUsageRow(it->value);
+    if (row)
+        onRow(std::move(row.value()), it->version, rows);
+    else
+        // Without its token nobody may begin: a lower one could follow.
+        logWarning(log_part::ledger, "row of the usage duty refused", {{"fault", row.error()}});
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::onRow(usage_row row, std::uint64_t version, const row_batch &rows)
+{
+    const duty_lease &lease = row.lease;
+    const milliseconds earliest = m_bounds.earliest(now());
+    if (lease.token >= m_token && !lease.holder.empty()) {
+        m_token = lease.token;
+        m_holderName = lease.holder;
+    }
+    if (const auto progress = row.ledger.progressOf(process()))
+        m_meter.acknowledged(progress->counted);
+    const bool isOwn = lease.holder == m_settings.entry && lease.life == m_life;
+    if (isOwn && !m_isRetired && lease.until > m_bounds.latest(now())) {
+        // The answer to this process's own write was lost.
+        hold(row, version, rows);
+        return;
+    }
+    const bool isFree = mayAcquire(lease, m_settings.entry, earliest, m_settings.lease);
+    // All successors may be gone: their rows outlive them.
+    const bool isAbandoned = earliest - lease.until > 2 * m_settings.lease;
+    if (isFree && !m_isRetired && (isSuccessor() || isAbandoned)) {
+        acquire(std::move(row), version, rows);
+        return;
+    }
+    const duration left = lease.until - earliest;
+    const duration turn = left + rankStep * static_cast<std::int64_t>(m_rank) / 3;
+    m_nextLookAt = now() + std::clamp<duration>(turn, shortestLook, longestLook);
+    if (left.count() > 0 && !m_meter.unacknowledged().empty())
+        writeOwnRow();
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::acquire(usage_row row, std::uint64_t version, const row_batch &rows)
+{
+    const std::optional<milliseconds> trueTime = m_env.trueTime();
+    if (!trueTime)
+        return;
+    const window_number current = m_settings.windows.at(*trueTime);
+    if (version == 0)
+        row.ledger = usage_ledger(current - 1);
+    const std::size_t givenUp
+            = row.ledger.giveUpBefore(current - std::min(current, usage_meter::mostWindows));
+    if (givenUp > 0) {
+        m_metrics.add("usage_windows_total{result=\"given_up\"}", givenUp);
+        logWarning(log_part::ledger, "usage windows given up, nobody had the duty in time",
+                   {{"windows", std::int64_t(givenUp)}, {"before", std::int64_t(current)}});
+    }
+    row.lease = nextLease(row.lease, m_settings.entry, m_life, m_bounds.earliest(now()),
+                          m_settings.lease);
+    ++row.save;
+    m_isLooking = true;
+    const row_write write{std::string(usageTable), std::string(usageKey), encodeUsageRow(row),
+                          version};
+    m_env.store().write(
+            {write},
+            [this, row, rows, askedAt = now(),
+             alive = m_alive](outcome<conditional_write, row_failure> result) {
+                if (!*alive)
+                    return;
+                m_isLooking = false;
+                m_nextLookAt = now() + shortestLook;
+                logInfo(log_part::ledger, "usage duty asked for",
+                        {{"token", std::int64_t(row.lease.token)}, {"result", textOf(result)}});
+                if (!result || !result.value().done)
+                    return;
+                m_bounds.note(result.value().storeTime, askedAt, now());
+                hold(row, result.value().version, rows);
+            });
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::hold(const usage_row &row, std::uint64_t version, const row_batch &rows)
+{
+    m_metrics.add("usage_duty_total{event=\"gained\"}");
+    m_metrics.set("usage_duty_token", static_cast<double>(row.lease.token));
+    logInfo(log_part::ledger, "usage duty gained",
+            {{"token", std::int64_t(row.lease.token)},
+             {"before",
+              row.lease.earlier.empty() ? "" : std::string_view(row.lease.earlier.back().holder)},
+             {"decided_before", std::int64_t(row.ledger.decidedBefore())}});
+    m_token = row.lease.token;
+    m_holderName = m_settings.entry;
+    m_holder = std::make_shared<holder>(m_env, m_settings, m_metrics, row, version, m_bounds,
+                                        [this](const usage_ack &ack) { onAck(ack); });
+    m_holder->setEntries(m_others);
+    m_holder->announce();
+    m_holder->takeRows(rows);
+    if (m_isRetired)
+        m_holder->release([] {});
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::writeOwnRow()
+{
+    if (std::exchange(m_isWritingOwnRow, true))
+        return;
+    m_hasOwnRow = true;
+    m_metrics.add("usage_rows_written_total");
+    const row_write write{std::string(usageTable), usageEntryKey(m_settings.entry),
+                          encodeUsageMessage(noticeFrom(0)), std::nullopt};
+    logInfo(log_part::ledger, "usage counts told by row, the holder is silent",
+            {{"holder", m_holderName}, {"batches", std::int64_t(m_meter.unacknowledged().size())}});
+    m_env.store().write({write}, [this, alive = m_alive](outcome<conditional_write, row_failure>) {
+        // Whatever came of it, the next look tells whether they are counted.
+        if (*alive)
+            m_isWritingOwnRow = false;
+    });
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::dropOwnRow()
+{
+    if (std::exchange(m_isWritingOwnRow, true))
+        return;
+    const row_write removal{std::string(usageTable), usageEntryKey(m_settings.entry), "",
+                            std::nullopt, true};
+    m_env.store().write({removal},
+                        [this, alive = m_alive](outcome<conditional_write, row_failure> result) {
+                            if (!*alive)
+                                return;
+                            m_isWritingOwnRow = false;
+                            m_hasOwnRow = !result;
+                        });
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::retire()
+{
+    m_isRetired = true;
+    if (isHolder())
+        m_holder->release([] {});
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::finish(milliseconds longest, std::function<void()> done)
+{
+    if (const std::optional<milliseconds> trueTime = m_env.trueTime()) {
+        countEarly(*trueTime);
+        cutBatch(*trueTime);
+        m_allToldAt = {};
+        tellHolder(true);
+    }
+    checkFinished(now() + longest, std::move(done));
+}
+
+template <usage_environment Env>
+void usage_duty<Env>::checkFinished(time_point latest, std::function<void()> done)
+{
+    const bool isSettled = m_early.empty() && m_meter.isSettled() && !isHolder();
+    if (isSettled || now() >= latest) {
+        done();
+        return;
+    }
+    m_env.runtime().after(tickEvery / 4, [this, latest, done = std::move(done), alive = m_alive] {
+        if (*alive)
+            checkFinished(latest, done);
+    });
+}
+
+} // namespace laurelcroft
+
+#endif
--- /dev/null
+++ b/include/laurelcroft/Usage/UsageHolderImpl.h
@@ -0,0 +1,368 @@
+//===-- Usage/UsageHolderImpl.h - members of usage_holder --------*- C++ -*-===//
+//
+// Included by UsageHolder.h only.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_USAGE_USAGEHOLDERIMPL_H
+#define LAURELCROFT_USAGE_USAGEHOLDERIMPL_H
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+namespace laurelcroft {
+
+template <usage_environment Env>
+usage_holder<Env>::usage_holder(Env &env, const usage_settings &settings, metric_registry &metrics,
+                                usage_row row, std::uint64_t version, store_time_bounds bounds,
+                                std::function<void(const usage_ack &)> onOwnAck)
+    : m_env(env)
+    , m_settings(settings)
+    , m_metrics(metrics)
+    , m_onOwnAck(std::move(onOwnAck))
+    , m_row(std::move(row))
+    , m_version(version)
+    , m_bounds(bounds)
+    , m_until(m_row.lease.until)
+    , m_savedProgress(m_row.ledger.progress())
+    , m_savedDecidedBefore(m_row.ledger.decidedBefore())
+    , m_gainedAt(env.runtime().now())
+{
+}
+
+template <usage_environment Env>
+bool usage_holder<Env>::holds(milliseconds margin)
+{
+    return !m_isOver && m_bounds.latest(now()) + margin < m_until;
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::lose(std::string_view why)
+{
+    if (std::exchange(m_isOver, true))
+        return;
+    m_metrics.add("usage_duty_total{event=\"lost\"}");
+    logWarning(log_part::ledger, "usage duty lost",
+               {{"token", std::int64_t(m_row.lease.token)}, {"why", why}});
+    if (m_onReleased)
+        std::exchange(m_onReleased, nullptr)();
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::tick()
+{
+    if (m_isOver)
+        return;
+    if (!holds(milliseconds(0))) {
+        lose("lease is over");
+        return;
+    }
+    if (!m_onReleased)
+        decideDue();
+    const bool isRenewalDue = now() - m_savedAt >= m_settings.lease / 4;
+    const bool isSaveDue = m_hasNews || isRenewalDue || m_onReleased;
+    if (isSaveDue && !m_isSaving && now() >= m_nextSaveAt && mayGiveBackNow())
+        save();
+    reportNext();
+    heartbeat();
+}
+
+template <usage_environment Env>
+bool usage_holder<Env>::mayGiveBackNow()
+{
+    // A report that is still on its way would come after the successor's.
+    return !m_onReleased || (!m_isReporting && now() >= m_reportsOverAt);
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::take(const usage_notice &notice)
+{
+    const usage_process process{notice.entry, notice.life};
+    const std::optional<usage_progress> before = m_row.ledger.progressOf(process);
+    const std::int64_t late = m_row.ledger.count(notice);
+    const bool isNews = m_row.ledger.progressOf(process) != before;
+    m_hasNews = m_hasNews || isNews;
+    const auto saved = m_savedProgress.find(process);
+    const bool isLost = !isNews && saved != m_savedProgress.end() && !notice.batches.empty()
+            && notice.batches.back().number <= saved->second.counted;
+    // The word that these are in the row has not come through.
+    if (isLost)
+        acknowledge(process, saved->second.counted);
+    if (late == 0)
+        return;
+    m_metrics.add("usage_requests_late_total",
+                  static_cast<double>(std::max<std::int64_t>(0, late)));
+    logWarning(log_part::ledger, "usage counts came too late",
+               {{"entry", notice.entry},
+                {"requests", late},
+                {"decided_before", std::int64_t(m_row.ledger.decidedBefore())}});
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::acknowledge(const usage_process &process, std::uint64_t number)
+{
+    const usage_ack ack{m_settings.entry, m_row.lease.token, process.second, number};
+    if (process.first == m_settings.entry)
+        m_onOwnAck(ack);
+    else
+        m_env.tell(process.first, ack);
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::save()
+{
+    m_isSaving = true;
+    m_hasNews = false;
+    m_savedAt = now();
+    m_nextSaveAt = m_savedAt + saveEvery;
+    const milliseconds earliest = m_bounds.earliest(m_savedAt);
+    ++m_row.save;
+    m_row.lease.until = m_onReleased ? earliest : earliest + m_settings.lease;
+    const row_write write{std::string(usageTable), std::string(usageKey), encodeUsageRow(m_row),
+                          m_version};
+    const std::weak_ptr<usage_holder> weak = this->weak_from_this();
+    m_env.store().write({write},
+                        [weak, saved = m_row,
+                         askedAt = m_savedAt](outcome<conditional_write, row_failure> result) {
+                            if (const auto self = weak.lock())
+                                self->onSaved(std::move(result), saved, askedAt);
+                        });
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::onSaved(outcome<conditional_write, row_failure> result,
+                                const usage_row &saved, time_point askedAt)
+{
+    m_isSaving = false;
+    if (m_isOver)
+        return;
+    if (!result) {
+        // It may take effect even later, if the row is as it was; the next write finds out.
+        m_hasNews = true;
+        m_nextSaveAt = now() + retryPause;
+        m_metrics.add("usage_saves_failed_total");
+        return;
+    }
+    if (!result.value().done) {
+        onConflict(result.value());
+        return;
+    }
+    m_bounds.note(result.value().storeTime, askedAt, now());
+    onConfirmed(saved, result.value().version);
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::onConfirmed(const usage_row &saved, std::uint64_t version)
+{
+    m_version = version;
+    m_until = saved.lease.until;
+    m_savedDecidedBefore = saved.ledger.decidedBefore();
+    const std::map<usage_process, usage_progress> before
+            = std::exchange(m_savedProgress, saved.ledger.progress());
+    for (const auto &[process, progress] : m_savedProgress) {
+        const auto known = before.find(process);
+        if (known == before.end() || known->second.counted < progress.counted)
+            acknowledge(process, progress.counted);
+    }
+    // A write that was begun before the duty was given back has the lease go on.
+    if (!m_onReleased || saved.lease.until > m_bounds.earliest(now()))
+        return;
+    m_isOver = true;
+    m_metrics.add("usage_duty_total{event=\"handed_over\"}");
+    logInfo(log_part::ledger, "usage duty handed over",
+            {{"token", std::int64_t(m_row.lease.token)}});
+    for (std::size_t i = 0; i < std::min(toldOfHandover, m_others.size()); ++i)
+        m_env.tell(m_others[i], usage_handover{m_settings.entry, m_row.lease.token});
+    std::exchange(m_onReleased, nullptr)();
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::onConflict(const conditional_write &refused)
+{
+    for (const table_entry &entry : refused.current) {
+        const outcome<usage_row, std::string> row = decodeUsageRow(entry.row.value);
+        if (!row)
+            continue;
+        const duty_lease &lease = row.value().lease;
+        if (lease.token != m_row.lease.token || lease.life != m_row.lease.life)
+            continue;
+        // An earlier write of this holder took effect, though its answer was lost.
+        m_hasNews = true;
+        onConfirmed(row.value(), entry.row.version);
+        return;
+    }
+    lose("row was taken over");
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::decideDue()
+{
+    const std::optional<milliseconds> trueTime = m_env.trueTime();
+    if (!trueTime)
+        return;
+    while (mayDecide(m_row.ledger.decidedBefore(), *trueTime))
+        decide(m_row.ledger.decidedBefore());
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::setEntries(std::vector<std::string> others)
+{
+    m_others = std::move(others);
+    std::map<std::string, window_number> since;
+    for (const std::string &name : m_others) {
+        const auto known = m_knownSince.find(name);
+        since[name] = known == m_knownSince.end() ? m_row.ledger.decidedBefore() : known->second;
+    }
+    m_knownSince = std::move(since);
+}
+
+template <usage_environment Env>
+std::vector<std::string> usage_holder<Env>::waitedFor(window_number window) const
+{
+    // An entry's row outlives it by minutes: who was never heard is not waited for again and again.
+    std::vector<std::string> names;
+    for (const auto &[name, since] : m_knownSince) {
+        if (since + usage_ledger::waitedWindows >= window)
+            names.push_back(name);
+    }
+    return m_row.ledger.openFor(window, names);
+}
+
+template <usage_environment Env>
+bool usage_holder<Env>::mayDecide(window_number window, milliseconds trueTime)
+{
+    const milliseconds since = trueTime - m_settings.windows.endOf(window);
+    if (since < settleTime)
+        return false;
+    if (waitedFor(window).empty())
+        return true;
+    const auto patience = std::chrono::duration_cast<milliseconds>(m_settings.due * patiencePart);
+    if (since >= patience - rowsBefore && m_rowsReadFor < window)
+        readRows(window);
+    return since >= patience && !m_isReadingRows && now() - m_gainedAt >= hearTime;
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::decide(window_number window)
+{
+    const std::vector<std::string> open = waitedFor(window);
+    const customer_counts counts = m_row.ledger.openCounts(window);
+    std::int64_t requests = 0;
+    for (const auto &[customer, count] : counts)
+        requests += count;
+    m_row.ledger.decideNext();
+    m_hasNews = true;
+    logInfo(log_part::ledger, "usage window decided",
+            {{"window", std::int64_t(window)},
+             {"customers", std::int64_t(counts.size())},
+             {"requests", requests},
+             {"entries_silent", std::int64_t(open.size())},
+             {"silent", open.empty() ? "" : open.front()}});
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::readRows(window_number window)
+{
+    if (std::exchange(m_isReadingRows, true))
+        return;
+    m_rowsReadFor = window;
+    const std::weak_ptr<usage_holder> weak = this->weak_from_this();
+    m_env.store().list(std::string(usageTable), [weak](outcome<row_batch, row_failure> result) {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->m_isReadingRows = false;
+        if (!result) {
+            logWarning(log_part::ledger, "rows of silent entries not read",
+                       {{"why", textOf(result.error())}});
+            return;
+        }
+        self->takeRows(result.value());
+    });
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::takeRows(const row_batch &rows)
+{
+    for (const store_row &row : rows.rows) {
+        if (!isUsageEntryKey(row.key))
+            continue;
+        const std::optional<usage_message> message = decodeUsageMessage(row.value);
+        const auto *notice = message ? std::get_if<usage_notice>(&*message) : nullptr;
+        if (notice)
+            take(*notice);
+        else
+            logWarning(log_part::ledger, "row of counts refused", {{"key", row.key}});
+    }
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::reportNext()
+{
+    if (m_isReporting || m_onReleased || now() < m_nextReportAt || !holds(reportMargin))
+        return;
+    const std::optional<decided_window> next = m_row.ledger.oldestUntold();
+    // A decision that no row has yet may be made otherwise by a successor.
+    if (!next || next->window >= m_savedDecidedBefore)
+        return;
+    m_isReporting = true;
+    const usage_report report{m_settings.entry, m_row.lease.token, next->window, next->counts};
+    const std::weak_ptr<usage_holder> weak = this->weak_from_this();
+    m_env.report(report, [weak, window = next->window](bool isTold) {
+        if (const auto self = weak.lock())
+            self->onReported(window, isTold);
+    });
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::onReported(window_number window, bool isTold)
+{
+    m_isReporting = false;
+    m_metrics.add(isTold ? "usage_windows_total{result=\"told\"}"
+                         : "usage_windows_total{result=\"not_taken\"}");
+    if (!isTold) {
+        m_nextReportAt = now() + retryPause;
+        m_reportsOverAt = now() + reportMargin;
+        logWarning(log_part::ledger, "usage window not taken, trying again",
+                   {{"window", std::int64_t(window)}});
+        return;
+    }
+    logInfo(log_part::ledger, "usage window told",
+            {{"window", std::int64_t(window)}, {"token", std::int64_t(m_row.lease.token)}});
+    m_row.ledger.told(window);
+    m_hasNews = true;
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::heartbeat()
+{
+    if (now() < m_nextHeartbeatAt)
+        return;
+    m_nextHeartbeatAt = now() + heartbeatEvery;
+    const usage_ack alive{m_settings.entry, m_row.lease.token, 0, 0};
+    const std::size_t successors = std::min(mostSuccessors, m_others.size());
+    for (std::size_t i = 0; i < successors; ++i)
+        m_env.tell(m_others[i], alive);
+    const std::size_t rest = m_others.size() - successors;
+    for (std::size_t i = 0; i < std::min(mostSuccessors, rest); ++i)
+        m_env.tell(m_others[successors + m_nextOther++ % rest], alive);
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::announce()
+{
+    for (const std::string &entry : m_others)
+        m_env.tell(entry, usage_ack{m_settings.entry, m_row.lease.token, 0, 0});
+}
+
+template <usage_environment Env>
+void usage_holder<Env>::release(std::function<void()> done)
+{
+    m_onReleased = std::move(done);
+    m_nextSaveAt = now();
+    tick();
+}
+
+} // namespace laurelcroft
+
+#endif
--- a/lib/Proxy/CrashNotices.cpp
+++ b/lib/Proxy/CrashNotices.cpp
@@ -7,7 +7,7 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/CrashNotices.h"
 
-#include "MessagePack.h"
+#include "laurelcroft/Support/MessagePack.h"
 
 #include <algorithm>
 
--- a/lib/Proxy/EntryRoster.cpp
+++ b/lib/Proxy/EntryRoster.cpp
@@ -5,6 +5,9 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/EntryRoster.h"
 
+#include <algorithm>
+#include <vector>
+
 using namespace laurelcroft;
 
 void entry_roster::clear()
@@ -41,3 +44,17 @@
     }
     return std::nullopt;
 }
+
+std::optional<milliseconds> entry_roster::wallAhead() const
+{
+    std::vector<milliseconds> told;
+    for (const auto &[name, place] : m_entries) {
+        if (place.wallAhead)
+            told.push_back(*place.wallAhead);
+    }
+    if (told.empty())
+        return std::nullopt;
+    const auto middle = told.begin() + static_cast<std::ptrdiff_t>(told.size() / 2);
+    std::nth_element(told.begin(), middle, told.end());
+    return *middle;
+}
--- a/lib/Proxy/EvidenceNotice.cpp
+++ b/lib/Proxy/EvidenceNotice.cpp
@@ -6,7 +6,7 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/EvidenceNotice.h"
 
-#include "MessagePack.h"
+#include "laurelcroft/Support/MessagePack.h"
 
 #include <algorithm>
 #include <utility>
--- a/lib/Proxy/RolloutRows.cpp
+++ b/lib/Proxy/RolloutRows.cpp
@@ -76,11 +76,13 @@
 
 std::string laurelcroft::encodeEntry(const entry_place &place)
 {
-    return nlohmann::json{{"address", place.address},
-                          {"data_centre", place.dataCentre},
-                          {"written_ms", place.writtenAt.count()},
-                          {"processor_share", place.processorShare}}
-            .dump();
+    nlohmann::json json{{"address", place.address},
+                        {"data_centre", place.dataCentre},
+                        {"written_ms", place.writtenAt.count()},
+                        {"processor_share", place.processorShare}};
+    if (place.wallAhead)
+        json["wall_ahead_ms"] = place.wallAhead->count();
+    return json.dump();
 }
 
 entry_place laurelcroft::decodeEntry(const std::string &value)
@@ -89,9 +91,12 @@
     if (!json.is_object())
         return {};
     try {
-        return {json.value("address", ""), json.value("data_centre", ""),
-                milliseconds(json.value("written_ms", std::int64_t(0))),
-                json.value("processor_share", 0.0)};
+        entry_place place{json.value("address", ""), json.value("data_centre", ""),
+                          milliseconds(json.value("written_ms", std::int64_t(0))),
+                          json.value("processor_share", 0.0), std::nullopt};
+        if (json.contains("wall_ahead_ms"))
+            place.wallAhead = milliseconds(json.at("wall_ahead_ms").get<std::int64_t>());
+        return place;
     } catch (const nlohmann::json::exception &) {
         return {}; // a field of another type: as a row that can't be read
     }
--- a/lib/Proxy/RowWire.cpp
+++ b/lib/Proxy/RowWire.cpp
@@ -7,9 +7,8 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/RowWire.h"
 
-#include "MessagePack.h"
-
 #include "laurelcroft/Support/Compression.h"
+#include "laurelcroft/Support/MessagePack.h"
 
 #include <utility>
 
--- a/lib/Proxy/SendNotices.cpp
+++ b/lib/Proxy/SendNotices.cpp
@@ -6,11 +6,10 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/SendNotices.h"
 
-#include "MessagePack.h"
-
 #include "laurelcroft/Fleet/Ranking.h"
 #include "laurelcroft/Proxy/StoreReaders.h"
 #include "laurelcroft/Support/Log.h"
+#include "laurelcroft/Support/MessagePack.h"
 #include "laurelcroft/Support/Settings.h"
 #include "laurelcroft/Support/TokenBucket.h"
 #include "laurelcroft/Support/UdpAddress.h"
@@ -110,6 +109,7 @@
     notice_handlers handlers;
     std::vector<udp::endpoint> readers; ///< of the store
     std::vector<udp::endpoint> others; ///< all entries but this one, in an order of its own
+    std::map<std::string, udp::endpoint> byName; ///< the same
     std::size_t nextOther = 0;
     token_bucket findingBytes{findingBytesPerSecond, findingBytesSaved};
     std::map<std::string, std::vector<udp::endpoint>> listeners; ///< by data centre
@@ -183,6 +183,8 @@
     }
     if (takeFinding(bytes))
         return;
+    if (handlers.onOther && handlers.onOther(bytes))
+        return;
     metrics.add("send_notices_total{way=\"refused\"}");
     logDebug(log_part::fleet, "datagram is no notice",
              {{"from", from.address().to_string()}, {"bytes", std::int64_t(bytes.size())}});
@@ -244,6 +246,17 @@
     m_state->tellFinding(encodeClearedNotice(notice), true);
 }
 
+void send_notices::send(const std::string &entry, std::string_view bytes)
+{
+    const auto it = m_state->byName.find(entry);
+    if (it == m_state->byName.end())
+        return;
+    asio::error_code error;
+    m_state->socket.send_to(asio::buffer(bytes.data(), bytes.size()), it->second, 0, error);
+    m_state->metrics.add(error ? "other_notices_total{way=\"failed\"}"
+                               : "other_notices_total{way=\"sent\"}");
+}
+
 void send_notices::setEntries(const entry_map &entries, const std::string &own)
 {
     std::map<std::string, std::vector<std::string>> names;
@@ -281,9 +294,12 @@
             names.push_back(name);
     }
     m_state->others.clear();
+    m_state->byName.clear();
     for (const std::string &name : rankFirst(names, own, names.size())) {
-        if (const auto address = udpEndpointIn(entries.at(name).address))
+        if (const auto address = udpEndpointIn(entries.at(name).address)) {
             m_state->others.push_back(*address);
+            m_state->byName[name] = *address;
+        }
     }
 }
 
--- /dev/null
+++ b/lib/Usage/UsageMeter.cpp
@@ -0,0 +1,69 @@
+//===-- UsageMeter.cpp - what one entry has counted -------------------------===//
+//
+// A batch never changes once it is cut: a holder may have it already.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Usage/UsageMeter.h"
+
+#include <utility>
+
+using namespace laurelcroft;
+
+void usage_meter::count(std::string_view customer, window_number window, std::int64_t number)
+{
+    customer_counts &counts = m_new[window];
+    const auto it = counts.find(customer);
+    if (it == counts.end())
+        counts.emplace(customer, number);
+    else
+        it->second += number;
+}
+
+bool usage_meter::cut(window_number closedBefore)
+{
+    giveUpBefore(closedBefore > mostWindows ? closedBefore - mostWindows : 0);
+    const bool hasNews = !m_new.empty() || closedBefore > m_closedBefore;
+    if (!hasNews || m_unacknowledged.size() >= mostUnacknowledged)
+        return false;
+    usage_batch batch;
+    batch.number = ++m_lastNumber;
+    if (fill(batch))
+        m_closedBefore = closedBefore;
+    batch.closedBefore = m_closedBefore;
+    m_unacknowledged.push_back(std::move(batch));
+    return true;
+}
+
+bool usage_meter::fill(usage_batch &batch)
+{
+    for (std::size_t room = mostCounts; room > 0 && !m_new.empty(); --room) {
+        const auto window = m_new.begin();
+        const auto count = window->second.begin();
+        batch.counts[window->first].insert(window->second.extract(count));
+        if (window->second.empty())
+            m_new.erase(window);
+    }
+    return m_new.empty();
+}
+
+void usage_meter::acknowledged(std::uint64_t number)
+{
+    while (!m_unacknowledged.empty() && m_unacknowledged.front().number <= number) {
+        m_lastAcknowledged = m_unacknowledged.front().number;
+        m_unacknowledged.pop_front();
+    }
+}
+
+void usage_meter::giveUpBefore(window_number window)
+{
+    while (!m_new.empty() && m_new.begin()->first < window) {
+        for (const auto &[customer, count] : m_new.begin()->second)
+            m_givenUp += count;
+        m_new.erase(m_new.begin());
+    }
+}
+
+std::int64_t usage_meter::takeGivenUp()
+{
+    return std::exchange(m_givenUp, 0);
+}
--- a/unittests/Proxy/FakeStore.h
+++ b/unittests/Proxy/FakeStore.h
@@ -111,8 +111,7 @@
     {
         row_batch batch;
         batch.version = m_version;
-        batch.storeTime
-                = std::chrono::duration_cast<milliseconds>(m_runtime.now().time_since_epoch());
+        batch.storeTime = timeNow();
         for (const store_row &row : m_history[table]) {
             if (feed && row.version > since)
                 batch.rows.push_back(row);
@@ -124,6 +123,11 @@
         return batch;
     }
 
+    milliseconds timeNow() const
+    {
+        return std::chrono::duration_cast<milliseconds>(m_runtime.now().time_since_epoch());
+    }
+
     conditional_write apply(const std::vector<row_write> &rows)
     {
         for (const row_write &row : rows) {
@@ -132,12 +136,15 @@
             const std::uint64_t version
                     = it == known.end() || it->second.removed ? 0 : it->second.version;
             if (row.expected && *row.expected != version)
-                return {false, {{row.table, it == known.end() ? store_row() : it->second}}};
+                return {false,
+                        0,
+                        milliseconds(0),
+                        {{row.table, it == known.end() ? store_row() : it->second}}};
         }
         ++m_version;
         for (const row_write &row : rows)
             set(row.table, {row.key, row.value, m_version, row.remove});
-        return {true, {}};
+        return {true, m_version, timeNow(), {}};
     }
 
     manual_runtime &m_runtime;
--- /dev/null
+++ b/unittests/Usage/UsagePartsTests.cpp
@@ -0,0 +1,152 @@
+//===-- UsagePartsTests.cpp - counts, leases and datagrams ------------------===//
+//
+// The pure parts of the usage duty.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Platform/StoreTimeBounds.h"
+#include "laurelcroft/Usage/UsageLedger.h"
+#include "laurelcroft/Usage/UsageMeter.h"
+
+#include <doctest/doctest.h>
+
+using namespace laurelcroft;
+
+namespace {
+
+constexpr milliseconds leaseLength{3000};
+
+} // namespace
+
+TEST_CASE("a batch is kept as it is until it is acknowledged")
+{
+    usage_meter meter;
+    CHECK_FALSE(meter.cut(0));
+    meter.count("a", 7, 1);
+    meter.count("a", 7, 1);
+    REQUIRE(meter.cut(7));
+    meter.count("a", 7, 1);
+    REQUIRE(meter.cut(8));
+    REQUIRE(meter.unacknowledged().size() == 2);
+    CHECK(meter.unacknowledged()[0] == usage_batch{1, 7, {{7, {{"a", 2}}}}});
+    CHECK(meter.unacknowledged()[1] == usage_batch{2, 8, {{7, {{"a", 1}}}}});
+    meter.acknowledged(1);
+    CHECK(meter.lastAcknowledged() == 1);
+    CHECK_FALSE(meter.isSettled());
+    meter.acknowledged(2);
+    CHECK(meter.isSettled());
+}
+
+TEST_CASE("a window is closed with the batch that has the last of its counts")
+{
+    usage_meter meter;
+    for (std::size_t i = 0; i < usage_meter::mostCounts + 1; ++i)
+        meter.count("customer-" + std::to_string(i), 7, 1);
+    REQUIRE(meter.cut(8));
+    REQUIRE(meter.cut(8));
+    CHECK(meter.unacknowledged()[0].closedBefore < 8);
+    CHECK(meter.unacknowledged()[1].closedBefore == 8);
+}
+
+TEST_CASE("what nobody takes is bounded, and counted when it is given up")
+{
+    usage_meter meter;
+    for (window_number window = 100; window < 200; ++window) {
+        meter.count("a", window, 1);
+        meter.cut(window);
+    }
+    CHECK(meter.unacknowledged().size() == usage_meter::mostUnacknowledged);
+    CHECK(meter.takeGivenUp() > 50);
+    CHECK(meter.takeGivenUp() == 0);
+}
+
+TEST_CASE("a batch counts once, in order, whatever comes twice")
+{
+    usage_ledger ledger(7);
+    const usage_batch first{1, 7, {{7, {{"a", 2}}}}};
+    const usage_batch second{2, 8, {{7, {{"a", 1}, {"b", 5}}}}};
+    ledger.count({"e", 1, 0, {second}});
+    CHECK(ledger.openCounts(7).empty());
+    ledger.count({"e", 1, 0, {first, second}});
+    ledger.count({"e", 1, 0, {first, second}});
+    CHECK(ledger.openCounts(7) == customer_counts{{"a", 3}, {"b", 5}});
+    CHECK(ledger.openFor(7, std::vector<std::string>{"e"}).empty());
+    CHECK(ledger.openFor(7, std::vector<std::string>{"e", "f"}).size() == 1);
+    ledger.decideNext();
+    CHECK(ledger.count({"f", 1, 0, {first}}) == 2);
+    REQUIRE(ledger.oldestUntold());
+    CHECK(ledger.oldestUntold()->counts == customer_counts{{"a", 3}, {"b", 5}});
+}
+
+TEST_CASE("a process that restarted closes what its earlier life left open")
+{
+    usage_ledger ledger(7);
+    ledger.count({"e", 1, 0, {{1, 7, {}}}});
+    CHECK(ledger.openFor(7, {}).size() == 1);
+    ledger.count({"e", 2, 0, {{1, 8, {}}}});
+    CHECK(ledger.openFor(7, {}).empty());
+}
+
+TEST_CASE("windows that nobody had in time are given up")
+{
+    usage_ledger ledger(7);
+    CHECK(ledger.giveUpBefore(20) == 13);
+    CHECK(ledger.decidedBefore() == 20);
+    CHECK(ledger.giveUpBefore(20) == 0);
+}
+
+TEST_CASE("the row of the duty comes back as it was written")
+{
+    usage_row row;
+    row.lease = {"e", 3, 9, milliseconds(5), {{"f", milliseconds(4)}}};
+    row.save = 12;
+    row.ledger = usage_ledger(7);
+    row.ledger.count({"e", 3, 0, {{1, 8, {{7, {{"a", 2}}}, {8, {{"b", 1}}}}}}});
+    row.ledger.decideNext();
+    const outcome<usage_row, std::string> back = decodeUsageRow(encodeUsageRow(row));
+    REQUIRE(back);
+    CHECK(back.value().lease == row.lease);
+    CHECK(back.value().save == row.save);
+    CHECK(back.value().ledger == row.ledger);
+    for (const char *text : {"", "{}", "[1]", R"({"lease":{"holder":7}})"})
+        CHECK_FALSE(decodeUsageRow(text));
+}
+
+TEST_CASE("datagrams come back as they were sent, and others are refused")
+{
+    const std::vector<usage_message> messages{
+            usage_notice{"e", 3, 4, {{5, 8, {{7, {{"a", 2}}}}}, {6, 9, {}}}},
+            usage_ack{"e", 9, 3, 6}, usage_handover{"e", 9}};
+    for (const usage_message &message : messages) {
+        const std::string bytes = encodeUsageMessage(message);
+        CHECK(decodeUsageMessage(bytes) == message);
+        for (std::size_t i = 0; i < bytes.size(); ++i)
+            CHECK_FALSE(decodeUsageMessage(std::string_view(bytes).substr(0, i)));
+    }
+}
+
+TEST_CASE("a lease is free once it is over, but not for who had it before the last holder")
+{
+    const duty_lease first = nextLease({}, "a", 1, milliseconds(1000), leaseLength);
+    CHECK(first.token == 1);
+    CHECK_FALSE(mayAcquire(first, "b", milliseconds(3999), leaseLength));
+    CHECK(mayAcquire(first, "b", milliseconds(4000), leaseLength));
+    duty_lease second = nextLease(first, "b", 1, milliseconds(4000), leaseLength);
+    CHECK(second.token == 2);
+    second.until = milliseconds(4500); // given back
+    CHECK_FALSE(mayAcquire(second, "a", milliseconds(6999), leaseLength));
+    CHECK(mayAcquire(second, "a", milliseconds(7000), leaseLength));
+    CHECK(mayAcquire(second, "b", milliseconds(4500), leaseLength));
+    const duty_lease again = nextLease(second, "b", 2, milliseconds(4500), leaseLength);
+    CHECK_FALSE(mayAcquire(again, "a", milliseconds(6999), leaseLength));
+}
+
+TEST_CASE("the store's clock is between what a holder and a successor take it for")
+{
+    const time_point asked{seconds(100)};
+    const time_point answered = asked + milliseconds(40);
+    store_time_bounds bounds;
+    bounds.note(milliseconds(5000), asked, answered);
+    CHECK(bounds.earliest(answered) == milliseconds(5000));
+    CHECK(bounds.latest(answered) == milliseconds(5040));
+    CHECK(bounds.latest(answered + seconds(1)) == milliseconds(6040));
+}
--- /dev/null
+++ b/unittests/Usage/UsageWorld.cpp
@@ -0,0 +1,356 @@
+//===-- UsageWorld.cpp - entries that share the usage duty ------------------===//
+//
+// A process that has ended keeps its objects until the world ends; nothing reaches them any more.
+//
+//===----------------------------------------------------------------------===//
+#include "UsageWorld.h"
+
+#include <algorithm>
+#include <cmath>
+
+using namespace laurelcroft;
+
+namespace {
+
+/// True time less the runtime's clock; any number of hours.
+constexpr milliseconds epoch{1'700'000'000'123};
+constexpr milliseconds tick{10};
+constexpr milliseconds latestReport{400}; ///< a report is this long on its way at most
+constexpr milliseconds restart{400};
+constexpr milliseconds drained{2600};
+
+} // namespace
+
+time_point process_runtime::now() const
+{
+    return m_world.runtime.now();
+}
+
+timer_id process_runtime::after(duration delay, std::function<void()> action)
+{
+    m_world.deliver(delay, m_machine, m_life, std::move(action));
+    return 1;
+}
+
+void process_runtime::cancel(timer_id) { }
+
+template <class T>
+void process_store::call(bool isWrite, std::function<void(row_callback<T>)> make,
+                         row_callback<T> done)
+{
+    const call_mode mode = m_machine.store;
+    const auto fail = [this, done](milliseconds after, row_failure why) {
+        m_world.deliver(after, m_machine, m_life, [done, why] { done(failure(why)); });
+    };
+    const row_callback<T> ignored = [](outcome<T, row_failure>) {};
+    switch (mode) {
+    case call_mode::fine:
+        // The store acts whatever becomes of the caller meanwhile.
+        make([this, done, life = m_life, &world = m_world,
+              &machine = m_machine](outcome<T, row_failure> result) {
+            world.deliver(usage_world::way, machine, life, [done, result] { done(result); });
+        });
+        return;
+    case call_mode::refused:
+        fail(usage_world::way, row_failure::notDone);
+        return;
+    case call_mode::silent:
+        break;
+    case call_mode::unanswered:
+        make(ignored);
+        break;
+    case call_mode::late:
+        if (isWrite) {
+            const milliseconds wait(
+                    static_cast<std::int64_t>(1000 + 5000 * m_world.random.uniform()));
+            m_world.runtime.after(wait, [make, ignored] { make(ignored); });
+        }
+        break;
+    }
+    fail(usage_world::callTimeout, row_failure::unknown);
+}
+
+void process_store::list(const std::string &table, row_callback<row_batch> done)
+{
+    call<row_batch>(
+            false,
+            [&world = m_world, table](row_callback<row_batch> got) {
+                world.store.list(table, got);
+            },
+            std::move(done));
+}
+
+void process_store::follow(const std::string &table, std::uint64_t since, milliseconds wait,
+                           row_callback<row_batch> done)
+{
+    m_world.store.follow(table, since, wait, std::move(done));
+}
+
+void process_store::write(const std::vector<row_write> &rows, row_callback<conditional_write> done)
+{
+    call<conditional_write>(
+            true,
+            [&world = m_world, rows](row_callback<conditional_write> got) {
+                world.store.write(rows, got);
+            },
+            std::move(done));
+}
+
+std::optional<milliseconds> process_surroundings::trueTime()
+{
+    return m_world->trueTime();
+}
+
+void process_surroundings::tell(const std::string &entry, const usage_message &message)
+{
+    usage_world &world = *m_world;
+    if (m_machine->isCut || world.random.chance(world.datagramLoss))
+        return;
+    for (usage_machine &to : world.machines) {
+        if (to.name != entry || to.isCut || !to.isUp)
+            continue;
+        const std::string bytes = encodeUsageMessage(message);
+        world.deliver(usage_world::way, to, to.life, [&world, &to, bytes] {
+            const std::optional<usage_message> told = decodeUsageMessage(bytes);
+            if (told)
+                world.duties.at(to.name)->take(*told);
+        });
+    }
+}
+
+void process_surroundings::report(const usage_report &report, std::function<void(bool)> done)
+{
+    usage_world &world = *m_world;
+    usage_machine &machine = *m_machine;
+    const call_mode mode = machine.cloud;
+    const auto answer = [&](duration after, bool isTold) {
+        world.deliver(after, machine, machine.life, [done, isTold] { done(isTold); });
+    };
+    if (mode == call_mode::refused) {
+        answer(usage_world::way, false);
+        return;
+    }
+    const milliseconds wait(
+            static_cast<std::int64_t>(latestReport.count() * world.random.uniform()));
+    if (mode != call_mode::silent) {
+        world.runtime.after(wait, [&world, report] {
+            world.reports.push_back({world.runtime.now(), report});
+        });
+    }
+    if (mode == call_mode::fine)
+        answer(wait + usage_world::way, true);
+    else
+        answer(reportTimeout, false);
+}
+
+usage_world::usage_world(std::size_t count, std::uint64_t seed)
+    : random(seed)
+{
+    for (std::size_t i = 0; i < count; ++i)
+        machines.emplace_back().name = "edge-" + std::to_string(i);
+    for (usage_machine &machine : machines)
+        start(machine);
+}
+
+std::vector<std::string> usage_world::names() const
+{
+    std::vector<std::string> names;
+    for (const usage_machine &machine : machines)
+        names.push_back(machine.name);
+    return names;
+}
+
+void usage_world::start(usage_machine &machine)
+{
+    ++machine.life;
+    machine.isUp = true;
+    machine.isSuspended = false;
+    machine.isDrained = false;
+    machine.atThaw.clear();
+    process_surroundings around{this, &machine, std::make_shared<process_runtime>(*this, machine),
+                                std::make_shared<process_store>(*this, machine)};
+    auto duty = std::make_unique<usage_duty<process_surroundings>>(
+            around, usage_settings{machine.name, windows, lease, due}, metrics);
+    duty->setEntries(names());
+    duty->start();
+    if (duties[machine.name])
+        ended.push_back(std::move(duties[machine.name]));
+    duties[machine.name] = std::move(duty);
+}
+
+void usage_world::kill(usage_machine &machine)
+{
+    machine.isUp = false;
+    machine.isSuspended = false;
+    ++machine.life;
+    deliver(restart, machine, machine.life, [] {});
+    runtime.after(restart, [this, &machine, life = machine.life] {
+        if (machine.life == life)
+            start(machine);
+    });
+}
+
+void usage_world::thaw(usage_machine &machine)
+{
+    machine.isSuspended = false;
+    const auto waiting = std::exchange(machine.atThaw, {});
+    for (const auto &action : waiting)
+        action();
+}
+
+void usage_world::stop(usage_machine &machine)
+{
+    if (!machine.isUp || machine.isSuspended)
+        return;
+    usage_duty<process_surroundings> &duty = *duties.at(machine.name);
+    duty.retire();
+    deliver(drained, machine, machine.life, [this, &duty, &machine] {
+        machine.isDrained = true;
+        duty.finish(milliseconds(250), [this, &machine] { kill(machine); });
+    });
+}
+
+void usage_world::deliver(duration delay, usage_machine &machine, std::uint64_t life,
+                          std::function<void()> action)
+{
+    runtime.after(delay, [&machine, life, action = std::move(action)] {
+        if (machine.life != life || !machine.isUp)
+            return;
+        if (machine.isSuspended)
+            machine.atThaw.push_back(action);
+        else
+            action();
+    });
+}
+
+void usage_world::pass(duration time, double perSecond)
+{
+    const std::chrono::duration<double> step = tick;
+    for (duration passed{}; passed < time; passed += tick) {
+        runtime.advance(tick);
+        for (usage_machine &machine : machines) {
+            const bool serves = machine.isUp && !machine.isSuspended && !machine.isDrained;
+            if (!serves || !random.chance(perSecond * step.count()))
+                continue;
+            const std::string customer = "customer-" + std::to_string(random.bits() % 24);
+            duties.at(machine.name)->count(customer, runtime.now(), 1);
+            ++truth[windows.at(trueTime())][customer];
+        }
+    }
+}
+
+milliseconds usage_world::trueTimeAt(time_point at)
+{
+    return epoch + std::chrono::duration_cast<milliseconds>(at.time_since_epoch());
+}
+
+usage_machine *usage_world::holder()
+{
+    for (usage_machine &machine : machines) {
+        if (machine.isUp && duties.at(machine.name)->isHolder())
+            return &machine;
+    }
+    return nullptr;
+}
+
+std::vector<usage_machine *> usage_world::all()
+{
+    std::vector<usage_machine *> items;
+    for (usage_machine &machine : machines)
+        items.push_back(&machine);
+    return items;
+}
+
+usage_machine &usage_world::any()
+{
+    return *all()[random.bits() % machines.size()];
+}
+
+/// \returns true when a holder was back within \p lease of its report, another one in between.
+static bool isBackTooSoon(std::span<const taken_report> reports, milliseconds lease)
+{
+    std::map<std::string, time_point> lastOf;
+    std::string last;
+    for (const taken_report &item : reports) {
+        const std::string &holder = item.report.holder;
+        const auto before = lastOf.find(holder);
+        if (holder != last && before != lastOf.end() && item.at - before->second < lease)
+            return true;
+        lastOf[holder] = item.at;
+        last = holder;
+    }
+    return false;
+}
+
+std::vector<std::string> usage_world::faults() const
+{
+    std::vector<std::string> found;
+    std::map<window_number, customer_counts> told;
+    std::map<std::uint64_t, std::string> holderOf;
+    std::uint64_t highest = 0;
+    for (const taken_report &item : reports) {
+        const usage_report &report = item.report;
+        const auto [counts, isNew] = told.emplace(report.window, report.counts);
+        if (!isNew && counts->second != report.counts)
+            found.push_back("two counts for window " + std::to_string(report.window));
+        if (report.token < highest)
+            found.push_back("token " + std::to_string(report.token) + " after "
+                            + std::to_string(highest));
+        highest = std::max(highest, report.token);
+        const auto [holder, isNewToken] = holderOf.emplace(report.token, report.holder);
+        if (!isNewToken && holder->second != report.holder)
+            found.push_back("two holders with token " + std::to_string(report.token));
+    }
+    if (isBackTooSoon(reports, lease))
+        found.push_back("a holder was back too soon");
+    return found;
+}
+
+std::vector<window_number> usage_world::missed(milliseconds latest) const
+{
+    std::vector<window_number> found;
+    for (const auto &[window, counts] : truth) {
+        const milliseconds dueAt = windows.endOf(window) + due;
+        if (dueAt > latest)
+            continue;
+        const bool isTold = std::any_of(reports.begin(), reports.end(), [&](const auto &item) {
+            return item.report.window == window && trueTimeAt(item.at) <= dueAt;
+        });
+        if (!isTold)
+            found.push_back(window);
+    }
+    return found;
+}
+
+const customer_counts *usage_world::reported(window_number window) const
+{
+    const auto it = std::find_if(reports.begin(), reports.end(), [window](const auto &item) {
+        return item.report.window == window;
+    });
+    return it == reports.end() ? nullptr : &it->report.counts;
+}
+
+std::uint64_t usage_world::truthOf(window_number window) const
+{
+    std::uint64_t all = 0;
+    const auto it = truth.find(window);
+    if (it == truth.end())
+        return 0;
+    for (const auto &[customer, count] : it->second)
+        all += count;
+    return all;
+}
+
+double usage_world::errorOf(window_number window) const
+{
+    const customer_counts *told = reported(window);
+    if (!told)
+        return 1;
+    double wrong = 0;
+    for (const auto &[customer, count] : truth.at(window)) {
+        const auto it = told->find(customer);
+        const double said = it == told->end() ? 0 : static_cast<double>(it->second);
+        wrong += std::abs(said - static_cast<double>(count));
+    }
+    return wrong / static_cast<double>(truthOf(window));
+}
--- a/utils/check-includes.py
+++ b/utils/check-includes.py
@@ -5,7 +5,7 @@
 import sys
 
 # Lowest first; a component may include those before it and itself.
-ORDER = ["Support", "Contract", "Http", "Link", "Fleet", "Policy", "Platform", "Ledger", "Proxy", "Node",
+ORDER = ["Support", "Contract", "Http", "Link", "Fleet", "Policy", "Platform", "Usage", "Ledger", "Proxy", "Node",
          "Agent", "Entry", "Operator", "Standin", "Load"]
 RANK = {name: rank for rank, name in enumerate(ORDER)}
 
