Two entries read the store for a site of any size, relays give the rows on

Cause: one entry in 48 read the store, and each reader hears all heartbeats: calls grew with the entries, bytes with entries times endpoints (8 readers x 175 kB/s at 385 and 620; at twice the size 17 x 350). Now two read, whatever the size; beyond 96 entries relays, two in each data centre and one for each 48 entries of it, ask the readers, and the others ask those of their own data centre. At twice the size the store sees the same calls, a reader twice the heartbeats and twice the relays (20), a relay as many entries as before; the next step of the tree is due at 4,600 entries. Ruled out: repeats that lacked a budget as the cause of the fleet's failed lookups (of 135 second 500s all had used both endpoints that the route allows; 1 to 5 sends were left): that is the endpoints' own.

--- a/include/laurelcroft/Proxy/StoreReaders.h
+++ b/include/laurelcroft/Proxy/StoreReaders.h
@@ -1,6 +1,8 @@
 //===-- Proxy/StoreReaders.h - which entries read the store ------*- C++ -*-===//
 //
-// A few entries read the store for all; every entry ranks them alike.
+// Two entries read the store for all, whatever the size; every entry ranks them alike. On a large
+// site relays stand between them and the others, so that neither the calls to the store nor what
+// one entry gives away grow with the number of entries.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_PROXY_STOREREADERS_H
@@ -16,11 +18,13 @@
 
 /// Entries that read the store for the others. Calls to it have a price, and two may be
 /// asked by turns, so that one may be gone or cut off.
-inline constexpr std::size_t fewestReaders = 2;
-/// Entries for each reader at most: each asks once or twice a second, so that a reader spends less
-/// than a hundredth of a core on them. With 16 the calls to the store cost 0.015 more of what is
-/// earned in 45 s by 103 entries.
-inline constexpr std::size_t entriesOfReader = 48;
+inline constexpr std::size_t storeReaderCount = 2;
+/// Entries that one asks by turns.
+inline constexpr std::size_t askedByTurns = 2;
+/// Entries for each relay of a data centre at most: each asks once or twice a second, so that a
+/// relay spends less than a hundredth of a core on them. The relays of 4,600 entries are as many as
+/// two readers bear.
+inline constexpr std::size_t entriesOfRelay = 48;
 
 /// \returns the names of the entries that read the store.
 std::vector<std::string> storeReaders(const entry_map &entries);
@@ -28,10 +32,10 @@
 /// Whom an entry asks for rows; addresses.
 struct row_sources
 {
-    /// Two that read the store, those of its own data centre first; empty when it reads itself.
+    /// Two that read the store, or relays on a large site, those of its own data centre first;
+    /// empty when it reads the store itself.
     std::vector<std::string> readers;
-    /// One that takes the readers' place while they hear nothing from the store; empty when it
-    /// does so itself.
+    /// One that takes their place while they hear nothing; empty when it does so itself.
     std::vector<std::string> standbys;
 
     bool operator==(const row_sources &) const = default;
--- a/lib/Proxy/StoreReaders.cpp
+++ b/lib/Proxy/StoreReaders.cpp
@@ -8,6 +8,8 @@
 #include "laurelcroft/Fleet/Ranking.h"
 
 #include <algorithm>
+#include <cassert>
+#include <map>
 #include <utility>
 
 using namespace laurelcroft;
@@ -21,30 +23,84 @@
 
 } // namespace
 
-/// \returns names of entries that may be asked, the readers first, then as many standbys: strong
-/// entries, and others where those are too few.
-static std::vector<std::string> rankedSources(const entry_map &entries, std::size_t &readers)
+namespace {
+
+/// Entries that others ask, by name.
+struct source_ranks
+{
+    std::vector<std::string> readers;
+    std::vector<std::string> standbys; ///< take the readers' place
+    std::vector<std::string> relays; ///< ask the readers, for all others; none on a small site
+};
+
+} // namespace
+
+static bool isAmong(const std::vector<std::string> &names, const std::string &name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+/// \returns the first \p count of \p names: strong entries, and others where those are too few.
+static std::vector<std::string> rankStrongFirst(const std::vector<std::string> &names,
+                                                const entry_map &entries, std::size_t count)
 {
     double strongest = 0;
-    for (const auto &[name, place] : entries)
-        strongest = std::max(strongest, place.processorShare);
+    for (const std::string &name : names)
+        strongest = std::max(strongest, entries.at(name).processorShare);
     std::vector<std::string> strong;
     std::vector<std::string> others;
-    for (const auto &[name, place] : entries) {
-        if (place.address.empty())
-            continue;
-        const bool isStrong = place.processorShare >= strongPart * strongest;
+    for (const std::string &name : names) {
+        const bool isStrong = entries.at(name).processorShare >= strongPart * strongest;
         (isStrong ? strong : others).push_back(name);
     }
-    const std::size_t all = strong.size() + others.size();
-    readers = std::max(fewestReaders, (all + entriesOfReader - 1) / entriesOfReader);
-    readers = std::min(readers, all);
-    std::vector<std::string> ranked = rankFirst(strong, "store reader", 2 * readers);
-    for (std::string &name : rankFirst(others, "store reader", 2 * readers - ranked.size()))
+    std::vector<std::string> ranked = rankFirst(strong, "store reader", count);
+    for (std::string &name : rankFirst(others, "store reader", count - ranked.size()))
         ranked.push_back(std::move(name));
     return ranked;
 }
 
+/// \returns relays for all entries but \p others. Each data centre has its own, so that rows cross
+/// to it once for each relay, not once for each entry.
+static std::vector<std::string> rankRelays(const std::vector<std::string> &names,
+                                           const entry_map &entries,
+                                           const std::vector<std::string> &others)
+{
+    std::map<std::string, std::vector<std::string>> byDataCentre;
+    for (const std::string &name : names) {
+        if (!isAmong(others, name))
+            byDataCentre[entries.at(name).dataCentre].push_back(name);
+    }
+    // Beside the two that an entry asks there is a third one, in another data centre if there is
+    // one.
+    const std::size_t fewest = byDataCentre.size() > 1 ? askedByTurns : askedByTurns + 1;
+    std::vector<std::string> relays;
+    for (const auto &[dataCentre, there] : byDataCentre) {
+        const std::size_t needed = (there.size() + entriesOfRelay - 1) / entriesOfRelay;
+        const std::size_t count = std::max(fewest, needed);
+        for (std::string &name : rankStrongFirst(there, entries, count))
+            relays.push_back(std::move(name));
+    }
+    return relays;
+}
+
+static source_ranks rankedSources(const entry_map &entries)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, place] : entries) {
+        if (!place.address.empty())
+            names.push_back(name);
+    }
+    const std::size_t readers = std::min(storeReaderCount, names.size());
+    source_ranks ranks;
+    ranks.readers = rankStrongFirst(names, entries, 2 * readers);
+    if (names.size() > storeReaderCount * entriesOfRelay)
+        ranks.relays = rankRelays(names, entries, ranks.readers);
+    const auto standbys = ranks.readers.begin() + static_cast<std::ptrdiff_t>(readers);
+    ranks.standbys.assign(standbys, ranks.readers.end());
+    ranks.readers.erase(standbys, ranks.readers.end());
+    return ranks;
+}
+
 /// \returns the addresses of the first \p count of \p names in the order of \p own, those of its
 /// data centre first.
 static std::vector<std::string> nearestOf(const std::vector<std::string> &names,
@@ -68,10 +124,7 @@
 
 std::vector<std::string> laurelcroft::storeReaders(const entry_map &entries)
 {
-    std::size_t readers = 0;
-    std::vector<std::string> ranked = rankedSources(entries, readers);
-    ranked.resize(readers);
-    return ranked;
+    return rankedSources(entries).readers;
 }
 
 row_sources laurelcroft::sourcesFor(const entry_map &entries, const std::string &own)
@@ -79,15 +132,23 @@
     row_sources sources;
     if (entries.count(own) == 0)
         return sources;
-    std::size_t readers = 0;
-    const std::vector<std::string> ranked = rankedSources(entries, readers);
-    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(readers);
-    const std::vector<std::string> reading(ranked.begin(), end);
-    const std::vector<std::string> standingBy(end, ranked.end());
-    if (std::find(reading.begin(), reading.end(), own) != reading.end())
+    const source_ranks ranks = rankedSources(entries);
+    if (isAmong(ranks.readers, own))
+        return sources;
+    const bool asksReaders
+            = ranks.relays.empty() || isAmong(ranks.standbys, own) || isAmong(ranks.relays, own);
+    if (asksReaders) {
+        sources.readers = nearestOf(ranks.readers, entries, own, askedByTurns);
+        if (!isAmong(ranks.standbys, own))
+            sources.standbys = nearestOf(ranks.standbys, entries, own, 1);
         return sources;
-    sources.readers = nearestOf(reading, entries, own, fewestReaders);
-    if (std::find(standingBy.begin(), standingBy.end(), own) == standingBy.end())
-        sources.standbys = nearestOf(standingBy, entries, own, 1);
+    }
+    // A third relay takes the place of the first two: there are three at least where there are any,
+    // and when all hear nothing the standbys help them, not each entry.
+    std::vector<std::string> asked = nearestOf(ranks.relays, entries, own, askedByTurns + 1);
+    assert(asked.size() > askedByTurns && "a site with relays has three at least");
+    sources.standbys = {std::move(asked.back())};
+    asked.pop_back();
+    sources.readers = std::move(asked);
     return sources;
 }
