Entries that start together are listed by their peers, with few writes

Now an entry that is not listed says so with its reads, and whoever is asked gathers rows for 150 ms and writes up to 90 at once; who is not listed after 1.2 s writes its row itself.

--- a/include/laurelcroft/Proxy/PeerRows.h
+++ b/include/laurelcroft/Proxy/PeerRows.h
@@ -8,11 +8,14 @@
 #define LAURELCROFT_PROXY_PEERROWS_H
 
 #include "laurelcroft/Http/Client.h"
+#include "laurelcroft/Proxy/EntryAnnouncement.h"
 #include "laurelcroft/Proxy/RowMirror.h"
 #include "laurelcroft/Proxy/StoreReaders.h"
 #include "laurelcroft/Support/Metrics.h"
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +48,11 @@
     /// Entries that read the store for this one; none when it reads itself.
     void setSources(row_sources sources);
 
+    /// \param own tells what is announced with reads while this entry is not listed; \param
+    /// listener is told of other entries that are not.
+    void setAnnouncements(std::function<std::optional<entry_announcement>()> own,
+                          std::function<void(const entry_announcement &)> listener);
+
     /// \returns true while other entries are asked before the store.
     bool arePreferred() const;
 
--- a/include/laurelcroft/Proxy/RowServer.h
+++ b/include/laurelcroft/Proxy/RowServer.h
@@ -6,11 +6,13 @@
 #ifndef LAURELCROFT_PROXY_ROWSERVER_H
 #define LAURELCROFT_PROXY_ROWSERVER_H
 
+#include "laurelcroft/Proxy/EntryAnnouncement.h"
 #include "laurelcroft/Proxy/RowMirror.h"
 #include "laurelcroft/Support/Metrics.h"
 #include "laurelcroft/Support/Runtime.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -28,6 +30,9 @@
     std::uint64_t since = 0;
 };
 
+/// Header of a read whose sender asks to be listed.
+inline constexpr std::string_view announcementHeader = "Laurelcroft-Entry";
+
 /// Answers GET /rows?tables=NAME:SINCE,NAME:SINCE&hold=MS. One thread.
 class row_server
 {
@@ -49,6 +54,9 @@
     /// The port in use, after open().
     std::uint16_t port() const;
 
+    /// \param listener is told of entries that ask to be listed.
+    void setAnnouncementListener(std::function<void(const entry_announcement &)> listener);
+
 private:
     struct state;
     std::unique_ptr<state> m_state;
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -9,6 +9,7 @@
 #define LAURELCROFT_PROXY_STORESYNC_H
 
 #include "laurelcroft/Platform/RowFollower.h"
+#include "laurelcroft/Proxy/EntryAnnouncement.h"
 #include "laurelcroft/Proxy/EntryRoster.h"
 #include "laurelcroft/Proxy/EvidenceNotice.h"
 #include "laurelcroft/Proxy/RolloutRows.h"
@@ -97,6 +98,14 @@
     /// From one write of an entry's row to the next: the time in which it comes back by the feed,
     /// or a call that hangs has ended.
     static constexpr milliseconds announcePause{2500};
+    /// How long an entry that others give rows to waits for one of them to write its row, and how
+    /// long such a one gathers rows before it writes them.
+    static constexpr milliseconds listedByOthers{1200};
+    static constexpr milliseconds announcementsGather{150};
+    /// From one announcement to the next: a row comes back by then.
+    static constexpr milliseconds announcedEvery{700};
+    /// Rows of one write: the store takes a hundred entries of a transaction.
+    static constexpr std::size_t mostAnnounced = 90;
     /// After a write that the store did not take.
     static constexpr milliseconds writeRetry{1000};
     /// An endpoint that is cold for this much longer than was known has turned cold again; less is
@@ -125,6 +134,13 @@
 
     void start();
 
+    /// \returns what this entry asks another one to write for it, now and then while it is not
+    /// listed: of several that were asked each would write it.
+    std::optional<entry_announcement> nextAnnouncement();
+
+    /// Another entry asks to be listed.
+    void takeAnnouncement(const entry_announcement &announcement);
+
     /// \returns true time since the start of 1970, alike at all entries; nothing before the store's
     /// clock and the entries' rows are known.
     std::optional<milliseconds> trueTime();
@@ -164,7 +180,10 @@
     void noteTime(const row_batch &batch);
     milliseconds storeNow();
     void keepListed();
+    /// \returns true while others, who give rows to this entry, have the time to write its row.
+    bool isListedByOthers();
     void announce();
+    void writeAnnounced();
     void dropGone(const listed_entry &entry);
     /// \returns true when what other entries have found is known up to a moment ago: this entry
     /// reads the store itself, so that the others tell it all.
@@ -216,6 +235,10 @@
     time_point m_nextHeldLineAt{};
     bool m_writing = false;
     time_point m_nextAnnounceAt{};
+    std::optional<time_point> m_unlistedSince;
+    time_point m_nextAnnouncementAt{};
+    std::map<std::string, entry_announcement> m_announced; ///< by entries that are not listed yet
+    bool m_isGathering = false;
     time_point m_toldAt{};
     time_point m_nextWriteAt{};
     store_clock m_clock;
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -286,9 +286,11 @@
     if (!m_clock.isKnown() || !m_ownTableRead || m_runtime.now() < m_nextAnnounceAt)
         return;
     if (m_roster.isOwnDue(storeNow())) {
-        announce();
+        if (!isListedByOthers())
+            announce();
         return;
     }
+    m_unlistedSince.reset();
     dropOldFinding();
     const std::optional<listed_entry> gone = m_roster.expired(storeNow());
     // Any entry may do it; the chance keeps most of them from doing it at once.
@@ -297,6 +299,76 @@
         dropGone(*gone);
 }
 
+template <row_store_like Store, runtime_like Runtime>
+bool store_sync<Store, Runtime>::isListedByOthers()
+{
+    if (!m_links.relay.isPreferred || !m_links.relay.isPreferred())
+        return false;
+    if (!m_unlistedSince)
+        m_unlistedSince = m_runtime.now();
+    return m_runtime.now() - *m_unlistedSince < listedByOthers;
+}
+
+template <row_store_like Store, runtime_like Runtime>
+std::optional<entry_announcement> store_sync<Store, Runtime>::nextAnnouncement()
+{
+    const bool isListed = m_ownTableRead && m_clock.isKnown() && !m_roster.isOwnDue(storeNow());
+    if (isListed || m_runtime.now() < m_nextAnnouncementAt)
+        return std::nullopt;
+    m_nextAnnouncementAt = m_runtime.now() + announcedEvery;
+    return entry_announcement{m_links.entry, m_links.place, milliseconds(wallMilliseconds())};
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::takeAnnouncement(const entry_announcement &announcement)
+{
+    if (announcement.entry == m_links.entry)
+        return;
+    entry_announcement taken = announcement;
+    // Its time of day goes on while its row waits to be written.
+    taken.wallTime -= std::chrono::duration_cast<milliseconds>(m_runtime.now().time_since_epoch());
+    m_announced[announcement.entry] = std::move(taken);
+    if (std::exchange(m_isGathering, true))
+        return;
+    m_runtime.after(announcementsGather, [this] {
+        m_isGathering = false;
+        writeAnnounced();
+    });
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::writeAnnounced()
+{
+    const bool knows = m_clock.isKnown() && m_ownTableRead;
+    const std::map<std::string, entry_announcement> announced = std::exchange(m_announced, {});
+    const milliseconds now
+            = std::chrono::duration_cast<milliseconds>(m_runtime.now().time_since_epoch());
+    std::vector<row_write> rows;
+    const auto write = [&] {
+        logInfo(log_part::fleet, "entries listed for others",
+                {{"entries", std::int64_t(rows.size())}});
+        m_store.write(std::exchange(rows, {}), [](outcome<conditional_write, row_failure> result) {
+            // They write their rows themselves after a while.
+            if (!result)
+                logWarning(log_part::platform, "entries not listed",
+                           {{"why", textOf(result.error())}});
+        });
+    };
+    for (const auto &[name, item] : announced) {
+        // It asked before it had read that it is listed.
+        if (!knows || !m_roster.isDue(name, storeNow()))
+            continue;
+        entry_place place = item.place;
+        place.writtenAt = storeNow();
+        place.wallAhead = item.wallTime + now - place.writtenAt;
+        rows.push_back({std::string(ownTable), entryKey(name), encodeEntry(place), std::nullopt});
+        if (rows.size() == mostAnnounced)
+            write();
+    }
+    if (!rows.empty())
+        write();
+}
+
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::announce()
 {
--- /dev/null
+++ b/lib/Proxy/EntryAnnouncement.cpp
@@ -0,0 +1,43 @@
+//===-- EntryAnnouncement.cpp - an entry asks to be listed ------------------===//
+//
+// The text goes as a header's value: Base64 of a MessagePack array of name, time of day and row.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/EntryAnnouncement.h"
+
+#include "laurelcroft/Support/Crypto.h"
+#include "laurelcroft/Support/MessagePack.h"
+
+using namespace laurelcroft;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t fields = 3;
+/// Names of entries are shorter.
+constexpr std::size_t longestName = 200;
+
+} // namespace
+
+std::string laurelcroft::encodeAnnouncement(const entry_announcement &announcement)
+{
+    return toBase64(packed(json::array(
+            {announcement.entry, announcement.wallTime.count(), encodeEntry(announcement.place)})));
+}
+
+std::optional<entry_announcement> laurelcroft::decodeAnnouncement(std::string_view bytes)
+{
+    const std::optional<std::string> text = fromBase64(std::string(bytes));
+    const json item = text ? unpacked(*text) : json();
+    const bool hasForm = item.is_array() && item.size() == fields && item[0].is_string()
+            && item[1].is_number_integer() && item[2].is_string();
+    if (!hasForm)
+        return std::nullopt;
+    entry_announcement announcement{item[0].get<std::string>(),
+                                    decodeEntry(item[2].get<std::string>()),
+                                    milliseconds(item[1].get<std::int64_t>())};
+    const bool isNamed = !announcement.entry.empty() && announcement.entry.size() <= longestName;
+    if (!isNamed || announcement.place.address.empty())
+        return std::nullopt;
+    return announcement;
+}
--- a/lib/Proxy/EntryRoster.cpp
+++ b/lib/Proxy/EntryRoster.cpp
@@ -28,10 +28,10 @@
     m_versions.erase(name);
 }
 
-bool entry_roster::isOwnDue(milliseconds storeNow) const
+bool entry_roster::isDue(const std::string &name, milliseconds storeNow) const
 {
-    const auto own = m_entries.find(m_own);
-    return own == m_entries.end() || storeNow - own->second.writtenAt >= renewEvery;
+    const auto known = m_entries.find(name);
+    return known == m_entries.end() || storeNow - known->second.writtenAt >= renewEvery;
 }
 
 std::optional<listed_entry> entry_roster::expired(milliseconds storeNow) const
--- a/lib/Proxy/PeerRows.cpp
+++ b/lib/Proxy/PeerRows.cpp
@@ -85,6 +85,7 @@
     milliseconds hold;
     row_server server;
 
+    std::function<std::optional<entry_announcement>()> announced; ///< by this entry
     std::vector<std::string> peers;
     row_sources sources;
     bool asksFirstPeers = false;
@@ -133,6 +134,13 @@
     return m_state->server.port();
 }
 
+void peer_rows::setAnnouncements(std::function<std::optional<entry_announcement>()> own,
+                                 std::function<void(const entry_announcement &)> listener)
+{
+    m_state->announced = std::move(own);
+    m_state->server.setAnnouncementListener(std::move(listener));
+}
+
 void peer_rows::setPeers(std::vector<std::string> peers)
 {
     std::erase(peers, m_state->ownAddress);
@@ -252,6 +260,8 @@
     http_call request;
     request.url = "http://" + *peer + std::string(row_server::path) + "?tables=" + queryOf(asked)
             + "&hold=" + std::to_string(holdWanted.count());
+    if (const auto own = announced ? announced() : std::nullopt)
+        request.headers.push_back({std::string(announcementHeader), encodeAnnouncement(*own)});
     request.timeout = holdWanted + peerTimeout;
     request.connectTimeout = peerTimeout;
     call = http.fetch(std::move(request),
--- a/lib/Proxy/RowServer.cpp
+++ b/lib/Proxy/RowServer.cpp
@@ -7,6 +7,7 @@
 
 #include "laurelcroft/Proxy/CallerServer.h"
 #include "laurelcroft/Proxy/RowWire.h"
+#include "laurelcroft/Support/Log.h"
 #include "laurelcroft/Support/Settings.h"
 
 #include <asio/io_context.hpp>
@@ -75,6 +76,7 @@
     state(asio::io_context &context, row_mirror &mirror, metric_registry &metrics);
 
     void serve(const message_head &head, caller_exchange &exchange);
+    void noteAnnouncement(const message_head &head) const;
     void holdRead(std::vector<table_since> tables, caller_exchange &exchange, milliseconds time);
     milliseconds longestHoldOf(const std::vector<table_since> &tables) const;
     void answer(const std::vector<table_since> &tables, caller_exchange &exchange);
@@ -87,6 +89,7 @@
     row_mirror &mirror;
     metric_registry &metrics;
     caller_server server;
+    std::function<void(const entry_announcement &)> onAnnounced;
     std::list<held_read> held;
     std::map<std::string, packed_table> packed; ///< whole tables, by name
     bool changeNoted = false;
@@ -123,6 +126,23 @@
     return m_state->server.port();
 }
 
+void row_server::setAnnouncementListener(std::function<void(const entry_announcement &)> listener)
+{
+    m_state->onAnnounced = std::move(listener);
+}
+
+void row_server::state::noteAnnouncement(const message_head &head) const
+{
+    const std::string_view text = findHeader(head.headers, announcementHeader);
+    if (text.empty() || !onAnnounced)
+        return;
+    if (const std::optional<entry_announcement> announcement = decodeAnnouncement(text))
+        onAnnounced(*announcement);
+    else
+        logWarning(log_part::fleet, "announcement of an entry refused",
+                   {{"bytes", std::int64_t(text.size())}});
+}
+
 void row_server::state::serve(const message_head &head, caller_exchange &exchange)
 {
     const std::string_view target = head.target;
@@ -131,6 +151,7 @@
         exchange.reply(http_status::notFound, {}, "");
         return;
     }
+    noteAnnouncement(head);
     const std::string_view parameters = target.substr(query + 1);
     std::vector<table_since> tables = tablesIn(queryValue(parameters, "tables"));
     const milliseconds wanted = holdIn(queryValue(parameters, "hold"));
--- a/unittests/Proxy/EntryFleet.h
+++ b/unittests/Proxy/EntryFleet.h
@@ -158,6 +158,10 @@
     fleet_entry *peer = nullptr;
     for (std::size_t i = 0; !peer && i < from.size(); ++i)
         peer = all.find(from[next++ % from.size()]);
+    if (peer) {
+        if (const auto own = sync.nextAnnouncement())
+            peer->sync.takeAnnouncement(*own);
+    }
     const auto newsOf = [&](const row_mirror &mirror) {
         const time_point now = all.runtime.now();
         return since == nothingKnown ? mirror.readForStart(table, now)
--- a/unittests/Proxy/FleetStartTests.cpp
+++ b/unittests/Proxy/FleetStartTests.cpp
@@ -51,7 +51,33 @@
     fleet.runtime.advance(seconds(2));
     CHECK(fleet.ready() == entriesOfFleet);
     CHECK(fleet.store.lists <= 3 * firstPeers);
-    CHECK(fleet.calls() <= entriesOfFleet + 40);
+    CHECK(fleet.store.writes <= 3 * firstPeers);
+    CHECK(fleet.calls() <= 50);
+    // All are listed, each with its own place.
+    for (fleet_entry &entry : fleet.entries) {
+        const entry_place place
+                = decodeEntry(fleet.store.valueOf(std::string(ownTable), entryKey(entry.name)));
+        CHECK(place.address == entry.address);
+        CHECK(place.wallAhead);
+        CHECK(entry.routing.entries() == entriesOfFleet);
+    }
+}
+
+TEST_CASE("an entry whose peers do not write its row writes it itself")
+{
+    fleet fleet;
+    fill(fleet);
+    fleet.start(0, firstPeers);
+    fleet.runtime.advance(seconds(2));
+    // The peers reach no store any more, but give on what they know.
+    for (fleet_entry &entry : fleet.entries)
+        entry.store.isTurnedAway = true;
+    fleet.start(firstPeers, firstPeers + 1);
+    fleet.runtime.advance(seconds(1));
+    CHECK(fleet.store.valueOf(std::string(ownTable), entryKey(fleet.entries.back().name)).empty());
+    fleet.runtime.advance(seconds(3));
+    CHECK_FALSE(fleet.store.valueOf(std::string(ownTable), entryKey(fleet.entries.back().name))
+                        .empty());
 }
 
 TEST_CASE("entries that are restarted together wait for none of the first peers, which come last")
--- a/unittests/Proxy/PeerRowsTests.cpp
+++ b/unittests/Proxy/PeerRowsTests.cpp
@@ -238,6 +238,34 @@
 
 } // namespace
 
+TEST_CASE("a read tells who wants to be listed, and what is no announcement is refused")
+{
+    asio::io_context context;
+    one_entry teller(context, "127.0.0.1:0");
+    REQUIRE(teller.rows.open().empty());
+    teller.mirror.take("t", {{{"k", "v", 3, false}}, 3, {}}, true, bootNow());
+    std::vector<entry_announcement> heard;
+    teller.rows.setAnnouncements(
+            {}, [&](const entry_announcement &announced) { heard.push_back(announced); });
+    one_entry asker(context, "127.0.0.1:1");
+    asker.rows.setPeers({"127.0.0.1:" + std::to_string(teller.rows.port())});
+    entry_announcement own{"edge-7", {"10.0.0.7:5", "hall"}, milliseconds(1'700'000'000'000)};
+    own.place.processorShare = 0.5;
+    asker.rows.setAnnouncements([&] { return std::optional(own); }, {});
+    std::optional<outcome<row_news, row_failure>> result;
+    asker.rows.read("t", 0, [&](outcome<row_news, row_failure> news) { result = std::move(news); });
+    while (!result)
+        context.run_one();
+    REQUIRE(heard.size() == 1);
+    CHECK(heard[0].entry == "edge-7");
+    CHECK(heard[0].place.address == "10.0.0.7:5");
+    CHECK(heard[0].place.dataCentre == "hall");
+    CHECK(heard[0].place.processorShare == 0.5);
+    CHECK(heard[0].wallTime == own.wallTime);
+    for (const char *text : {"", "!", "kA==", "k6FhAaJ7fQ=="})
+        CHECK_FALSE(decodeAnnouncement(text));
+}
+
 TEST_CASE("reads that come together are one request, and each gets its table")
 {
     two_entries two;
