--- a/include/laurelcroft/Proxy/RowServer.h
+++ b/include/laurelcroft/Proxy/RowServer.h
@@ -31,7 +31,7 @@
 };
 
 /// Header of a read whose sender asks to be listed.
-inline constexpr std::string_view announcementHeader = "Laurelcroft-Entry";
+inline constexpr std::string_view announcementHeader = "Entry-Announcement";
 
 /// Answers GET /rows?tables=NAME:SINCE,NAME:SINCE&hold=MS. One thread.
 class row_server
