Routes and customers that are bound to regions are served by endpoints there only

Found by reading: the contract may bind a route or a customer to regions, and nothing in the code knew of them. Endpoints elsewhere are left out before any are sampled; the refusal says why, at once.

--- a/include/laurelcroft/Contract/ServiceContract.h
+++ b/include/laurelcroft/Contract/ServiceContract.h
@@ -50,6 +50,7 @@
     int priority = 5; ///< 0 is the most urgent
     std::vector<std::string> models; ///< smallest first; empty: the caller names the model
     std::vector<weighted_service> services;
+    std::vector<std::string> homeRegions; ///< only endpoints there may serve it; empty: any
 
     /// \returns true when a request may be sent again after it may have run.
     bool mayRepeat() const { return repeatable || (form == answer_form::events && resumable); }
@@ -89,6 +90,7 @@
 {
     std::string name;
     std::optional<int> priority; ///< goes before the route's
+    std::vector<std::string> homeRegions; ///< only endpoints there may serve it; empty: any
 };
 
 /// A whole contract.
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -28,6 +28,7 @@
     coldEndpoints, ///< all that are left are cold and bear no more now
     evacuated, ///< all that are listed stand in data centres that must get nothing
     withheld, ///< endpoints ended under it, one after the other
+    outsideRegions, ///< all that are left stand outside the regions that it is bound to
     refusedByEndpoints, ///< all that were asked refused without running it
     brokenAttempt, ///< an endpoint broke off and nothing more may be tried
     silentEndpoint,
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -119,6 +119,9 @@
     std::optional<endpoint_pick> pickSameVersion(const std::vector<endpoint_ptr> &usable);
     std::optional<endpoint_pick> pickForRest(const std::vector<endpoint_ptr> &usable);
     bool isBesideSuspect(const service_endpoint &endpoint);
+    bool isBoundToRegions() const;
+    /// \returns those of \p endpoints where both the route and the customer may be served.
+    std::vector<endpoint_ptr> withinRegions(const std::vector<endpoint_ptr> &endpoints);
     direct_candidate candidateFor(const endpoint_ptr &endpoint, const prompt_cost &prompt);
     std::optional<endpoint_pick> pickAmong(const std::vector<endpoint_ptr> &endpoints);
     /// \param items what is to be known of \p endpoints to leave out some.
@@ -224,6 +227,7 @@
     suspicion m_suspicion = suspicion::none; ///< of this request, at the last choice
     bool m_isTrial = false; ///< the current attempt is one of a suspected request
     bool m_withheld = false; ///< the last choice left out endpoints that must not get it
+    bool m_regionLeftOut = false; ///< the last choice passed over an endpoint outside its regions
     bool m_roomComes = false; ///< one of those has a share for this entry
     std::optional<time_point> m_waitsSince; ///< for room at a cold endpoint
     unsigned m_number = 0; ///< of the current attempt; older ones' events are void
--- a/include/laurelcroft/Proxy/RequestFlowChoosing.h
+++ b/include/laurelcroft/Proxy/RequestFlowChoosing.h
@@ -41,9 +41,14 @@
     m_coldLeftOut = false;
     m_roomComes = false;
     m_withheld = false;
+    m_regionLeftOut = false;
     m_suspicion = ownSuspicion();
     rollout_tracker &rollouts = state.rollouts(m_service);
-    const std::vector<endpoint_ptr> &usable = state.directory().usable(m_service);
+    const std::vector<endpoint_ptr> &listed = state.directory().usable(m_service);
+    // Before anything is sampled: of thousands, few may stand where the request may be served.
+    const std::vector<endpoint_ptr> within
+            = isBoundToRegions() ? withinRegions(listed) : std::vector<endpoint_ptr>();
+    const std::vector<endpoint_ptr> &usable = isBoundToRegions() ? within : listed;
     // Where a roll-out is over, the version that began the stream may have ended at once; before
     // this entry hears so, refused connections tell.
     const bool mayHaveEnded = rollouts.isOver() || m_unreached >= flow_bounds::endedVersion;
@@ -152,6 +157,29 @@
     return candidate;
 }
 
+template <flow_environment Env>
+bool request_flow<Env>::isBoundToRegions() const
+{
+    return !m_route->homeRegions.empty() || (m_customer && !m_customer->homeRegions.empty());
+}
+
+template <flow_environment Env>
+std::vector<endpoint_ptr>
+request_flow<Env>::withinRegions(const std::vector<endpoint_ptr> &endpoints)
+{
+    const routing_state &state = m_env.routing();
+    std::vector<endpoint_ptr> within;
+    for (const endpoint_ptr &endpoint : endpoints) {
+        const std::string &place = endpoint->record().dataCentre;
+        const bool mayServe = state.liesIn(place, m_route->homeRegions)
+                && (!m_customer || state.liesIn(place, m_customer->homeRegions));
+        if (mayServe)
+            within.push_back(endpoint);
+    }
+    m_regionLeftOut = within.size() < endpoints.size();
+    return within;
+}
+
 template <flow_environment Env>
 bool request_flow<Env>::isBesideSuspect(const service_endpoint &endpoint)
 {
@@ -205,6 +233,8 @@
     // Mostly there is one version, and nothing needs to be looked through.
     if (rollouts.mayUseAll(state.directory().onlyVersion(m_service))) {
         m_versionReason = version_reason::single;
+        if (isBoundToRegions())
+            return pickAmong(usable);
         return pickAmong(usable, state.sampled(m_service));
     }
     const version_choice choice = rollouts.eligible(usable, sessionRequest());
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -167,9 +167,10 @@
     } else if (state.directory().isEvacuated(m_service)) {
         refuse(http_status::unavailable, flow_reason::evacuated, flow_bounds::retryAfterNothing);
     } else {
-        refuse(http_status::unavailable,
-               m_coldLeftOut ? flow_reason::coldEndpoints : flow_reason::noEndpoint,
-               flow_bounds::retryAfterNothing);
+        const flow_reason why = m_coldLeftOut ? flow_reason::coldEndpoints
+                : m_regionLeftOut             ? flow_reason::outsideRegions
+                                              : flow_reason::noEndpoint;
+        refuse(http_status::unavailable, why, flow_bounds::retryAfterNothing);
     }
 }
 
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -36,6 +36,7 @@
     send_budget_bounds repeats;
     double rolloutExposure = 0.1; ///< share of requests for a version under roll-out
     std::string dataCentre; ///< of this entry
+    std::map<std::string, std::string> regions; ///< by data centre
 };
 
 /// A request that an endpoint runs for a customer.
@@ -70,6 +71,17 @@
     crash_suspects &suspects() { return m_crashes.suspects(); }
     const cascade_settings &cascade() const { return m_cascade; }
     const std::string &dataCentre() const { return m_bounds.dataCentre; }
+
+    /// \returns true when \p dataCentre lies in one of \p regions; always where none is named. One
+    /// of which no region is known lies in none.
+    bool liesIn(const std::string &dataCentre, std::span<const std::string> regions) const
+    {
+        if (regions.empty())
+            return true;
+        const auto region = m_bounds.regions.find(dataCentre);
+        return region != m_bounds.regions.end()
+                && std::find(regions.begin(), regions.end(), region->second) != regions.end();
+    }
     random_source &random() { return m_random; }
 
     rollout_tracker &rollouts(std::string_view service);
