--- a/include/laurelcroft/Usage/UsageDutyImpl.h
+++ b/include/laurelcroft/Usage/UsageDutyImpl.h
@@ -237,8 +237,11 @@
 {
     m_isLooking = false;
     m_nextLookAt = now() + longestLook;
-    if (!result)
+    if (!result) {
+        logWarning(log_part::ledger, "rows of the usage duty not read",
+                   {{"why", textOf(result.error())}});
         return;
+    }
     const row_batch &rows = result.value();
     m_bounds.note(rows.storeTime, askedAt, now());
     const auto it = std::find_if(rows.rows.begin(), rows.rows.end(),
