--- a/include/laurelcroft/Usage/UsageDuty.h
+++ b/include/laurelcroft/Usage/UsageDuty.h
@@ -33,11 +33,11 @@
     static constexpr milliseconds tellAgainAfter{400};
     /// Bytes of a datagram that batches may fill.
     static constexpr std::size_t mostNoticeBytes = 1200;
-    /// From a window's end until its counts are complete here: whole answers come later than the
-    /// requests that they belong to.
+    /// From a window's end until its counts are complete here: by then an endpoint has refused what
+    /// it does not run.
     static constexpr milliseconds answerWait{1000};
-    /// A holder that was not heard for this long may be gone: three heartbeats, less what they are
-    /// late. The first in the order looks then, each further one this much later.
+    /// A holder that was not heard for this long may be gone: two heartbeats have not come. The
+    /// first in the order looks then, each further one \c rankStep later.
     static constexpr milliseconds silence{2500};
     /// The same for a process that has just started.
     static constexpr milliseconds firstSilence{1200};
