--- a/include/laurelcroft/Platform/StoreTimeBounds.h
+++ b/include/laurelcroft/Platform/StoreTimeBounds.h
@@ -22,11 +22,8 @@
         m_reading = reading;
         m_askedAt = askedAt;
         m_answeredAt = answeredAt;
-        m_isKnown = true;
     }
 
-    bool isKnown() const { return m_isKnown; }
-
     /// \returns what the store's clock shows at \p now at least.
     milliseconds earliest(time_point now) const
     {
@@ -40,7 +37,6 @@
     }
 
 private:
-    bool m_isKnown = false;
     milliseconds m_reading{0};
     time_point m_askedAt{};
     time_point m_answeredAt{};
--- a/include/laurelcroft/Proxy/RowMirror.h
+++ b/include/laurelcroft/Proxy/RowMirror.h
@@ -91,6 +91,9 @@
         milliseconds storeTime{0};
         time_point confirmedAt{};
     };
+    /// \param storeTime that the store's clock showed at \p confirmedAt.
+    void take(const std::string &table, const row_batch &batch, bool whole, milliseconds storeTime,
+              time_point confirmedAt);
     static aged_news headSince(const copy &known, std::uint64_t since, const news_state &state);
     static aged_news newsSince(const copy &known, std::uint64_t since, const news_state &state);
     static void forget(copy &known, const std::string &key);
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -182,6 +182,8 @@
     void keepListed();
     /// \returns true while others, who give rows to this entry, have the time to write its row.
     bool isListedByOthers();
+    /// \returns the row that lists \p entry from now on. \param wallTime its time of day.
+    row_write entryRow(const std::string &entry, entry_place place, milliseconds wallTime);
     void announce();
     void writeAnnounced();
     void dropGone(const listed_entry &entry);
@@ -237,7 +239,13 @@
     time_point m_nextAnnounceAt{};
     std::optional<time_point> m_unlistedSince;
     time_point m_nextAnnouncementAt{};
-    std::map<std::string, entry_announcement> m_announced; ///< by entries that are not listed yet
+    struct heard_announcement
+    {
+        entry_announcement what;
+        time_point at{};
+    };
+    std::map<std::string, heard_announcement> m_announced; ///< by entries that are not listed yet
+    std::optional<milliseconds> m_wallAhead; ///< as the roster says
     bool m_isGathering = false;
     time_point m_toldAt{};
     time_point m_nextWriteAt{};
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -121,8 +121,8 @@
 {
     if (!m_clock.isKnown() || !m_ownTableRead)
         return std::nullopt;
-    if (const std::optional<milliseconds> ahead = m_roster.wallAhead())
-        return storeNow() + *ahead;
+    if (m_wallAhead)
+        return storeNow() + *m_wallAhead;
     return milliseconds(wallMilliseconds());
 }
 
@@ -222,6 +222,7 @@
     });
     if (!news.whole && !tellsOfEntries)
         return;
+    m_wallAhead = m_roster.wallAhead();
     std::vector<std::string> names;
     for (const auto &[name, place] : m_roster.entries())
         names.push_back(name);
@@ -324,10 +325,7 @@
 {
     if (announcement.entry == m_links.entry)
         return;
-    entry_announcement taken = announcement;
-    // Its time of day goes on while its row waits to be written.
-    taken.wallTime -= std::chrono::duration_cast<milliseconds>(m_runtime.now().time_since_epoch());
-    m_announced[announcement.entry] = std::move(taken);
+    m_announced[announcement.entry] = {announcement, m_runtime.now()};
     if (std::exchange(m_isGathering, true))
         return;
     m_runtime.after(announcementsGather, [this] {
@@ -340,9 +338,7 @@
 void store_sync<Store, Runtime>::writeAnnounced()
 {
     const bool knows = m_clock.isKnown() && m_ownTableRead;
-    const std::map<std::string, entry_announcement> announced = std::exchange(m_announced, {});
-    const milliseconds now
-            = std::chrono::duration_cast<milliseconds>(m_runtime.now().time_since_epoch());
+    const std::map<std::string, heard_announcement> announced = std::exchange(m_announced, {});
     std::vector<row_write> rows;
     const auto write = [&] {
         logInfo(log_part::fleet, "entries listed for others",
@@ -358,10 +354,8 @@
         // It asked before it had read that it is listed.
         if (!knows || !m_roster.isDue(name, storeNow()))
             continue;
-        entry_place place = item.place;
-        place.writtenAt = storeNow();
-        place.wallAhead = item.wallTime + now - place.writtenAt;
-        rows.push_back({std::string(ownTable), entryKey(name), encodeEntry(place), std::nullopt});
+        const auto waited = std::chrono::duration_cast<milliseconds>(m_runtime.now() - item.at);
+        rows.push_back(entryRow(name, item.what.place, item.what.wallTime + waited));
         if (rows.size() == mostAnnounced)
             write();
     }
@@ -369,16 +363,21 @@
         write();
 }
 
+template <row_store_like Store, runtime_like Runtime>
+row_write store_sync<Store, Runtime>::entryRow(const std::string &entry, entry_place place,
+                                               milliseconds wallTime)
+{
+    place.writtenAt = storeNow();
+    place.wallAhead = wallTime - place.writtenAt;
+    return {std::string(ownTable), entryKey(entry), encodeEntry(place), std::nullopt};
+}
+
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::announce()
 {
     // The own row comes back by the feed; until then it is not written again.
     m_nextAnnounceAt = m_runtime.now() + announcePause;
-    entry_place place = m_links.place;
-    place.writtenAt = storeNow();
-    place.wallAhead = milliseconds(wallMilliseconds()) - place.writtenAt;
-    const row_write row{std::string(ownTable), entryKey(m_links.entry), encodeEntry(place),
-                        std::nullopt};
+    const row_write row = entryRow(m_links.entry, m_links.place, milliseconds(wallMilliseconds()));
     m_store.write({row}, [](outcome<conditional_write, row_failure> result) {
         if (!result)
             logWarning(log_part::platform, "entry not announced, trying again",
--- a/include/laurelcroft/Support/MessagePack.h
+++ b/include/laurelcroft/Support/MessagePack.h
@@ -8,11 +8,15 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
 namespace laurelcroft {
 
+/// Names of entries, endpoints, services, routes and customers are shorter.
+inline constexpr std::size_t longestName = 200;
+
 /// \returns \p value in MessagePack.
 inline std::string packed(const nlohmann::json &value)
 {
@@ -30,6 +34,12 @@
     return nlohmann::json::from_msgpack(bytes.begin(), bytes.end(), strict, throws);
 }
 
+/// \returns true for a text that may be a name; it may be empty.
+inline bool isName(const nlohmann::json &item)
+{
+    return item.is_string() && item.get_ref<const std::string &>().size() <= longestName;
+}
+
 } // namespace laurelcroft
 
 #endif
--- a/include/laurelcroft/Usage/UsageDuty.h
+++ b/include/laurelcroft/Usage/UsageDuty.h
@@ -48,8 +48,8 @@
     /// From one look at the rows to the next.
     static constexpr milliseconds shortestLook{300};
     static constexpr milliseconds longestLook{1500};
-    /// Requests that are kept while no time is known.
-    static constexpr std::size_t mostEarly = 10'000;
+    /// Counts that wait at most: true time may not be known for long.
+    static constexpr std::size_t mostWaiting = 10'000;
 
     /// \param metrics outlives this.
     usage_duty(Env env, usage_settings settings, metric_registry &metrics);
@@ -78,7 +78,7 @@
     using holder = usage_holder<Env>;
 
     void tick();
-    void countEarly(milliseconds trueTime);
+    void countWaiting(milliseconds trueTime);
     void cutBatch(milliseconds trueTime);
     milliseconds tellEvery() const;
     void tellHolder(bool isNew);
@@ -104,14 +104,14 @@
     metric_registry &m_metrics;
     usage_meter m_meter;
     std::uint64_t m_life = 0; ///< true time of this process's first count; 0: not known yet
-    /// A count before true time is known.
-    struct early_count
+    /// A count that goes into its window at the next look, or once true time is known.
+    struct waiting_count
     {
         std::string customer;
         time_point at{};
         std::int64_t number = 0;
     };
-    std::vector<early_count> m_early;
+    std::vector<waiting_count> m_waiting;
     std::vector<std::string> m_others; ///< in the order in which they follow a holder
     std::size_t m_rank = 0; ///< of this entry in that order
     std::shared_ptr<holder> m_holder; ///< while this entry has the duty
--- a/include/laurelcroft/Usage/UsageDutyImpl.h
+++ b/include/laurelcroft/Usage/UsageDutyImpl.h
@@ -49,20 +49,20 @@
 void usage_duty<Env>::count(std::string_view customer, time_point at, std::int64_t number)
 {
     // The store may stay away from the start on: then there is no clock.
-    if (m_early.size() < mostEarly)
-        m_early.push_back({std::string(customer), at, number});
+    if (m_waiting.size() < mostWaiting)
+        m_waiting.push_back({std::string(customer), at, number});
     else
         m_metrics.add("usage_requests_late_total");
 }
 
 template <usage_environment Env>
-void usage_duty<Env>::countEarly(milliseconds trueTime)
+void usage_duty<Env>::countWaiting(milliseconds trueTime)
 {
-    for (const early_count &item : m_early) {
+    for (const waiting_count &item : m_waiting) {
         const auto ago = std::chrono::duration_cast<milliseconds>(now() - item.at);
         m_meter.count(item.customer, m_settings.windows.at(trueTime - ago), item.number);
     }
-    m_early.clear();
+    m_waiting.clear();
 }
 
 template <usage_environment Env>
@@ -98,7 +98,7 @@
         return;
     if (m_life == 0)
         m_life = static_cast<std::uint64_t>(trueTime->count());
-    countEarly(*trueTime);
+    countWaiting(*trueTime);
     const bool isDue = now() >= m_nextTellAt;
     const std::size_t before = m_meter.unacknowledged().size();
     if (isDue) {
@@ -346,7 +346,7 @@
     m_holder->announce();
     m_holder->takeRows(rows);
     if (m_isRetired)
-        m_holder->release([] {});
+        m_holder->release();
 }
 
 template <usage_environment Env>
@@ -388,14 +388,14 @@
 {
     m_isRetired = true;
     if (isHolder())
-        m_holder->release([] {});
+        m_holder->release();
 }
 
 template <usage_environment Env>
 void usage_duty<Env>::finish(milliseconds longest, std::function<void()> done)
 {
     if (const std::optional<milliseconds> trueTime = m_env.trueTime()) {
-        countEarly(*trueTime);
+        countWaiting(*trueTime);
         cutBatch(*trueTime);
         m_allToldAt = {};
         tellHolder(true);
@@ -406,7 +406,7 @@
 template <usage_environment Env>
 void usage_duty<Env>::checkFinished(time_point latest, std::function<void()> done)
 {
-    const bool isSettled = m_early.empty() && m_meter.isSettled() && !isHolder();
+    const bool isSettled = m_waiting.empty() && m_meter.isSettled() && !isHolder();
     if (isSettled || now() >= latest) {
         done();
         return;
--- a/include/laurelcroft/Usage/UsageHolder.h
+++ b/include/laurelcroft/Usage/UsageHolder.h
@@ -68,8 +68,8 @@
     /// Tells all other entries who has the duty.
     void announce();
 
-    /// Gives the duty back. \param done is called once it is over, or can't be given back.
-    void release(std::function<void()> done);
+    /// Gives the duty back, once no report is on its way.
+    void release();
 
     /// Another entry says that it has the duty.
     void takenOver() { lose("another holder"); }
@@ -99,6 +99,8 @@
     void reportNext();
     void onReported(window_number window, bool isTold);
     void heartbeat();
+    /// \returns what tells that this holder lives.
+    usage_ack lifeSign() const { return {m_settings.entry, m_row.lease.token, 0, 0}; }
     time_point now() { return m_env.runtime().now(); }
 
     Env &m_env;
@@ -114,7 +116,7 @@
     std::vector<std::string> m_others;
     std::size_t m_nextOther = 0; ///< whose turn it is to hear of the holder
     std::map<std::string, window_number> m_knownSince; ///< the others, by name
-    std::function<void()> m_onReleased; ///< set while the duty is given back
+    bool m_isReleasing = false; ///< the duty is being given back
     window_number m_rowsReadFor = 0;
     bool m_isReadingRows = false;
     bool m_isSaving = false;
--- a/include/laurelcroft/Usage/UsageHolderImpl.h
+++ b/include/laurelcroft/Usage/UsageHolderImpl.h
@@ -44,8 +44,6 @@
     m_metrics.add("usage_duty_total{event=\"lost\"}");
     logWarning(log_part::ledger, "usage duty lost",
                {{"token", std::int64_t(m_row.lease.token)}, {"why", why}});
-    if (m_onReleased)
-        std::exchange(m_onReleased, nullptr)();
 }
 
 template <usage_environment Env>
@@ -57,10 +55,10 @@
         lose("lease is over");
         return;
     }
-    if (!m_onReleased)
+    if (!m_isReleasing)
         decideDue();
     const bool isRenewalDue = now() - m_savedAt >= m_settings.lease / 4;
-    const bool isSaveDue = m_hasNews || isRenewalDue || m_onReleased;
+    const bool isSaveDue = m_hasNews || isRenewalDue || m_isReleasing;
     if (isSaveDue && !m_isSaving && now() >= m_nextSaveAt && mayGiveBackNow())
         save();
     reportNext();
@@ -71,7 +69,7 @@
 bool usage_holder<Env>::mayGiveBackNow()
 {
     // A report that is still on its way would come after the successor's.
-    return !m_onReleased || (!m_isReporting && now() >= m_reportsOverAt);
+    return !m_isReleasing || (!m_isReporting && now() >= m_reportsOverAt);
 }
 
 template <usage_environment Env>
@@ -117,7 +115,7 @@
     m_nextSaveAt = m_savedAt + saveEvery;
     const milliseconds earliest = m_bounds.earliest(m_savedAt);
     ++m_row.save;
-    m_row.lease.until = m_onReleased ? earliest : earliest + m_settings.lease;
+    m_row.lease.until = m_isReleasing ? earliest : earliest + m_settings.lease;
     const row_write write{std::string(usageTable), std::string(usageKey), encodeUsageRow(m_row),
                           m_version};
     const std::weak_ptr<usage_holder> weak = this->weak_from_this();
@@ -165,7 +163,7 @@
             acknowledge(process, progress.counted);
     }
     // A write that was begun before the duty was given back has the lease go on.
-    if (!m_onReleased || saved.lease.until > m_bounds.earliest(now()))
+    if (!m_isReleasing || saved.lease.until > m_bounds.earliest(now()))
         return;
     m_isOver = true;
     m_metrics.add("usage_duty_total{event=\"handed_over\"}");
@@ -173,7 +171,6 @@
             {{"token", std::int64_t(m_row.lease.token)}});
     for (std::size_t i = 0; i < std::min(toldOfHandover, m_others.size()); ++i)
         m_env.tell(m_others[i], usage_handover{m_settings.entry, m_row.lease.token});
-    std::exchange(m_onReleased, nullptr)();
 }
 
 template <usage_environment Env>
@@ -299,7 +296,7 @@
 template <usage_environment Env>
 void usage_holder<Env>::reportNext()
 {
-    if (m_isReporting || m_onReleased || now() < m_nextReportAt || !holds(reportMargin))
+    if (m_isReporting || m_isReleasing || now() < m_nextReportAt || !holds(reportMargin))
         return;
     const std::optional<decided_window> next = m_row.ledger.oldestUntold();
     // A decision that no row has yet may be made otherwise by a successor.
@@ -339,26 +336,25 @@
     if (now() < m_nextHeartbeatAt)
         return;
     m_nextHeartbeatAt = now() + heartbeatEvery;
-    const usage_ack alive{m_settings.entry, m_row.lease.token, 0, 0};
     const std::size_t successors = std::min(mostSuccessors, m_others.size());
     for (std::size_t i = 0; i < successors; ++i)
-        m_env.tell(m_others[i], alive);
+        m_env.tell(m_others[i], lifeSign());
     const std::size_t rest = m_others.size() - successors;
     for (std::size_t i = 0; i < std::min(mostSuccessors, rest); ++i)
-        m_env.tell(m_others[successors + m_nextOther++ % rest], alive);
+        m_env.tell(m_others[successors + m_nextOther++ % rest], lifeSign());
 }
 
 template <usage_environment Env>
 void usage_holder<Env>::announce()
 {
     for (const std::string &entry : m_others)
-        m_env.tell(entry, usage_ack{m_settings.entry, m_row.lease.token, 0, 0});
+        m_env.tell(entry, lifeSign());
 }
 
 template <usage_environment Env>
-void usage_holder<Env>::release(std::function<void()> done)
+void usage_holder<Env>::release()
 {
-    m_onReleased = std::move(done);
+    m_isReleasing = true;
     m_nextSaveAt = now();
     tick();
 }
--- a/include/laurelcroft/Usage/UsageLedger.h
+++ b/include/laurelcroft/Usage/UsageLedger.h
@@ -105,7 +105,7 @@
 struct usage_row
 {
     duty_lease lease;
-    std::uint64_t save = 0; ///< number of the write, so that its writer knows it again
+    std::uint64_t save = 0; ///< number of the write, for whoever looks at the row
     usage_ledger ledger;
 };
 
--- a/lib/Proxy/CrashNotices.cpp
+++ b/lib/Proxy/CrashNotices.cpp
@@ -24,18 +24,11 @@
 constexpr std::size_t fieldsOfRequest = 5;
 constexpr std::size_t fieldsOfWithheld = 6;
 constexpr std::size_t fieldsOfCleared = 3;
-/// Names of services and versions are shorter.
-constexpr std::size_t longestName = 200;
 /// Versions and endpoints that are told of one request.
 constexpr std::size_t mostListed = 8;
 
 } // namespace
 
-static bool isName(const json &item)
-{
-    return item.is_string() && item.get_ref<const std::string &>().size() <= longestName;
-}
-
 static bool isKind(const json &item, std::string_view kind)
 {
     return item.is_string() && item.get_ref<const std::string &>() == kind;
--- a/lib/Proxy/EntryAnnouncement.cpp
+++ b/lib/Proxy/EntryAnnouncement.cpp
@@ -14,8 +14,6 @@
 namespace {
 
 constexpr std::size_t fields = 3;
-/// Names of entries are shorter.
-constexpr std::size_t longestName = 200;
 
 } // namespace
 
@@ -29,7 +27,7 @@
 {
     const std::optional<std::string> text = fromBase64(std::string(bytes));
     const json item = text ? unpacked(*text) : json();
-    const bool hasForm = item.is_array() && item.size() == fields && item[0].is_string()
+    const bool hasForm = item.is_array() && item.size() == fields && isName(item[0])
             && item[1].is_number_integer() && item[2].is_string();
     if (!hasForm)
         return std::nullopt;
--- a/lib/Proxy/EvidenceNotice.cpp
+++ b/lib/Proxy/EvidenceNotice.cpp
@@ -19,8 +19,6 @@
 
 constexpr std::size_t fieldsBeforeRoutes = 4;
 constexpr std::size_t fieldsOfRoute = 4;
-/// Names of entries, services and routes are shorter.
-constexpr std::size_t longestName = 200;
 
 } // namespace
 
@@ -43,10 +41,9 @@
     return packed(item);
 }
 
-static bool isName(const json &item)
+static bool isNamed(const json &item)
 {
-    return item.is_string() && !item.get_ref<const std::string &>().empty()
-            && item.get_ref<const std::string &>().size() <= longestName;
+    return isName(item) && !item.get_ref<const std::string &>().empty();
 }
 
 static bool hasForm(const json &item)
@@ -58,7 +55,7 @@
     for (std::size_t i = 0; i < item.size(); ++i) {
         const bool isRoute
                 = i >= fieldsBeforeRoutes && (i - fieldsBeforeRoutes) % fieldsOfRoute == 0;
-        const bool fits = i < 2 || isRoute ? isName(item[i]) : item[i].is_number_unsigned();
+        const bool fits = i < 2 || isRoute ? isNamed(item[i]) : item[i].is_number_unsigned();
         if (!fits)
             return false;
     }
--- a/lib/Proxy/RowMirror.cpp
+++ b/lib/Proxy/RowMirror.cpp
@@ -49,6 +49,18 @@
 
 void row_mirror::take(const std::string &table, const row_batch &batch, bool whole,
                       time_point confirmedAt)
+{
+    take(table, batch, whole, batch.storeTime, confirmedAt);
+}
+
+void row_mirror::takeRelayed(const std::string &table, const aged_news &found, time_point now)
+{
+    const row_batch &batch = found.news.batch;
+    take(table, batch, found.news.whole, batch.storeTime - found.age, now - found.age);
+}
+
+void row_mirror::take(const std::string &table, const row_batch &batch, bool whole,
+                      milliseconds storeTime, time_point confirmedAt)
 {
     copy &known = m_tables[table];
     if (batch.version < known.version)
@@ -72,20 +84,13 @@
     forgetRemoved(known);
     known.version = batch.version;
     if (confirmedAt >= known.confirmedAt) {
-        known.storeTime = batch.storeTime;
+        known.storeTime = storeTime;
         known.confirmedAt = confirmedAt;
     }
     if (m_onChange && (isFirst || !batch.rows.empty()))
         m_onChange();
 }
 
-void row_mirror::takeRelayed(const std::string &table, const aged_news &found, time_point now)
-{
-    row_batch confirmed = found.news.batch;
-    confirmed.storeTime -= found.age;
-    take(table, confirmed, found.news.whole, now - found.age);
-}
-
 news_state row_mirror::look(const std::string &table, std::uint64_t since, time_point now) const
 {
     news_state state;
--- a/lib/Proxy/SendNotices.cpp
+++ b/lib/Proxy/SendNotices.cpp
@@ -29,8 +29,6 @@
 
 /// IP and UDP headers of a datagram.
 constexpr double headerBytes = 28;
-/// An endpoint's id is shorter.
-constexpr std::size_t longestId = 200;
 /// Of a notice: the endpoint's id and the reading.
 constexpr std::size_t fieldsBeforePrefixes = 2;
 /// Savings of the byte budget last for a burst of about this long.
@@ -82,7 +80,7 @@
     if (!prefixes)
         return std::nullopt;
     send_notice notice{item[0].get<std::string>(), milliseconds(reading), *prefixes};
-    if (notice.endpoint.empty() || notice.endpoint.size() > longestId)
+    if (notice.endpoint.empty() || notice.endpoint.size() > longestName)
         return std::nullopt;
     return notice;
 }
--- a/lib/Proxy/StoreReaders.cpp
+++ b/lib/Proxy/StoreReaders.cpp
@@ -83,19 +83,33 @@
     return relays;
 }
 
-static source_ranks rankedSources(const entry_map &entries)
+/// \returns names of the entries that may be asked.
+static std::vector<std::string> reachable(const entry_map &entries)
 {
     std::vector<std::string> names;
     for (const auto &[name, place] : entries) {
         if (!place.address.empty())
             names.push_back(name);
     }
-    const std::size_t readers = std::min(storeReaderCount, names.size());
+    return names;
+}
+
+/// \returns the readers, then as many standbys, of \p names.
+static std::vector<std::string> rankReaders(const std::vector<std::string> &names,
+                                            const entry_map &entries)
+{
+    return rankStrongFirst(names, entries, 2 * std::min(storeReaderCount, names.size()));
+}
+
+static source_ranks rankedSources(const entry_map &entries)
+{
+    const std::vector<std::string> names = reachable(entries);
     source_ranks ranks;
-    ranks.readers = rankStrongFirst(names, entries, 2 * readers);
+    ranks.readers = rankReaders(names, entries);
     if (names.size() > storeReaderCount * entriesOfRelay)
         ranks.relays = rankRelays(names, entries, ranks.readers);
-    const auto standbys = ranks.readers.begin() + static_cast<std::ptrdiff_t>(readers);
+    const auto standbys = ranks.readers.begin()
+            + static_cast<std::ptrdiff_t>(std::min(storeReaderCount, names.size()));
     ranks.standbys.assign(standbys, ranks.readers.end());
     ranks.readers.erase(standbys, ranks.readers.end());
     return ranks;
@@ -124,7 +138,10 @@
 
 std::vector<std::string> laurelcroft::storeReaders(const entry_map &entries)
 {
-    return rankedSources(entries).readers;
+    const std::vector<std::string> names = reachable(entries);
+    std::vector<std::string> ranked = rankReaders(names, entries);
+    ranked.resize(std::min(storeReaderCount, names.size()));
+    return ranked;
 }
 
 row_sources laurelcroft::sourcesFor(const entry_map &entries, const std::string &own)
--- a/lib/Usage/UsageLedger.cpp
+++ b/lib/Usage/UsageLedger.cpp
@@ -8,7 +8,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <set>
 
 using namespace laurelcroft;
 using nlohmann::json;
--- a/lib/Usage/UsageNotice.cpp
+++ b/lib/Usage/UsageNotice.cpp
@@ -19,8 +19,6 @@
 constexpr std::string_view noticeKind = "usage";
 constexpr std::string_view ackKind = "usage-ack";
 constexpr std::string_view handoverKind = "usage-handover";
-/// Names of entries and customers are shorter.
-constexpr std::size_t longestName = 200;
 
 /// A field is missing or of another type.
 class malformed : public std::runtime_error
@@ -50,9 +48,7 @@
 
 static std::string nameIn(const json &item)
 {
-    const bool isName
-            = item.is_string() && item.get_ref<const std::string &>().size() <= longestName;
-    if (!isName)
+    if (!isName(item))
         throw malformed();
     return item.get<std::string>();
 }
--- a/unittests/Usage/UsageDutyTests.cpp
+++ b/unittests/Usage/UsageDutyTests.cpp
@@ -159,11 +159,9 @@
     for (const call_mode mode : {call_mode::refused, call_mode::silent, call_mode::unanswered}) {
         usage_world world(entries, 6);
         world.pass(seconds(9));
-        for (usage_machine *machine : world.all())
-            machine->store = mode;
+        world.treatAll(&usage_machine::store, mode);
         world.pass(seconds(5));
-        for (usage_machine *machine : world.all())
-            machine->store = call_mode::fine;
+        world.treatAll(&usage_machine::store, call_mode::fine);
         world.pass(seconds(30));
         checkExact(world);
     }
@@ -175,11 +173,9 @@
         INFO("store away from second ", begin);
         usage_world world(entries, 9);
         world.pass(seconds(begin));
-        for (usage_machine *machine : world.all())
-            machine->store = call_mode::refused;
+        world.treatAll(&usage_machine::store, call_mode::refused);
         world.pass(milliseconds(6500));
-        for (usage_machine *machine : world.all())
-            machine->store = call_mode::fine;
+        world.treatAll(&usage_machine::store, call_mode::fine);
         world.pass(seconds(30));
         checkExact(world);
     }
@@ -189,14 +185,12 @@
 {
     usage_world world(entries, 7);
     world.pass(seconds(9));
-    for (usage_machine *machine : world.all())
-        machine->cloud = call_mode::unanswered;
+    world.treatAll(&usage_machine::cloud, call_mode::unanswered);
     world.pass(seconds(7));
     if (usage_machine *holder = world.holder())
         world.kill(*holder);
     world.pass(seconds(2));
-    for (usage_machine *machine : world.all())
-        machine->cloud = call_mode::fine;
+    world.treatAll(&usage_machine::cloud, call_mode::fine);
     world.pass(seconds(25));
     CHECK(world.faults() == std::vector<std::string>());
     CHECK(world.missed(world.trueTime()) == std::vector<window_number>());
--- a/unittests/Usage/UsageWorld.cpp
+++ b/unittests/Usage/UsageWorld.cpp
@@ -183,7 +183,6 @@
     machine.isUp = false;
     machine.isSuspended = false;
     ++machine.life;
-    deliver(restart, machine, machine.life, [] {});
     runtime.after(restart, [this, &machine, life = machine.life] {
         if (machine.life == life)
             start(machine);
@@ -261,6 +260,12 @@
     return items;
 }
 
+void usage_world::treatAll(call_mode usage_machine::*by, call_mode how)
+{
+    for (usage_machine &machine : machines)
+        machine.*by = how;
+}
+
 usage_machine &usage_world::any()
 {
     return *all()[random.bits() % machines.size()];
--- a/unittests/Usage/UsageWorld.h
+++ b/unittests/Usage/UsageWorld.h
@@ -131,6 +131,9 @@
     /// Stops a process in order; it is up again some seconds later.
     void stop(usage_machine &machine);
 
+    /// Sets how the store, or whoever takes reports, treats all machines.
+    void treatAll(call_mode usage_machine::*by, call_mode how);
+
     /// Lets time pass, with \p perSecond requests at each machine that is up.
     void pass(duration time, double perSecond = 7);
 
@@ -168,7 +171,6 @@
     std::vector<std::unique_ptr<usage_duty<process_surroundings>>> ended;
 
 private:
-    friend struct process_surroundings;
     std::vector<std::string> names() const;
 };
 
