--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -14,6 +14,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -77,6 +78,11 @@
     time_point coldUntil() const { return m_coldUntil; }
     bool isCold(time_point now) const { return now < m_coldUntil; }
 
+    /// Sets the rate limit stated in its latest answer, in requests per second summed over all
+    /// entries; empty when it states no limit.
+    void setRateLimit(std::optional<double> perSecond, time_point now);
+    std::optional<double> rateLimit() const { return m_rateLimit; }
+
     /// This process sent it a request.
     void sent(time_point now);
 
@@ -134,6 +140,8 @@
     std::uint64_t m_idHash;
     unsigned m_running = 0;
     time_point m_coldUntil{};
+    std::optional<double> m_rateLimit; ///< requests per second
+    time_point m_rateLimitReportedAt{};
     std::deque<time_point> m_sent; ///< of the last second, and the last one
     double m_readingMs = 0;
     time_point m_readsElsewhereUntil{}; ///< prompts of other entries, one after the other
--- a/include/laurelcroft/Proxy/ProxyTypes.h
+++ b/include/laurelcroft/Proxy/ProxyTypes.h
@@ -73,6 +73,9 @@
     bool encoded = false; ///< the body is in a coding that nobody asked for
     std::optional<endpoint_load> load;
     std::optional<int> confidence; ///< percent, the model's own
+    /// Requests per second that the endpoint accepts from all entries together; empty when the
+    /// answer states no valid limit.
+    std::optional<double> rateLimit;
     std::optional<seconds> idleLife; ///< how long the endpoint keeps an idle connection
 };
 
--- /dev/null
+++ b/include/laurelcroft/Proxy/RateLimitWatch.h
@@ -0,0 +1,39 @@
+//===-- Proxy/RateLimitWatch.h - rate limits stated by endpoints -*- C++ -*-===//
+//
+// Tracks the rate limits that endpoints state in their answers, in requests per second summed over
+// all entries. Not thread-safe.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_PROXY_RATELIMITWATCH_H
+#define LAURELCROFT_PROXY_RATELIMITWATCH_H
+
+#include "laurelcroft/Fleet/ServiceDirectory.h"
+#include "laurelcroft/Support/LogLimiter.h"
+
+#include <cstdint>
+#include <optional>
+#include <utility>
+
+namespace laurelcroft {
+
+/// Stores the stated limits in the endpoints; counts and logs notable changes.
+class rate_limit_watch
+{
+public:
+    /// Records that an answer of \p endpoint states a limit of \p perSecond, or no limit if empty.
+    void update(service_endpoint &endpoint, std::optional<double> perSecond, time_point now);
+
+    /// \returns the number of notable changes since the last call.
+    std::uint64_t takeChanges() { return std::exchange(m_changes, 0); }
+
+private:
+    /// Bounds the log volume when many endpoints change their limits at once.
+    static constexpr double logLinesPerSecond = 20;
+
+    log_limiter m_logLimiter{logLinesPerSecond};
+    std::uint64_t m_changes = 0;
+};
+
+} // namespace laurelcroft
+
+#endif
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -150,6 +150,8 @@
     bool seemsDead();
 
     void onAnswer(proxy_answer &&answer);
+    /// Updates the endpoint's load and rate limit from the head of the answer.
+    void noteEndpointState();
     /// Tells, once a request, that an endpoint runs it from now on. It is so in nearly all cases;
     /// what was counted when this process ends had mostly begun.
     void noteRun();
@@ -258,6 +260,7 @@
 
 #include "laurelcroft/Proxy/RequestFlowAnswering.h"
 #include "laurelcroft/Proxy/RequestFlowChoosing.h"
+#include "laurelcroft/Proxy/RequestFlowEndpointState.h"
 #include "laurelcroft/Proxy/RequestFlowSending.h"
 
 #endif
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -25,8 +25,7 @@
     m_run->beganAt = now();
     endReading();
     m_endpoint->progressed(now());
-    if (m_answer.load)
-        m_endpoint->reported(*m_answer.load, now());
+    noteEndpointState();
     const bool success = isSuccess(m_answer.status);
     if (success && !isValidSuccess()) {
         endAttempt(attempt_end::broken);
--- /dev/null
+++ b/include/laurelcroft/Proxy/RequestFlowEndpointState.h
@@ -0,0 +1,26 @@
+//===-- Proxy/RequestFlowEndpointState.h - reported state --------*- C++ -*-===//
+//
+// Members of request_flow that update an endpoint's state from the head of its answer.
+// Included by RequestFlow.h only.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_PROXY_REQUESTFLOWENDPOINTSTATE_H
+#define LAURELCROFT_PROXY_REQUESTFLOWENDPOINTSTATE_H
+
+namespace laurelcroft {
+
+template <flow_environment Env>
+void request_flow<Env>::noteEndpointState()
+{
+    if (m_answer.load)
+        m_endpoint->reported(*m_answer.load, now());
+    // A misdirected answer comes from another process at the address. An unsigned answer may come
+    // from an intermediary, so a missing limit in it doesn't clear the known one.
+    const bool hasLimitInfo = m_answer.rateLimit || m_answer.signedByEndpoint;
+    if (hasLimitInfo && !m_answer.misdirected)
+        m_env.routing().rateLimits().update(*m_endpoint, m_answer.rateLimit, now());
+}
+
+} // namespace laurelcroft
+
+#endif
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -15,6 +15,7 @@
 #include "laurelcroft/Policy/RepeatOutlook.h"
 #include "laurelcroft/Policy/SendBudget.h"
 #include "laurelcroft/Proxy/CrashWatch.h"
+#include "laurelcroft/Proxy/RateLimitWatch.h"
 #include "laurelcroft/Proxy/RolloutTracker.h"
 #include "laurelcroft/Support/Random.h"
 
@@ -69,6 +70,7 @@
     crash_watch &crashes() { return m_crashes; }
     endpoint_runs &runs() { return m_crashes.runs(); }
     crash_suspects &suspects() { return m_crashes.suspects(); }
+    rate_limit_watch &rateLimits() { return m_rateLimits; }
     const cascade_settings &cascade() const { return m_cascade; }
     const std::string &dataCentre() const { return m_bounds.dataCentre; }
 
@@ -155,6 +157,7 @@
     contract_ptr m_contract;
     service_directory m_directory;
     crash_watch m_crashes;
+    rate_limit_watch m_rateLimits;
     std::map<std::string, rollout_tracker, std::less<>> m_rollouts;
     std::map<std::string, send_budget, std::less<>> m_repeats;
     std::map<std::string, repeat_outlook, std::less<>> m_outlooks;
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -55,6 +55,12 @@
     return m_running + m_others * faded(now - m_reportedAt, reportHalfLife);
 }
 
+void service_endpoint::setRateLimit(std::optional<double> perSecond, time_point now)
+{
+    m_rateLimit = perSecond;
+    m_rateLimitReportedAt = now;
+}
+
 void service_endpoint::sent(time_point now)
 {
     while (m_sent.size() > 1 && now - m_sent.front() > seconds(1))
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -359,6 +359,11 @@
                                     [now](const auto &item) { return item.second->isCold(now); });
     metrics.set("endpoints_listed", static_cast<double>(listed.size()));
     metrics.set("endpoints_cold", static_cast<double>(cold));
+    const auto limited = std::count_if(listed.begin(), listed.end(), [](const auto &item) {
+        return item.second->rateLimit().has_value();
+    });
+    metrics.set("endpoints_limited", static_cast<double>(limited));
+    metrics.add("rate_limit_changes_total", routing.rateLimits().takeChanges());
     metrics.add("requests_withheld_total", routing.crashes().takeNewlyWithheld());
     metrics.set("requests_withheld", static_cast<double>(routing.suspects().withheld().size()));
     metrics.set("requests_suspected", static_cast<double>(routing.suspects().suspects()));
