--- a/unittests/Proxy/ColdEndpointTests.cpp
+++ b/unittests/Proxy/ColdEndpointTests.cpp
@@ -4,7 +4,7 @@
 // arrives at each endpoint in any second, and what callers get.
 //
 //===----------------------------------------------------------------------===//
-#include "EntryFleet.h"
+#include "FleetFlows.h"
 #include "FlowWorld.h"
 
 #include <doctest/doctest.h>
@@ -27,30 +27,7 @@
 
 struct cold_world;
 
-/// The environment of a flow at one entry of a fleet.
-struct fleet_environment
-{
-    cold_world *world;
-    fleet_entry *entry;
-
-    manual_runtime &runtime();
-    routing_state &routing() { return entry->routing; }
-    bool hasRoomAt(const endpoint_ptr &) { return true; }
-    call_id call(proxy_attempt attempt, call_events events);
-    void cancel(call_id) { }
-    void reply(int status, const http_headers &, std::string_view);
-    void begin(int, const http_headers &) { }
-    void write(std::string_view) { }
-    void end() { }
-    void abort() { }
-    void finished(const flow_record &) { }
-    void escalated(const flow_record &, const std::string &) { }
-    void sentFurther(const flow_record &, further_send) { }
-    void attemptEnded(const flow_record &, attempt_end, next_step) { }
-    void checkEnded(const endpoint_ptr &) { }
-};
-
-using fleet_flow = request_flow<fleet_environment>;
+using fleet_flow = request_flow<fleet_environment<cold_world>>;
 
 struct cold_world
 {
@@ -127,11 +104,30 @@
     void request(fleet_entry &entry)
     {
         std::erase_if(flows, [](const auto &flow) { return flow->isDone(); });
-        const fleet_environment environment{this, &entry};
+        const fleet_environment<cold_world> environment{this, &entry};
         flows.push_back(std::make_shared<fleet_flow>(environment, requestFor(route)));
         flows.back()->start();
     }
 
+    manual_runtime &runtime() { return entries.runtime; }
+
+    void called(const fleet_entry &, const proxy_attempt &attempt, call_events events)
+    {
+        const std::string id = attempt.endpoint->record().id;
+        arrived(id);
+        ++running[id];
+        runtime().after(work, [this, events = std::move(events), id] {
+            proxy_answer answer;
+            answer.load = {--running[id], 0, 1};
+            answer.status = 200;
+            answer.signedByEndpoint = true;
+            events.onAnswer(std::move(answer));
+            events.onEnd(call_end::complete);
+        });
+    }
+
+    void replied(int status, const http_headers &) { ++(status == 200 ? served : refused); }
+
     void arrived(const std::string &id)
     {
         const time_point now = entries.runtime.now();
@@ -157,32 +153,6 @@
     }
 };
 
-manual_runtime &fleet_environment::runtime()
-{
-    return world->entries.runtime;
-}
-
-call_id fleet_environment::call(proxy_attempt attempt, call_events events)
-{
-    const std::string id = attempt.endpoint->record().id;
-    world->arrived(id);
-    ++world->running[id];
-    runtime().after(work, [events, id, world = world] {
-        proxy_answer answer;
-        answer.load = {--world->running[id], 0, 1};
-        answer.status = 200;
-        answer.signedByEndpoint = true;
-        events.onAnswer(std::move(answer));
-        events.onEnd(call_end::complete);
-    });
-    return 1;
-}
-
-void fleet_environment::reply(int status, const http_headers &, std::string_view)
-{
-    ++(status == 200 ? world->served : world->refused);
-}
-
 } // namespace
 
 TEST_CASE("endpoints that come back cold together get no more than they bear, and not nothing")
--- /dev/null
+++ b/unittests/Proxy/FleetFlows.h
@@ -0,0 +1,51 @@
+//===-- FleetFlows.h - request flows at entries of a fleet -------*- C++ -*-===//
+//
+// The environment that flows get at an entry of a fleet; the test's world plays the endpoints.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_UNITTESTS_PROXY_FLEETFLOWS_H
+#define LAURELCROFT_UNITTESTS_PROXY_FLEETFLOWS_H
+
+#include "EntryFleet.h"
+
+#include "laurelcroft/Proxy/RequestFlow.h"
+
+#include <string>
+#include <string_view>
+
+namespace laurelcroft {
+
+/// \tparam World has a runtime, called() for each send, and replied() for each whole answer.
+template <class World>
+struct fleet_environment
+{
+    World *world;
+    fleet_entry *entry;
+
+    manual_runtime &runtime() { return world->runtime(); }
+    routing_state &routing() { return entry->routing; }
+    bool hasRoomAt(const endpoint_ptr &) { return true; }
+    call_id call(const proxy_attempt &attempt, call_events events)
+    {
+        world->called(*entry, attempt, std::move(events));
+        return 1;
+    }
+    void cancel(call_id) { }
+    void reply(int status, const http_headers &headers, std::string_view)
+    {
+        world->replied(status, headers);
+    }
+    void begin(int, const http_headers &) { }
+    void write(std::string_view) { }
+    void end() { }
+    void abort() { }
+    void finished(const flow_record &) { }
+    void escalated(const flow_record &, const std::string &) { }
+    void sentFurther(const flow_record &, further_send) { }
+    void attemptEnded(const flow_record &, attempt_end, next_step) { }
+    void checkEnded(const endpoint_ptr &) { }
+};
+
+} // namespace laurelcroft
+
+#endif
