Enforce stated endpoint rate limits across all entries

Symptom: an endpoint that stated a limit of 1.5 requests a second got as many requests as before, 3.4 to 5.3 times the number allowed in any 4 s window; it slowed down and failed.

Cause: no component enforced a bound over all entries. The limit was passed on to the caller, and each entry chose endpoints by its own load only. The rate of cold endpoints had the same problem and already used shares.

Change: cold endpoints and rate limits use one mechanism (Policy/RateShare). A few entries own an endpoint by rendezvous hashing and share its rate; entries in its data centre are preferred where there are some. An owner keeps to its share over a sliding window that supports fractional rates (service_endpoint::nextSendAllowedAt). All sends go through the one choice of an endpoint: first sends, repeats, larger models, resumed streams, and second looks at an endpoint that was already asked. An endpoint with a limit is no home of a shared prompt. A request for which no share is left is refused at once (limited_endpoints) with a Retry-After until the next share; only a request that has already run waits for a share that is due within a quarter of the objective. When there are more endpoints than a choice samples and the sample has none that accepts more requests, the others are searched for some that do. Notable changes are sent to other entries by datagram; an entry for which a notice is new forwards it, and a notice is forwarded at most twice. An entry without a share periodically checks whether the limit still holds.

Guarantee: k owners with shares L/k send at most L * (T + 2) + 2 requests in any T seconds, whatever the demand. An entry that knows the limit and has no share sends only checks. Two entries that both consider themselves the owner of a share exceed the limit by one share.

--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -82,13 +82,23 @@
     /// entries; empty when it states no limit.
     void setRateLimit(std::optional<double> perSecond, time_point now);
     std::optional<double> rateLimit() const { return m_rateLimit; }
+    time_point rateLimitReportedAt() const { return m_rateLimitReportedAt; }
 
     /// This process sent it a request.
     void sent(time_point now);
 
-    /// \returns true when one more request keeps to \p perSecond. Below one a second, the requests
-    /// are that far apart.
-    bool hasRoomFor(double perSecond, time_point now) const;
+    /// \returns when this process last sent it a request; the clock's epoch if it never did.
+    time_point lastSentAt() const { return m_sent.empty() ? time_point() : m_sent.back(); }
+
+    /// \returns the earliest time at which one more request keeps to \p perSecond, which must be
+    /// positive: at most ceil(perSecond) requests in any ceil(perSecond) / perSecond seconds.
+    time_point nextSendAllowedAt(double perSecond) const;
+
+    /// \returns true when one more request keeps to \p perSecond.
+    bool hasRoomFor(double perSecond, time_point now) const
+    {
+        return perSecond > 0 && now >= nextSendAllowedAt(perSecond);
+    }
 
     /// Prompts of this process that it still reads, as time that this is thought to take.
     double readingMs() const { return m_readingMs; }
@@ -142,7 +152,7 @@
     time_point m_coldUntil{};
     std::optional<double> m_rateLimit; ///< requests per second
     time_point m_rateLimitReportedAt{};
-    std::deque<time_point> m_sent; ///< of the last second, and the last one
+    std::deque<time_point> m_sent; ///< within the longest rate window, and the last one
     double m_readingMs = 0;
     time_point m_readsElsewhereUntil{}; ///< prompts of other entries, one after the other
     prompt_memory m_prompts;
--- a/include/laurelcroft/Policy/DirectChoice.h
+++ b/include/laurelcroft/Policy/DirectChoice.h
@@ -32,7 +32,8 @@
     bool besideSuspect = false; ///< a request that may end it is under way there
     bool withheld = false; ///< it must not get this request
     bool hasConnection = true; ///< a connection is free or may be opened
-    bool bearsMore = true; ///< not cold, or this entry's share of what it bears is not used up
+    bool bearsMore = true; ///< this entry's share of its rate, if bounded, is not used up
+    bool hasRateLimit = false; ///< it states a rate limit, so it is no home of a prompt
 };
 
 /// The shared part of a prompt.
--- a/include/laurelcroft/Proxy/RequestFlowChoosing.h
+++ b/include/laurelcroft/Proxy/RequestFlowChoosing.h
@@ -40,6 +40,8 @@
     state.directory().expire(now());
     m_coldLeftOut = false;
     m_roomComes = false;
+    m_limitedLeftOut = false;
+    m_nextShareAt.reset();
     m_withheld = false;
     m_regionLeftOut = false;
     m_suspicion = ownSuspicion();
@@ -154,9 +156,28 @@
         m_coldLeftOut = m_coldLeftOut || !candidate.bearsMore;
         m_roomComes = m_roomComes || (*share > 0 && !candidate.tried);
     }
+    if (endpoint->rateLimit())
+        applyRateLimit(*endpoint, candidate);
     return candidate;
 }
 
+template <flow_environment Env>
+void request_flow<Env>::applyRateLimit(const service_endpoint &endpoint,
+                                       direct_candidate &candidate)
+{
+    routing_state &state = m_env.routing();
+    const double share = state.limitShare(endpoint);
+    candidate.hasRateLimit = true;
+    if (endpoint.hasRoomFor(share, now()) || (share <= 0 && state.isLimitCheckDue(endpoint, now())))
+        return;
+    candidate.bearsMore = false;
+    m_limitedLeftOut = true;
+    if (share <= 0 || candidate.tried)
+        return;
+    const time_point at = endpoint.nextSendAllowedAt(share);
+    m_nextShareAt = m_nextShareAt ? std::min(*m_nextShareAt, at) : at;
+}
+
 template <flow_environment Env>
 bool request_flow<Env>::isBoundToRegions() const
 {
@@ -206,15 +227,38 @@
     if (shared)
         promptHash = shared->hash;
     const std::uint64_t draw = m_env.routing().random().bits();
+    const auto pickFrom
+            = [&](const std::vector<std::size_t> &sample) -> std::optional<endpoint_pick> {
+        std::vector<direct_candidate> candidates;
+        candidates.reserve(sample.size());
+        for (const std::size_t index : sample)
+            candidates.push_back(candidateFor(endpoints[index], prompt));
+        const std::optional<direct_choice> choice = chooseDirect(candidates, shared, draw);
+        if (!choice)
+            return std::nullopt;
+        return endpoint_pick{endpoints[sample[choice->index]], choice->waitMs, choice->reason};
+    };
     const std::vector<std::size_t> sample = sampleCandidates(items, promptHash, draw);
-    std::vector<direct_candidate> candidates;
-    candidates.reserve(sample.size());
-    for (const std::size_t index : sample)
-        candidates.push_back(candidateFor(endpoints[index], prompt));
-    const std::optional<direct_choice> choice = chooseDirect(candidates, shared, draw);
-    if (!choice)
-        return std::nullopt;
-    return endpoint_pick{endpoints[sample[choice->index]], choice->waitMs, choice->reason};
+    const std::optional<endpoint_pick> pick = pickFrom(sample);
+    const bool looksFurther = !pick && m_limitedLeftOut && sample.size() < endpoints.size();
+    return looksFurther ? pickFrom(withinRateLimits(endpoints, draw)) : pick;
+}
+
+template <flow_environment Env>
+std::vector<std::size_t>
+request_flow<Env>::withinRateLimits(const std::vector<endpoint_ptr> &endpoints, std::uint64_t draw)
+{
+    std::vector<std::size_t> within;
+    const std::size_t from = draw % endpoints.size();
+    for (std::size_t i = 0; i < endpoints.size() && within.size() < mostCandidates; ++i) {
+        const std::size_t index = (from + i) % endpoints.size();
+        const service_endpoint &endpoint = *endpoints[index];
+        const bool hasRoom = !endpoint.rateLimit()
+                || endpoint.hasRoomFor(m_env.routing().limitShare(endpoint), now());
+        if (hasRoom)
+            within.push_back(index);
+    }
+    return within;
 }
 
 template <flow_environment Env>
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -167,13 +167,23 @@
     } else if (state.directory().isEvacuated(m_service)) {
         refuse(http_status::unavailable, flow_reason::evacuated, flow_bounds::retryAfterNothing);
     } else {
-        const flow_reason why = m_coldLeftOut ? flow_reason::coldEndpoints
-                : m_regionLeftOut             ? flow_reason::outsideRegions
-                                              : flow_reason::noEndpoint;
-        refuse(http_status::unavailable, why, flow_bounds::retryAfterNothing);
+        const flow_reason why = m_limitedLeftOut ? flow_reason::limitedEndpoints
+                : m_coldLeftOut                  ? flow_reason::coldEndpoints
+                : m_regionLeftOut                ? flow_reason::outsideRegions
+                                                 : flow_reason::noEndpoint;
+        refuse(http_status::unavailable, why, retryAfterForShare());
     }
 }
 
+template <flow_environment Env>
+milliseconds request_flow<Env>::retryAfterForShare()
+{
+    if (!m_nextShareAt)
+        return flow_bounds::retryAfterNothing;
+    return std::clamp(std::chrono::ceil<milliseconds>(*m_nextShareAt - now()),
+                      flow_bounds::retryAfterFull, flow_bounds::retryAfterOutage);
+}
+
 template <flow_environment Env>
 void request_flow<Env>::beginRun()
 {
@@ -234,10 +244,15 @@
 template <flow_environment Env>
 bool request_flow<Env>::waitForRoom()
 {
+    const milliseconds longestWait = m_route->objective / flow_bounds::waitOfObjective;
+    // Only a request that may have run waits for a share of a rate limit, so that its work is kept;
+    // others are refused and can be retried by the caller.
+    const bool isShareDue
+            = (m_begun || m_mayHaveRun) && m_nextShareAt && *m_nextShareAt - now() <= longestWait;
     // Where this entry owns none of the cold endpoints, waiting would end like this, only later.
-    if (!m_roomComes)
+    if (!m_roomComes && !isShareDue)
         return false;
-    return waitAndSend(m_route->objective / flow_bounds::waitOfObjective);
+    return waitAndSend(longestWait);
 }
 
 template <flow_environment Env>
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -138,6 +138,17 @@
     /// when there is no such bound now.
     std::optional<double> coldShare(const service_endpoint &endpoint, time_point now);
 
+    /// \returns requests a second that this entry may send to \p endpoint, which states a rate
+    /// limit.
+    double limitShare(const service_endpoint &endpoint);
+
+    /// \returns true when this entry, which has no share of the rate limit of \p endpoint, may send
+    /// one request to check whether the limit still holds.
+    bool isLimitCheckDue(const service_endpoint &endpoint, time_point now) const;
+
+    /// Applies a rate limit that was stated to another entry. Ignored for an unlisted endpoint.
+    void noteRateLimitElsewhere(const rate_limit_notice &notice, time_point now);
+
     /// Number of entries that share connections and duties, this one included; 1 while none is
     /// known.
     std::size_t entries() const { return std::max<std::size_t>(1, m_entries.size()); }
@@ -147,7 +158,9 @@
     double shareOfEntries() const { return m_share; }
 
     /// \param names of all entries; \param own this one's.
-    void setEntries(std::vector<std::string> names, std::string own);
+    /// \param dataCentres by entry, where known.
+    void setEntries(std::vector<std::string> names, std::string own,
+                    std::map<std::string, std::string> dataCentres = {});
 
 private:
     routing_bounds m_bounds;
@@ -170,9 +183,16 @@
     };
     std::map<std::string, sample_list, std::less<>> m_sampled; ///< by service
     std::vector<std::string> m_entries;
+    std::map<std::string, std::string> m_dataCentres; ///< by entry
     std::string m_own;
     double m_share = 0; ///< of what all entries share
     std::map<std::string, double, std::less<>> m_coldShares; ///< by endpoint, for these entries
+    struct limit_share
+    {
+        double limit = 0; ///< requests a second, from all entries
+        double share = 0;
+    };
+    std::map<std::string, limit_share, std::less<>> m_limitShares; ///< by endpoint
     send_listener m_onSend;
     run_listener m_onRun;
 };
--- a/include/laurelcroft/Proxy/StoreSyncImpl.h
+++ b/include/laurelcroft/Proxy/StoreSyncImpl.h
@@ -224,9 +224,12 @@
         return;
     m_wallAhead = m_roster.wallAhead();
     std::vector<std::string> names;
-    for (const auto &[name, place] : m_roster.entries())
+    std::map<std::string, std::string> dataCentres;
+    for (const auto &[name, place] : m_roster.entries()) {
         names.push_back(name);
-    m_state.setEntries(std::move(names), m_links.entry);
+        dataCentres.emplace(name, place.dataCentre);
+    }
+    m_state.setEntries(std::move(names), m_links.entry, std::move(dataCentres));
     m_links.onEntries(m_roster.entries());
 }
 
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -25,6 +25,8 @@
 constexpr unsigned mostDoublings = 3;
 /// Time that a full endpoint is left out: a few steps of its batch.
 constexpr milliseconds fullAvoidance{100};
+/// Upper bound of ceil(rate) / rate for rates above 1; lower rates need only the latest send.
+constexpr seconds longestRateWindow{2};
 /// Answers that count as known before the first one, so that one failure is no verdict.
 constexpr double priorAnswers = 3;
 
@@ -63,20 +65,19 @@
 
 void service_endpoint::sent(time_point now)
 {
-    while (m_sent.size() > 1 && now - m_sent.front() > seconds(1))
+    while (m_sent.size() > 1 && now - m_sent.front() > longestRateWindow)
         m_sent.pop_front();
     m_sent.push_back(now);
 }
 
-bool service_endpoint::hasRoomFor(double perSecond, time_point now) const
+time_point service_endpoint::nextSendAllowedAt(double perSecond) const
 {
-    if (perSecond <= 0)
-        return false;
-    const std::chrono::duration<double> window(std::max(1.0, 1 / perSecond));
-    const double most = std::max(1.0, std::floor(perSecond));
-    const auto inWindow = std::count_if(m_sent.begin(), m_sent.end(),
-                                        [&](time_point at) { return now - at < window; });
-    return static_cast<double>(inWindow) < most;
+    const double most = std::ceil(perSecond);
+    if (static_cast<double>(m_sent.size()) < most)
+        return {};
+    const std::chrono::duration<double> window(most / perSecond);
+    const time_point first = m_sent[m_sent.size() - static_cast<std::size_t>(most)];
+    return first + std::chrono::ceil<duration>(window);
 }
 
 void service_endpoint::beganElsewhere(milliseconds reading, time_point now)
--- a/lib/Policy/DirectChoice.cpp
+++ b/lib/Policy/DirectChoice.cpp
@@ -93,7 +93,7 @@
         const direct_candidate &candidate = candidates[i];
         const bool near = anywhere || candidate.sameDataCentre;
         if (!near || candidate.avoided || candidate.sharesFailure || candidate.besideSuspect
-            || !mayBeSentTo(candidate))
+            || candidate.hasRateLimit || !mayBeSentTo(candidate))
             continue;
         const std::uint64_t rank = homeRank(candidate.idHash, shared.hash);
         if (!home || rank > highest) {
--- a/lib/Proxy/RateLimitWatch.cpp
+++ b/lib/Proxy/RateLimitWatch.cpp
@@ -31,17 +31,42 @@
     return perSecond ? std::to_string(*perSecond) : "none";
 }
 
-void rate_limit_watch::update(service_endpoint &endpoint, std::optional<double> perSecond,
-                              time_point now)
+bool rate_limit_watch::setLimit(service_endpoint &endpoint, std::optional<double> perSecond,
+                                time_point reportedAt, std::string_view source, time_point now)
 {
     const std::optional<double> before = endpoint.rateLimit();
-    endpoint.setRateLimit(perSecond, now);
+    endpoint.setRateLimit(perSecond, reportedAt);
     if (!isNotableChange(before, perSecond))
-        return;
+        return false;
     ++m_changes;
     if (m_logLimiter.allows(now))
         logInfo(log_part::fleet, "endpoint rate limit changed",
                 {{"endpoint", endpoint.record().id},
                  {"per_second", formatLimit(perSecond)},
-                 {"before", formatLimit(before)}});
+                 {"before", formatLimit(before)},
+                 {"source", source}});
+    return true;
+}
+
+void rate_limit_watch::update(service_endpoint &endpoint, std::optional<double> perSecond,
+                              time_point now)
+{
+    const endpoint_record &record = endpoint.record();
+    if (setLimit(endpoint, perSecond, now, "answer", now) && m_listener)
+        m_listener({record.id, record.startedAt, perSecond});
+}
+
+void rate_limit_watch::applyNotice(service_endpoint &endpoint, const rate_limit_notice &notice,
+                                   time_point now)
+{
+    const time_point reportedAt = now - notice.age;
+    const bool isSameStart = endpoint.record().startedAt == notice.startedAt;
+    if (!isSameStart || reportedAt <= endpoint.rateLimitReportedAt())
+        return;
+    const bool isNotable = setLimit(endpoint, notice.perSecond, reportedAt, "notice", now);
+    if (!isNotable || notice.hops == 0 || !m_listener)
+        return;
+    rate_limit_notice forwarded = notice;
+    --forwarded.hops;
+    m_listener(forwarded);
 }
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -6,7 +6,7 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/RoutingState.h"
 
-#include "laurelcroft/Policy/ColdShare.h"
+#include "laurelcroft/Policy/RateShare.h"
 
 #include <algorithm>
 
@@ -60,18 +60,28 @@
     it->second->prompts().note(prefixes);
 }
 
-void routing_state::setEntries(std::vector<std::string> names, std::string own)
+void routing_state::noteRateLimitElsewhere(const rate_limit_notice &notice, time_point now)
+{
+    const auto it = m_directory.all().find(notice.endpoint);
+    if (it != m_directory.all().end())
+        m_rateLimits.applyNotice(*it->second, notice, now);
+}
+
+void routing_state::setEntries(std::vector<std::string> names, std::string own,
+                               std::map<std::string, std::string> dataCentres)
 {
     // Entries that start renew their rows, which changes no share: ranking a hundred entries for
     // each of a thousand cold endpoints again would take a small instance a tenth of a second each
     // time.
-    if (names == m_entries && own == m_own)
+    if (names == m_entries && own == m_own && dataCentres == m_dataCentres)
         return;
+    m_dataCentres = std::move(dataCentres);
     m_entries = std::move(names);
     m_own = std::move(own);
     const bool isListed = std::find(m_entries.begin(), m_entries.end(), m_own) != m_entries.end();
     m_share = isListed ? 1.0 / static_cast<double>(m_entries.size()) : 0;
     m_coldShares.clear();
+    m_limitShares.clear();
 }
 
 std::vector<sampled_endpoint>
@@ -111,6 +121,49 @@
     return share->second;
 }
 
+/// \returns the \p entries in \p dataCentre, or all of them if none is there.
+static std::vector<std::string>
+nearestEntries(std::span<const std::string> entries,
+               const std::map<std::string, std::string> &dataCentres, const std::string &dataCentre)
+{
+    std::vector<std::string> near;
+    for (const std::string &entry : entries) {
+        const auto place = dataCentres.find(entry);
+        if (place != dataCentres.end() && place->second == dataCentre)
+            near.push_back(entry);
+    }
+    return near.empty() ? std::vector<std::string>(entries.begin(), entries.end()) : near;
+}
+
+double routing_state::limitShare(const service_endpoint &endpoint)
+{
+    const double limit = endpoint.rateLimit().value_or(0);
+    const endpoint_record &record = endpoint.record();
+    const auto known = m_limitShares.find(record.id);
+    if (known != m_limitShares.end() && known->second.limit == limit)
+        return known->second.share;
+    // Mostly entries in the endpoint's data centre send to it; other owners would leave their
+    // shares unused.
+    const double share = limitShareOf(
+            record.id, limit, nearestEntries(m_entries, m_dataCentres, record.dataCentre), m_own);
+    // Bounds the cache when endpoints are replaced.
+    if (m_limitShares.size() > m_directory.all().size())
+        m_limitShares.clear();
+    m_limitShares.insert_or_assign(record.id, limit_share{limit, share});
+    return share;
+}
+
+bool routing_state::isLimitCheckDue(const service_endpoint &endpoint, time_point now) const
+{
+    // The interval depends on the number of entries, which does not include an unlisted one.
+    if (m_share <= 0)
+        return false;
+    const limit_check_delays delays = limitCheckDelaysOf(
+            endpoint.record().id, endpoint.rateLimit().value_or(0), m_entries.size(), m_own);
+    return now - endpoint.rateLimitReportedAt() >= delays.sinceReport
+            && now - endpoint.lastSentAt() >= delays.sinceSend;
+}
+
 prompt_rate &routing_state::promptRate(std::string_view model)
 {
     return itemOf(m_promptRates, model);
--- a/lib/Proxy/SendNotices.cpp
+++ b/lib/Proxy/SendNotices.cpp
@@ -203,7 +203,8 @@
     // Each decoder reads the whole datagram: the most frequent kind is tried first.
     const bool isFinding = giveTo(handlers.onEnd, decodeEndNotice(bytes))
             || giveTo(handlers.onWithheld, decodeWithheldNotice(bytes))
-            || giveTo(handlers.onCleared, decodeClearedNotice(bytes));
+            || giveTo(handlers.onCleared, decodeClearedNotice(bytes))
+            || giveTo(handlers.onRateLimit, decodeRateLimitNotice(bytes));
     if (isFinding)
         metrics.add("finding_notices_total{way=\"received\"}");
     return isFinding;
@@ -244,6 +245,11 @@
     m_state->tellFinding(encodeClearedNotice(notice), true);
 }
 
+void send_notices::tellRateLimit(const rate_limit_notice &notice)
+{
+    m_state->tellFinding(encodeRateLimitNotice(notice), false);
+}
+
 void send_notices::send(const std::string &entry, std::string_view bytes)
 {
     const auto it = m_state->byName.find(entry);
--- a/unittests/Proxy/ColdEndpointTests.cpp
+++ b/unittests/Proxy/ColdEndpointTests.cpp
@@ -111,7 +111,7 @@
 
     manual_runtime &runtime() { return entries.runtime; }
 
-    void called(const fleet_entry &, const proxy_attempt &attempt, call_events events)
+    void onCall(const fleet_entry &, const proxy_attempt &attempt, call_events events)
     {
         const std::string id = attempt.endpoint->record().id;
         arrived(id);
@@ -126,7 +126,7 @@
         });
     }
 
-    void replied(int status, const http_headers &) { ++(status == 200 ? served : refused); }
+    void onReply(int status, const http_headers &) { ++(status == 200 ? served : refused); }
 
     void arrived(const std::string &id)
     {
--- a/unittests/Proxy/FleetFlows.h
+++ b/unittests/Proxy/FleetFlows.h
@@ -1,6 +1,6 @@
 //===-- FleetFlows.h - request flows at entries of a fleet -------*- C++ -*-===//
 //
-// The environment that flows get at an entry of a fleet; the test's world plays the endpoints.
+// The environment of request flows at an entry of a fleet; the test's world simulates endpoints.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_UNITTESTS_PROXY_FLEETFLOWS_H
@@ -15,7 +15,7 @@
 
 namespace laurelcroft {
 
-/// \tparam World has a runtime, called() for each send, and replied() for each whole answer.
+/// \tparam World provides runtime(), onCall() for each send and onReply() for each whole answer.
 template <class World>
 struct fleet_environment
 {
@@ -27,13 +27,13 @@
     bool hasRoomAt(const endpoint_ptr &) { return true; }
     call_id call(const proxy_attempt &attempt, call_events events)
     {
-        world->called(*entry, attempt, std::move(events));
+        world->onCall(*entry, attempt, std::move(events));
         return 1;
     }
     void cancel(call_id) { }
     void reply(int status, const http_headers &headers, std::string_view)
     {
-        world->replied(status, headers);
+        world->onReply(status, headers);
     }
     void begin(int, const http_headers &) { }
     void write(std::string_view) { }
--- /dev/null
+++ b/unittests/Proxy/RateLimitNoticeTests.cpp
@@ -0,0 +1,106 @@
+//===-- RateLimitNoticeTests.cpp - rate limits by datagram ------------------===//
+//
+// Encoding, rejection of malformed datagrams, precedence of newer limits, and forwarding.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/RateLimitNotice.h"
+#include "laurelcroft/Proxy/RateLimitWatch.h"
+#include "laurelcroft/Support/MessagePack.h"
+
+#include <doctest/doctest.h>
+
+#include <limits>
+#include <vector>
+
+using namespace laurelcroft;
+using nlohmann::json;
+
+namespace {
+
+constexpr time_point start{seconds(1000)};
+
+endpoint_record exampleRecord()
+{
+    endpoint_record record;
+    record.id = "e1";
+    record.startedAt = 7;
+    return record;
+}
+
+struct watched_endpoint
+{
+    service_endpoint endpoint{exampleRecord()};
+    rate_limit_watch watch;
+    std::vector<rate_limit_notice> forwarded;
+
+    watched_endpoint()
+    {
+        watch.setListener([this](const rate_limit_notice &notice) { forwarded.push_back(notice); });
+    }
+};
+
+} // namespace
+
+TEST_CASE("a notice of a rate limit is the same after encoding and decoding")
+{
+    for (const std::optional<double> perSecond :
+         {std::optional(1.5), std::optional(2.0), std::optional(0.1), std::optional<double>()}) {
+        const rate_limit_notice notice{"e1", 7, perSecond, milliseconds(20), 1};
+        CHECK(decodeRateLimitNotice(encodeRateLimitNotice(notice)) == notice);
+    }
+}
+
+TEST_CASE("bytes that are no notice of a rate limit are refused")
+{
+    const json right = json::array({"rate_limit", "e1", 7U, 1.5, 20U, 1U});
+    REQUIRE(decodeRateLimitNotice(packed(right)));
+    const std::vector<json> wrong = {"withheld", "", -7, -1.5, 6000U, 3U};
+    for (std::size_t i = 0; i < wrong.size(); ++i) {
+        CAPTURE(i);
+        json item = right;
+        item[i] = wrong[i];
+        CHECK_FALSE(decodeRateLimitNotice(packed(item)));
+    }
+    for (const double limit :
+         {std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN()}) {
+        json item = right;
+        item[3] = limit;
+        CHECK_FALSE(decodeRateLimitNotice(packed(item)));
+    }
+    CHECK_FALSE(decodeRateLimitNotice("x"));
+    CHECK_FALSE(decodeRateLimitNotice(packed(json::array({"rate_limit"}))));
+}
+
+TEST_CASE("a notice that is older than the known rate limit is ignored")
+{
+    watched_endpoint world;
+    world.watch.update(world.endpoint, std::nullopt, start);
+    world.watch.applyNotice(world.endpoint, {"e1", 7, 1.5, milliseconds(30), 2},
+                            start + milliseconds(20));
+    CHECK_FALSE(world.endpoint.rateLimit());
+    world.watch.applyNotice(world.endpoint, {"e1", 7, 1.5, milliseconds(10), 2},
+                            start + milliseconds(20));
+    CHECK(world.endpoint.rateLimit() == 1.5);
+}
+
+TEST_CASE("a notice of an earlier start of an endpoint is ignored")
+{
+    watched_endpoint world;
+    world.watch.applyNotice(world.endpoint, {"e1", 6, 1.5, milliseconds(0), 2}, start);
+    CHECK_FALSE(world.endpoint.rateLimit());
+    CHECK(world.forwarded.empty());
+}
+
+TEST_CASE("a notice is forwarded once, and only while it has hops left")
+{
+    watched_endpoint world;
+    const rate_limit_notice notice{"e1", 7, 1.5, milliseconds(0), 1};
+    world.watch.applyNotice(world.endpoint, notice, start);
+    world.watch.applyNotice(world.endpoint, notice, start + milliseconds(1));
+    REQUIRE(world.forwarded.size() == 1);
+    CHECK(world.forwarded[0].hops == 0);
+    world.watch.applyNotice(world.endpoint, {"e1", 7, 9.5, milliseconds(0), 0},
+                            start + milliseconds(2));
+    CHECK(world.endpoint.rateLimit() == 9.5);
+    CHECK(world.forwarded.size() == 1);
+}
--- a/unittests/Proxy/RateLimitTests.cpp
+++ b/unittests/Proxy/RateLimitTests.cpp
@@ -1,7 +1,7 @@
 //===-- RateLimitTests.cpp - endpoints that state a rate limit --------------===//
 //
-// What arrives at an endpoint that states how much it takes from all entries together, before
-// fleets of several sizes under load.
+// The request rate at endpoints that state a limit for all entries together, and the answers that
+// callers get, with fleets of several sizes under load.
 //
 //===----------------------------------------------------------------------===//
 #include "FleetFlows.h"
@@ -18,21 +18,23 @@
 
 constexpr unsigned endpoints = 12;
 constexpr milliseconds work{150};
-/// All entries together get a request this often: 5 a second an endpoint.
+/// Time between requests over all entries: 5 a second for each endpoint.
 constexpr milliseconds between{16};
-/// The users' rule: from so long after the first statement on, what arrives in any window is at
-/// most so much of the limit, and a few requests.
+/// The required bound: once \c knownAfter has passed since the first statement, any \c window has
+/// at most \c limitFactor times the limit plus \c extraRequests requests.
 constexpr milliseconds knownAfter{3000};
 constexpr milliseconds window{4000};
-constexpr double ofLimit = 1.5;
-constexpr double beyondLimit = 5;
+constexpr double limitFactor = 1.5;
+constexpr double extraRequests = 5;
 constexpr std::array<double, 3> limits = {1.5, 2.8, 0.4};
+/// Entries that one entry sends each notice to, as the datagrams do.
+constexpr std::size_t listeners = 12;
 
 struct limit_world;
 
 using fleet_flow = request_flow<fleet_environment<limit_world>>;
 
-/// What an endpoint got, and what it states.
+/// A simulated endpoint: the limit that it states and the requests that it got.
 struct limited_endpoint
 {
     std::optional<double> limit;
@@ -44,12 +46,14 @@
 {
     fleet entries;
     service_route route = lookupRoute();
-    std::map<std::string, limited_endpoint> played;
+    std::map<std::string, limited_endpoint> simulated;
     time_point statedAt{};
     unsigned served = 0;
     unsigned refused = 0;
-    std::vector<milliseconds> retryAfter; ///< as refused callers were told
+    std::vector<milliseconds> retryAfter; ///< in refusals
     std::vector<std::shared_ptr<fleet_flow>> flows;
+    bool losesNotices = false;
+    std::size_t nextListener = 0;
 
     /// \param count of the entries.
     explicit limit_world(std::size_t count)
@@ -58,13 +62,31 @@
         entries.store.put("orders", "contract", "7");
         for (unsigned i = 0; i < endpoints; ++i) {
             const std::string id = "p" + std::to_string(i);
-            played[id];
+            simulated[id];
             entries.store.put("endpoints", id, "v1");
         }
         entries.start(0, count);
         entries.runtime.advance(seconds(5));
-        for (fleet_entry &entry : entries.entries)
+        for (fleet_entry &entry : entries.entries) {
             useContract(entry);
+            entry.routing.rateLimits().setListener(
+                    [this, &entry](const rate_limit_notice &notice) { tell(entry, notice); });
+        }
+    }
+
+    void tell(const fleet_entry &from, const rate_limit_notice &notice)
+    {
+        const std::size_t told = std::min(listeners, entries.entries.size() - 1);
+        for (std::size_t i = 0; i < told && !losesNotices; ++i) {
+            fleet_entry *to = nullptr;
+            while (!to || to == &from)
+                to = &*std::next(
+                        entries.entries.begin(),
+                        static_cast<std::ptrdiff_t>(nextListener++ % entries.entries.size()));
+            runtime().after(way, [this, to, notice] {
+                to->routing.noteRateLimitElsewhere(notice, runtime().now());
+            });
+        }
     }
 
     void useContract(fleet_entry &entry) const
@@ -80,9 +102,9 @@
 
     manual_runtime &runtime() { return entries.runtime; }
 
-    void called(const fleet_entry &, const proxy_attempt &attempt, call_events events)
+    void onCall(const fleet_entry &, const proxy_attempt &attempt, call_events events)
     {
-        limited_endpoint &endpoint = played.at(attempt.endpoint->record().id);
+        limited_endpoint &endpoint = simulated.at(attempt.endpoint->record().id);
         endpoint.arrivals.push_back(runtime().now());
         ++endpoint.running;
         runtime().after(work, [&endpoint, events = std::move(events)] {
@@ -96,23 +118,23 @@
         });
     }
 
-    void replied(int status, const http_headers &headers)
+    void onReply(int status, const http_headers &headers)
     {
         ++(status == 200 ? served : refused);
-        const std::string_view told = findHeader(headers, "Retry-After");
-        if (!told.empty())
-            retryAfter.push_back(milliseconds(std::lround(1000 * std::stod(std::string(told)))));
+        const std::string_view value = findHeader(headers, "Retry-After");
+        if (!value.empty())
+            retryAfter.push_back(milliseconds(std::lround(1000 * std::stod(std::string(value)))));
     }
 
-    /// The first \p count endpoints state their limits from now on.
+    /// Makes the first \p count endpoints state their limits from now on.
     void stateLimits(unsigned count)
     {
         statedAt = runtime().now();
         for (unsigned i = 0; i < count; ++i)
-            played.at("p" + std::to_string(i)).limit = limits[i % limits.size()];
+            simulated.at("p" + std::to_string(i)).limit = limits[i % limits.size()];
     }
 
-    /// The entries take requests by turns for \p time.
+    /// Sends requests to the entries by turns for \p time.
     void play(duration time)
     {
         auto entry = entries.entries.begin();
@@ -127,11 +149,38 @@
         }
     }
 
-    /// \returns the largest share of what a window may hold that came in any.
+    void liftLimits()
+    {
+        for (auto &[id, endpoint] : simulated)
+            endpoint.limit.reset();
+    }
+
+    std::size_t arrivedSince(const std::string &id, time_point from) const
+    {
+        const std::vector<time_point> &times = simulated.at(id).arrivals;
+        return static_cast<std::size_t>(times.end()
+                                        - std::lower_bound(times.begin(), times.end(), from));
+    }
+
+    /// \returns the smallest fraction of its limit that an endpoint got in the last \p time.
+    double leastLimitUsed(std::chrono::duration<double> time)
+    {
+        double least = 1;
+        for (const auto &[id, endpoint] : simulated) {
+            if (!endpoint.limit)
+                continue;
+            const time_point from = runtime().now() - std::chrono::duration_cast<duration>(time);
+            const auto arrived = static_cast<double>(arrivedSince(id, from));
+            least = std::min(least, arrived / (*endpoint.limit * time.count()));
+        }
+        return least;
+    }
+
+    /// \returns the highest number of requests in any window, relative to the allowed number.
     double worstShare() const
     {
         double worst = 0;
-        for (const auto &[id, endpoint] : played) {
+        for (const auto &[id, endpoint] : simulated) {
             if (endpoint.limit)
                 worst = std::max(worst, worstShare(endpoint));
         }
@@ -142,7 +191,7 @@
     {
         const std::vector<time_point> &times = endpoint.arrivals;
         const double seconds = std::chrono::duration<double>(window).count();
-        const double allowed = ofLimit * *endpoint.limit * seconds + beyondLimit;
+        const double allowed = limitFactor * *endpoint.limit * seconds + extraRequests;
         std::ptrdiff_t most = 0;
         auto first = std::lower_bound(times.begin(), times.end(), statedAt + knownAfter);
         for (; first != times.end(); ++first)
@@ -168,7 +217,49 @@
     }
 }
 
-TEST_CASE("where all rate limits are used up, callers are told when to come back")
+TEST_CASE("a stated rate limit is kept when all notices are lost")
+{
+    for (const std::size_t count : {3U, 12U}) {
+        CAPTURE(count);
+        limit_world world(count);
+        world.losesNotices = true;
+        world.play(seconds(3));
+        world.stateLimits(endpoints / 2);
+        world.play(seconds(40));
+        CHECK(world.worstShare() <= 1);
+    }
+}
+
+TEST_CASE("endpoints with a rate limit get at least half of it when demand is higher")
+{
+    for (const std::size_t count : {1U, 3U, 12U, 40U}) {
+        CAPTURE(count);
+        limit_world world(count);
+        world.stateLimits(endpoints);
+        world.play(seconds(33));
+        CHECK(world.leastLimitUsed(seconds(30)) >= 0.5);
+    }
+}
+
+TEST_CASE("all entries use an endpoint again that has lifted its rate limit")
+{
+    for (const bool losesNotices : {false, true}) {
+        CAPTURE(losesNotices);
+        limit_world world(12);
+        world.stateLimits(2);
+        world.play(seconds(6));
+        world.liftLimits();
+        world.losesNotices = losesNotices;
+        // Without notices, entries without a share learn it only from their own checks.
+        world.play(losesNotices ? seconds(60) : seconds(10));
+        const time_point from = world.runtime().now();
+        world.play(seconds(5));
+        for (const char *id : {"p0", "p1"})
+            CHECK(world.arrivedSince(id, from) >= 15);
+    }
+}
+
+TEST_CASE("refusals have a Retry-After when all rate limits are used up")
 {
     limit_world world(3);
     world.stateLimits(endpoints);
@@ -176,3 +267,87 @@
     CHECK(world.refused > world.served);
     CHECK(world.retryAfter.size() == world.refused);
 }
+
+TEST_CASE("entries in an endpoint's data centre share its rate limit, or all if none is there")
+{
+    const auto shareIn = [](const std::string &dataCentre, const std::string &own) {
+        routing_state routing({}, {}, 1);
+        routing.setEntries({"a", "b", "c"}, own, {{"a", "east"}, {"b", "west"}, {"c", "west"}});
+        endpoint_record record;
+        record.id = "e1";
+        record.dataCentre = dataCentre;
+        service_endpoint endpoint(record);
+        endpoint.setRateLimit(1.5, time_point(seconds(1)));
+        return routing.limitShare(endpoint);
+    };
+    CHECK(shareIn("east", "a") == 1.5);
+    CHECK(shareIn("east", "b") == 0);
+    CHECK(shareIn("west", "a") == 0);
+    CHECK(shareIn("west", "c") == 0.75);
+    CHECK(shareIn("north", "a") == 0.5);
+}
+
+TEST_CASE("a repeat keeps to the rate limit as a first send does, and is refused at once")
+{
+    flow_world world(lookupRoute(), {"e1", "e2"});
+    const auto &listed = world.routing.directory().all();
+    listed.at("e1")->setRateLimit(0.5, world.runtime.now());
+    listed.at("e1")->sent(world.runtime.now());
+    startFlow(world, requestFor(lookupRoute()));
+    REQUIRE(world.calls.size() == 1);
+    CHECK(world.calls[0].attempt.endpoint->record().id == "e2");
+    world.refuseNotRun(0);
+    CHECK(world.calls.size() == 1);
+    CHECK(world.status == 503);
+    CHECK_FALSE(findHeader(world.headers, "Retry-After").empty());
+}
+
+TEST_CASE("a request is refused at once when the rate limits of all endpoints are used up")
+{
+    flow_world world(lookupRoute(), {"e1"});
+    world.routing.directory().all().at("e1")->setRateLimit(0.5, world.runtime.now());
+    startFlow(world, requestFor(lookupRoute()));
+    CHECK(world.calls.size() == 1);
+    world.runtime.advance(milliseconds(400));
+    startFlow(world, requestFor(lookupRoute()));
+    CHECK(world.status == 503);
+    REQUIRE(world.record);
+    CHECK(world.record->reason == flow_reason::limitedEndpoints);
+    CHECK(std::stod(std::string(findHeader(world.headers, "Retry-After"))) == 1.6);
+}
+
+TEST_CASE("of many endpoints the only one without a used up limit is found")
+{
+    flow_world world(lookupRoute(), {});
+    constexpr unsigned many = 300;
+    for (unsigned i = 0; i < many; ++i)
+        world.addEndpoint("e" + std::to_string(i));
+    world.routing.setEntries({"other"}, "own");
+    for (const auto &[id, endpoint] : world.routing.directory().all()) {
+        if (id != "e123")
+            endpoint->setRateLimit(1.5, world.runtime.now());
+    }
+    for (unsigned i = 0; i < 10; ++i) {
+        startFlow(world, requestFor(lookupRoute()));
+        REQUIRE(world.calls.size() == i + 1);
+        CHECK(world.calls[i].attempt.endpoint->record().id == "e123");
+    }
+}
+
+TEST_CASE("a resumed stream waits for a share of a rate limit that is due soon")
+{
+    flow_world world(draftRoute(), {"e1"});
+    startFlow(world, requestFor(draftRoute()));
+    REQUIRE(world.calls.size() == 1);
+    world.answer(0, 200, 100);
+    world.data(0, eventText(1));
+    world.routing.directory().all().at("e1")->setRateLimit(1, world.runtime.now());
+    world.runtime.advance(milliseconds(600));
+    world.end(0, call_end::broken);
+    CHECK(world.calls.size() == 1);
+    CHECK_FALSE(world.aborted);
+    world.runtime.advance(milliseconds(350));
+    CHECK(world.calls.size() == 1);
+    world.runtime.advance(milliseconds(100));
+    CHECK(world.calls.size() == 2);
+}
