Decode and log the leaving state and Retry-After that endpoints report

Cause: the Server-Leaving header of an answer and the Retry-After header of a 503 were not evaluated, so no log line could tell whether an entry had been informed.

The record of a request keeps both values for its last attempt. The log lines "request ended" and "attempt ended" gain endpoint_leaving; "attempt ended" also gains retry_after_ms (-1: none). Both values are ignored in an answer of another process at the address. No routing decision uses either value yet.

--- a/include/laurelcroft/Proxy/ProxyTypes.h
+++ b/include/laurelcroft/Proxy/ProxyTypes.h
@@ -73,6 +73,10 @@
     bool encoded = false; ///< the body is in a coding that nobody asked for
     std::optional<endpoint_load> load;
     std::optional<int> confidence; ///< percent, the model's own
+    bool endpointLeaving = false; ///< the endpoint states that it is leaving
+    /// Time for which the endpoint asks this entry to send no requests; empty unless the answer is
+    /// a 503 with a valid time.
+    std::optional<milliseconds> retryAfter;
     /// Requests per second that the endpoint accepts from all entries together; empty when the
     /// answer states no valid limit.
     std::optional<double> rateLimit;
--- a/include/laurelcroft/Proxy/RequestFlowEndpointState.h
+++ b/include/laurelcroft/Proxy/RequestFlowEndpointState.h
@@ -14,11 +14,16 @@
 {
     if (m_answer.load)
         m_endpoint->reported(*m_answer.load, now());
-    // A misdirected answer comes from another process at the address. An unsigned answer may come
-    // from an intermediary, so a missing limit in it doesn't clear the known one.
-    const bool hasLimitInfo = m_answer.rateLimit || m_answer.signedByEndpoint;
-    if (hasLimitInfo && !m_answer.misdirected)
+    // A misdirected answer comes from another process at the address, so the values below don't
+    // apply to this endpoint.
+    if (m_answer.misdirected)
+        return;
+    // An unsigned answer may come from an intermediary, so a missing limit in it doesn't clear the
+    // known one.
+    if (m_answer.rateLimit || m_answer.signedByEndpoint)
         m_env.routing().rateLimits().update(*m_endpoint, m_answer.rateLimit, now());
+    m_record.endpointLeaving = m_answer.endpointLeaving;
+    m_record.endpointRetryAfter = m_answer.retryAfter;
 }
 
 } // namespace laurelcroft
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -314,6 +314,8 @@
     m_record.choice = textOf(pick.reason);
     m_record.endpoint = endpoint->record().id;
     m_record.endpointVersion = endpoint->record().softwareVersion;
+    m_record.endpointLeaving = false;
+    m_record.endpointRetryAfter.reset();
     m_record.versionBy = textOf(m_versionReason);
     m_record.stage = state.rollouts(m_service).stageName();
 
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -237,6 +237,7 @@
              {"service", record.service},
              {"contract", std::int64_t(record.contract)},
              {"endpoint", record.endpoint},
+             {"endpoint_leaving", record.endpointLeaving ? "yes" : "no"},
              {"version", record.endpointVersion},
              {"version_by", record.versionBy},
              {"stage", record.stage},
@@ -292,6 +293,9 @@
              {"took_ms", std::int64_t(record.attemptTook.count())},
              {"left_ms", std::int64_t(record.left.count())},
              {"events", std::int64_t(record.events)},
+             {"endpoint_leaving", record.endpointLeaving ? "yes" : "no"},
+             {"retry_after_ms",
+              std::int64_t(record.endpointRetryAfter.value_or(milliseconds(-1)).count())},
              {"lacks", textOf(record.lack)},
              {"budget_left", std::lround(record.budgetLeft)},
              {"request_key", record.key ? textOf(*record.key) : ""}});
