Send no new requests to an endpoint whose answer states that it is leaving

Symptom: while the store was unreachable, entries kept sending requests to an endpoint whose answers stated that it was leaving, until the endpoint broke the requests off.

Cause: only the store's rows marked an endpoint as leaving. The statement in an endpoint's own answer was passed on to the caller and otherwise ignored.

Change: any answer that states it (200, 500, 503, or one that is cut off later) removes the endpoint from the lists of candidates for first sends, repeats, larger models, resumed streams and waiting requests. Sessions and prompt homes on the endpoint move with it. Requests that it is already running continue. The statement is stored beside the row, not in it: no later row clears it, a new start of the endpoint does, and the row is still sent to other entries as it is in the store. When the row is removed, the endpoint is dropped at once, even right after a store outage. When no endpoint is left, callers are refused at once. Other entries are notified by datagram; an entry to which the notice is new forwards it, and a notice is forwarded at most twice. Adds the log line "endpoint states that it is leaving" and the gauge endpoints_leaving.

--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -78,6 +78,11 @@
     time_point coldUntil() const { return m_coldUntil; }
     bool isCold(time_point now) const { return now < m_coldUntil; }
 
+    /// \returns true when its row or one of its answers has stated that it is leaving. A later row
+    /// doesn't clear the statement of an answer; a new start does.
+    bool isLeaving() const { return m_record.leaving || m_statedLeaving; }
+    void setStatedLeaving() { m_statedLeaving = true; }
+
     /// Sets the rate limit stated in its latest answer, in requests per second summed over all
     /// entries; empty when it states no limit.
     void setRateLimit(std::optional<double> perSecond, time_point now);
@@ -150,6 +155,7 @@
     std::uint64_t m_idHash;
     unsigned m_running = 0;
     time_point m_coldUntil{};
+    bool m_statedLeaving = false; ///< by an answer, not by its row
     std::optional<double> m_rateLimit; ///< requests per second
     time_point m_rateLimitReportedAt{};
     std::deque<time_point> m_sent; ///< within the longest rate window, and the last one
@@ -181,6 +187,12 @@
     /// doesn't end another one at its address.
     void apply(endpoint_record record, time_point now, bool takesAddress = true);
 
+    /// Records that an answer of endpoint \p id, which started at \p startedAt, states that it is
+    /// leaving, so that it gets no new requests. Its record is left unchanged, since other entries
+    /// are sent records as they are in the store.
+    /// \returns false when it is not listed, has another start, or is already known to be leaving.
+    bool setLeaving(std::string_view id, std::uint64_t startedAt);
+
     /// The store says that an endpoint's record was removed. Just after the store was away the
     /// endpoint is kept for \c lapseGrace, since its record may have lapsed although it lives.
     /// \param version of the removal; one before the record's is late and says nothing. 0: unknown.
--- a/include/laurelcroft/Proxy/RequestFlowEndpointState.h
+++ b/include/laurelcroft/Proxy/RequestFlowEndpointState.h
@@ -22,6 +22,8 @@
     // known one.
     if (m_answer.rateLimit || m_answer.signedByEndpoint)
         m_env.routing().rateLimits().update(*m_endpoint, m_answer.rateLimit, now());
+    if (m_answer.endpointLeaving)
+        m_env.routing().noteLeaving(*m_endpoint, now());
     m_record.endpointLeaving = m_answer.endpointLeaving;
     m_record.endpointRetryAfter = m_answer.retryAfter;
 }
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -15,6 +15,7 @@
 #include "laurelcroft/Policy/RepeatOutlook.h"
 #include "laurelcroft/Policy/SendBudget.h"
 #include "laurelcroft/Proxy/CrashWatch.h"
+#include "laurelcroft/Proxy/LeavingWatch.h"
 #include "laurelcroft/Proxy/RateLimitWatch.h"
 #include "laurelcroft/Proxy/RolloutTracker.h"
 #include "laurelcroft/Support/Random.h"
@@ -71,6 +72,20 @@
     endpoint_runs &runs() { return m_crashes.runs(); }
     crash_suspects &suspects() { return m_crashes.suspects(); }
     rate_limit_watch &rateLimits() { return m_rateLimits; }
+    leaving_watch &leaving() { return m_leaving; }
+
+    /// Records that an answer of \p endpoint states that it is leaving.
+    void noteLeaving(const service_endpoint &endpoint, time_point now)
+    {
+        m_leaving.update(m_directory, endpoint, now);
+    }
+
+    /// Applies a leaving state that was stated to another entry. Ignored for an unlisted endpoint.
+    void noteLeavingElsewhere(const leaving_notice &notice, time_point now)
+    {
+        m_leaving.applyNotice(m_directory, notice, now);
+    }
+
     const cascade_settings &cascade() const { return m_cascade; }
     const std::string &dataCentre() const { return m_bounds.dataCentre; }
 
@@ -171,6 +186,7 @@
     service_directory m_directory;
     crash_watch m_crashes;
     rate_limit_watch m_rateLimits;
+    leaving_watch m_leaving;
     std::map<std::string, rollout_tracker, std::less<>> m_rollouts;
     std::map<std::string, send_budget, std::less<>> m_repeats;
     std::map<std::string, repeat_outlook, std::less<>> m_outlooks;
--- a/include/laurelcroft/Proxy/SendNotices.h
+++ b/include/laurelcroft/Proxy/SendNotices.h
@@ -15,6 +15,7 @@
 #include "laurelcroft/Fleet/PromptMemory.h"
 #include "laurelcroft/Proxy/CrashNotices.h"
 #include "laurelcroft/Proxy/EvidenceNotice.h"
+#include "laurelcroft/Proxy/LeavingNotice.h"
 #include "laurelcroft/Proxy/RateLimitNotice.h"
 #include "laurelcroft/Support/Metrics.h"
 #include "laurelcroft/Support/Runtime.h"
@@ -54,6 +55,7 @@
     std::function<void(const withheld_notice &notice)> onWithheld;
     std::function<void(const cleared_notice &notice)> onCleared;
     std::function<void(const rate_limit_notice &notice)> onRateLimit = nullptr;
+    std::function<void(const leaving_notice &notice)> onLeaving = nullptr;
     /// Takes datagrams of no kind above. \returns true for one that it knows. May be empty.
     std::function<bool(std::string_view bytes)> onOther = nullptr;
 };
@@ -111,6 +113,7 @@
     void tellWithheld(const withheld_notice &notice);
     void tellCleared(const cleared_notice &notice);
     void tellRateLimit(const rate_limit_notice &notice);
+    void tellLeaving(const leaving_notice &notice);
 
 private:
     struct state;
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -224,7 +224,7 @@
     if (it == m_endpoints.end())
         return;
     it->second->setGone();
-    if (it->second->record().leaving) {
+    if (it->second->isLeaving()) {
         if (m_departed.size() >= mostDeparted)
             m_departed.erase(m_departed.begin());
         m_departed.emplace(it->first, it->second->record().startedAt);
@@ -237,6 +237,18 @@
     noteChange();
 }
 
+bool service_directory::setLeaving(std::string_view id, std::uint64_t startedAt)
+{
+    const auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end() || it->second->record().startedAt != startedAt)
+        return false;
+    if (it->second->isLeaving())
+        return false;
+    it->second->setStatedLeaving();
+    noteChange();
+    return true;
+}
+
 bool service_directory::remove(std::string_view id, time_point now, std::uint64_t version)
 {
     const auto it = m_endpoints.find(id);
@@ -245,7 +257,7 @@
     // Told late, of a row before the one that is known: the endpoint has come back meanwhile.
     if (version != 0 && version < it->second->record().heardAt)
         return false;
-    if (now >= m_trustedFrom || it->second->record().leaving) {
+    if (now >= m_trustedFrom || it->second->isLeaving()) {
         drop(id);
         return true;
     }
@@ -317,7 +329,7 @@
 
 static bool serves(const service_endpoint &endpoint, std::string_view service)
 {
-    return endpoint.record().service == service && !endpoint.record().leaving;
+    return endpoint.record().service == service && !endpoint.isLeaving();
 }
 
 bool service_directory::isEvacuated(std::string_view service) const
--- /dev/null
+++ b/lib/Proxy/LeavingNotice.cpp
@@ -0,0 +1,37 @@
+//===-- LeavingNotice.cpp - leaving endpoints by datagram -------------------===//
+//
+// A MessagePack array: kind, endpoint id, start, and hops left.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/LeavingNotice.h"
+
+#include "laurelcroft/Support/MessagePack.h"
+
+using namespace laurelcroft;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view kind = "leaving";
+constexpr std::size_t fields = 4;
+
+} // namespace
+
+std::string laurelcroft::encodeLeavingNotice(const leaving_notice &notice)
+{
+    return packed(json::array({kind, notice.endpoint, notice.startedAt, notice.hops}));
+}
+
+std::optional<leaving_notice> laurelcroft::decodeLeavingNotice(std::string_view bytes)
+{
+    const json item = unpacked(bytes);
+    const bool hasForm = item.is_array() && item.size() == fields && item[0] == json(kind)
+            && isName(item[1]) && item[2].is_number_unsigned() && item[3].is_number_unsigned();
+    if (!hasForm || item[1].get_ref<const std::string &>().empty())
+        return std::nullopt;
+    const auto hops = item[3].get<std::uint64_t>();
+    if (hops > leaving_notice::mostHops)
+        return std::nullopt;
+    return leaving_notice{item[1].get<std::string>(), item[2].get<std::uint64_t>(),
+                          static_cast<unsigned>(hops)};
+}
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -366,6 +366,9 @@
     const auto limited = std::count_if(listed.begin(), listed.end(), [](const auto &item) {
         return item.second->rateLimit().has_value();
     });
+    const auto leaving = std::count_if(listed.begin(), listed.end(),
+                                       [](const auto &item) { return item.second->isLeaving(); });
+    metrics.set("endpoints_leaving", static_cast<double>(leaving));
     metrics.set("endpoints_limited", static_cast<double>(limited));
     metrics.add("rate_limit_changes_total", routing.rateLimits().takeChanges());
     metrics.add("requests_withheld_total", routing.crashes().takeNewlyWithheld());
--- a/lib/Proxy/SendNotices.cpp
+++ b/lib/Proxy/SendNotices.cpp
@@ -204,7 +204,8 @@
     const bool isFinding = giveTo(handlers.onEnd, decodeEndNotice(bytes))
             || giveTo(handlers.onWithheld, decodeWithheldNotice(bytes))
             || giveTo(handlers.onCleared, decodeClearedNotice(bytes))
-            || giveTo(handlers.onRateLimit, decodeRateLimitNotice(bytes));
+            || giveTo(handlers.onRateLimit, decodeRateLimitNotice(bytes))
+            || giveTo(handlers.onLeaving, decodeLeavingNotice(bytes));
     if (isFinding)
         metrics.add("finding_notices_total{way=\"received\"}");
     return isFinding;
@@ -250,6 +251,11 @@
     m_state->tellFinding(encodeRateLimitNotice(notice), false);
 }
 
+void send_notices::tellLeaving(const leaving_notice &notice)
+{
+    m_state->tellFinding(encodeLeavingNotice(notice), false);
+}
+
 void send_notices::send(const std::string &entry, std::string_view bytes)
 {
     const auto it = m_state->byName.find(entry);
--- a/unittests/Proxy/LeavingEndpointTests.cpp
+++ b/unittests/Proxy/LeavingEndpointTests.cpp
@@ -1,7 +1,7 @@
-//===-- LeavingEndpointTests.cpp - endpoints that state that they leave -----===//
+//===-- LeavingEndpointTests.cpp - requests at leaving endpoints ------------===//
 //
-// An endpoint whose answer states that it is leaving gets no further requests, whatever its row
-// says.
+// Checks that an endpoint gets no further requests once an answer of it states that it is leaving,
+// even if its row does not.
 //
 //===----------------------------------------------------------------------===//
 #include "FlowWorld.h"
@@ -18,7 +18,8 @@
 
     service_directory &directory() { return routing.directory(); }
 
-    /// Answers call \p index with \p code and the statement, and ends it as \p end.
+    /// Answers call \p index with \p code, states that the endpoint is leaving, and ends the call
+    /// with \p end.
     void answerLeaving(std::size_t index, int code = 200, call_end end = call_end::complete)
     {
         proxy_answer answer;
@@ -50,7 +51,7 @@
 
 } // namespace
 
-TEST_CASE("an endpoint that states in any answer that it is leaving gets no further request")
+TEST_CASE("an endpoint gets no further requests after any answer that states it is leaving")
 {
     for (const int code : {200, 500, 503}) {
         for (const call_end end : {call_end::complete, call_end::broken}) {
@@ -64,7 +65,7 @@
     }
 }
 
-TEST_CASE("a row does not lift an endpoint's word that it is leaving, a later start does")
+TEST_CASE("a later row does not clear an endpoint's stated leaving, a new start does")
 {
     leaving_world world(lookupRoute(), {"e1"});
     endpoint_record record = world.directory().all().at("e1")->record();
@@ -82,7 +83,7 @@
     CHECK(world.sentTo("e1", 5) == 5);
 }
 
-TEST_CASE("where all endpoints have stated that they are leaving, callers are refused at once")
+TEST_CASE("callers are refused at once when all endpoints have stated that they are leaving")
 {
     leaving_world world(lookupRoute(), {"e1"});
     startFlow(world, requestFor(lookupRoute()));
@@ -94,7 +95,7 @@
     CHECK_FALSE(findHeader(world.headers, "Retry-After").empty());
 }
 
-TEST_CASE("a stream goes on elsewhere when its endpoint has stated that it is leaving")
+TEST_CASE("a broken stream is resumed at another endpoint when its endpoint is leaving")
 {
     leaving_world world(draftRoute(), {"e1", "e2"});
     startFlow(world, requestFor(draftRoute()));
@@ -110,7 +111,7 @@
     REQUIRE(world.calls.size() == 2);
     CHECK(world.endpointOf(1) != world.endpointOf(0));
     world.end(1, call_end::broken);
-    // The one that is left is asked again; the one that leaves is not.
+    // The remaining endpoint is tried again rather than the leaving one.
     REQUIRE(world.calls.size() == 3);
     CHECK(world.endpointOf(2) == world.endpointOf(1));
 }
