--- a/utils/check.sh
+++ b/utils/check.sh
@@ -60,6 +60,7 @@
 }
 
 countLast soak-audit utils/run-unittests.py platform/soak/test_audit.py
+countLast soak-store utils/run-unittests.py platform/soak/test_store.py
 countLast refused-stretches utils/run-unittests.py platform/days/test_refused.py
 countLast pinned-sessions utils/run-unittests.py platform/days/test_pinned.py
 countLast crashing-request python3 platform/soak/crasher.py --plays new_ids,same_ids,store_silent,popular --seconds 10 --jobs 4
