Cache the delays of rate limit checks with the share of the limit

For each candidate with a rate limit of which this entry has no share, every choice of an endpoint hashed two names and looked at no cache, although the share beside it is cached. The delays depend on the same inputs, so they are stored with it.

--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -12,6 +12,7 @@
 #include "laurelcroft/Policy/CandidateSample.h"
 #include "laurelcroft/Policy/ConfidenceCascade.h"
 #include "laurelcroft/Policy/PromptRate.h"
+#include "laurelcroft/Policy/RateShare.h"
 #include "laurelcroft/Policy/RepeatOutlook.h"
 #include "laurelcroft/Policy/SendBudget.h"
 #include "laurelcroft/Proxy/CrashWatch.h"
@@ -163,7 +164,7 @@
 
     /// \returns true when this entry, which has no share of the rate limit of \p endpoint, may send
     /// one request to check whether the limit still holds.
-    bool isLimitCheckDue(const service_endpoint &endpoint, time_point now) const;
+    bool isLimitCheckDue(const service_endpoint &endpoint, time_point now);
 
     /// Applies a rate limit that was stated to another entry. Ignored for an unlisted endpoint.
     void noteRateLimitElsewhere(const rate_limit_notice &notice, time_point now);
@@ -211,7 +212,9 @@
     {
         double limit = 0; ///< requests a second, from all entries
         double share = 0;
+        limit_check_delays check; ///< without a share
     };
+    const limit_share &limitShareAt(const service_endpoint &endpoint);
     std::map<std::string, limit_share, std::less<>> m_limitShares; ///< by endpoint
     send_listener m_onSend;
     run_listener m_onRun;
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -6,8 +6,6 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/RoutingState.h"
 
-#include "laurelcroft/Policy/RateShare.h"
-
 #include <algorithm>
 
 using namespace laurelcroft;
@@ -135,13 +133,13 @@
     return near.empty() ? std::vector<std::string>(entries.begin(), entries.end()) : near;
 }
 
-double routing_state::limitShare(const service_endpoint &endpoint)
+const routing_state::limit_share &routing_state::limitShareAt(const service_endpoint &endpoint)
 {
     const double limit = endpoint.rateLimit().value_or(0);
     const endpoint_record &record = endpoint.record();
     const auto known = m_limitShares.find(record.id);
     if (known != m_limitShares.end() && known->second.limit == limit)
-        return known->second.share;
+        return known->second;
     // Mostly entries in the endpoint's data centre send to it; other owners would leave their
     // shares unused.
     const double share = limitShareOf(
@@ -149,8 +147,14 @@
     // Bounds the cache when endpoints are replaced.
     if (m_limitShares.size() > m_directory.all().size())
         m_limitShares.clear();
-    m_limitShares.insert_or_assign(record.id, limit_share{limit, share});
-    return share;
+    const limit_check_delays check = limitCheckDelaysOf(record.id, limit, m_entries.size(), m_own);
+    const limit_share item{limit, share, check};
+    return m_limitShares.insert_or_assign(record.id, item).first->second;
+}
+
+double routing_state::limitShare(const service_endpoint &endpoint)
+{
+    return limitShareAt(endpoint).share;
 }
 
 std::optional<time_point> routing_state::earliestBackoffEnd(std::string_view service,
@@ -166,13 +170,12 @@
     return earliest;
 }
 
-bool routing_state::isLimitCheckDue(const service_endpoint &endpoint, time_point now) const
+bool routing_state::isLimitCheckDue(const service_endpoint &endpoint, time_point now)
 {
     // The interval depends on the number of entries, which does not include an unlisted one.
     if (m_share <= 0)
         return false;
-    const limit_check_delays delays = limitCheckDelaysOf(
-            endpoint.record().id, endpoint.rateLimit().value_or(0), m_entries.size(), m_own);
+    const limit_check_delays &delays = limitShareAt(endpoint).check;
     return now - endpoint.rateLimitReportedAt() >= delays.sinceReport
             && now - endpoint.lastSentAt() >= delays.sinceSend;
 }
