Tests: one way to play a whole answer head, and to name a call's endpoint

Worlds of leaving endpoints, of backoff and of rate limits each had their own. flow_world has them now, and its own refusals use it.

--- a/unittests/Proxy/FlowWorld.cpp
+++ b/unittests/Proxy/FlowWorld.cpp
@@ -88,8 +88,13 @@
     answer.status = misdirected ? misdirectedStatus : http_status::unavailable;
     answer.notRun = true;
     answer.misdirected = misdirected;
-    calls[index].events.onAnswer(std::move(answer));
-    calls[index].events.onEnd(call_end::complete);
+    this->answer(index, std::move(answer), call_end::complete);
+}
+
+void flow_world::answer(std::size_t index, proxy_answer head, call_end how)
+{
+    calls[index].events.onAnswer(std::move(head));
+    end(index, how);
 }
 
 std::size_t flow_world::openCalls() const
--- a/unittests/Proxy/FlowWorld.h
+++ b/unittests/Proxy/FlowWorld.h
@@ -60,11 +60,17 @@
 
     /// Plays the head, and the end, of the answer of call \p index.
     void answer(std::size_t index, int status, std::optional<int> confidence = std::nullopt);
+    /// Plays the given head, and ends call \p index.
+    void answer(std::size_t index, proxy_answer head, call_end how);
     /// \param misdirected another process than the one meant says so.
     void refuseNotRun(std::size_t index, bool misdirected = false);
     void data(std::size_t index, const std::string &text) { calls[index].events.onData(text); }
     void end(std::size_t index, call_end how) { calls[index].events.onEnd(how); }
     std::size_t openCalls() const;
+    std::string endpointOf(std::size_t index) const
+    {
+        return calls[index].attempt.endpoint->record().id;
+    }
 };
 
 /// The environment that a flow gets.
--- a/unittests/Proxy/LeavingEndpointTests.cpp
+++ b/unittests/Proxy/LeavingEndpointTests.cpp
@@ -27,13 +27,7 @@
         answer.signedByEndpoint = code == 200;
         answer.notRun = code == http_status::unavailable;
         answer.endpointLeaving = true;
-        calls[index].events.onAnswer(std::move(answer));
-        calls[index].events.onEnd(end);
-    }
-
-    std::string endpointOf(std::size_t index) const
-    {
-        return calls[index].attempt.endpoint->record().id;
+        this->answer(index, std::move(answer), end);
     }
 
     /// \returns how many of \p count requests go to \p id first.
--- a/unittests/Proxy/RateLimitWatchTests.cpp
+++ b/unittests/Proxy/RateLimitWatchTests.cpp
@@ -28,8 +28,7 @@
         answer.status = code;
         answer.signedByEndpoint = isSigned;
         answer.rateLimit = perSecond;
-        calls.back().events.onAnswer(std::move(answer));
-        calls.back().events.onEnd(call_end::complete);
+        this->answer(calls.size() - 1, std::move(answer), call_end::complete);
         runtime.advance(seconds(3));
     }
 };
--- a/unittests/Proxy/RetryAfterTests.cpp
+++ b/unittests/Proxy/RetryAfterTests.cpp
@@ -22,13 +22,7 @@
         answer.status = http_status::unavailable;
         answer.notRun = true;
         answer.retryAfter = time;
-        calls[index].events.onAnswer(std::move(answer));
-        calls[index].events.onEnd(call_end::complete);
-    }
-
-    std::string endpointOf(std::size_t index) const
-    {
-        return calls[index].attempt.endpoint->record().id;
+        this->answer(index, std::move(answer), call_end::complete);
     }
 
     /// \returns the number of \p count requests, 50 ms apart, whose first attempt goes to \p id.
