--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -282,9 +282,15 @@
 
 } // namespace laurelcroft
 
+#include "laurelcroft/Proxy/RequestFlowAdmission.h"
 #include "laurelcroft/Proxy/RequestFlowAnswering.h"
+#include "laurelcroft/Proxy/RequestFlowAttempts.h"
+#include "laurelcroft/Proxy/RequestFlowCandidates.h"
+#include "laurelcroft/Proxy/RequestFlowCascade.h"
 #include "laurelcroft/Proxy/RequestFlowChoosing.h"
 #include "laurelcroft/Proxy/RequestFlowEndpointState.h"
+#include "laurelcroft/Proxy/RequestFlowProgress.h"
 #include "laurelcroft/Proxy/RequestFlowSending.h"
+#include "laurelcroft/Proxy/RequestFlowSuspicion.h"
 
 #endif
--- /dev/null
+++ b/lib/Proxy/FlowReporter.cpp
@@ -0,0 +1,151 @@
+//===-- FlowReporter.cpp - logs and metrics of requests -------------------===//
+//
+// All log lines of request flows are written here.
+//
+//===----------------------------------------------------------------------===//
+#include "FlowReporter.h"
+
+#include "laurelcroft/Proxy/RequestKey.h"
+#include "laurelcroft/Support/Log.h"
+
+#include <algorithm>
+#include <cmath>
+
+using namespace laurelcroft;
+
+void flow_reporter::finished(const flow_record &record, time_point now)
+{
+    const std::string_view reason = textOf(record.reason);
+    m_metrics.add("answers_total{reason=\"" + std::string(reason) + "\"}");
+    if (record.firstPart)
+        m_metrics.record("first_part_seconds", *record.firstPart);
+    m_metrics.record("request_seconds", record.total);
+    if (record.escalations > 0)
+        m_metrics.add("escalations_total", record.escalations);
+    if (record.resumes > 0)
+        m_metrics.add("resumes_total", record.resumes);
+    if (!record.versionReason.empty())
+        m_metrics.add("versions_total{by=\"" + std::string(record.versionReason) + "\"}");
+    const bool isOrdinary = record.reason == flow_reason::served && record.resumes == 0
+            && record.attempts == record.escalations + 1;
+    if ((isOrdinary ? m_ordinary : m_unusual).allows(now))
+        logFinished(record);
+}
+
+void flow_reporter::logFinished(const flow_record &record)
+{
+    const std::string_view reason = textOf(record.reason);
+    logInfo(log_part::routing, "request ended",
+            {{"request", record.request},
+             {"reason", reason},
+             {"status", std::int64_t(record.status)},
+             {"session", record.session},
+             {"route", record.route},
+             {"customer", record.customer},
+             {"service", record.service},
+             {"contract", std::int64_t(record.contract)},
+             {"endpoint", record.endpoint},
+             {"endpoint_leaving", record.endpointLeaving ? "yes" : "no"},
+             {"version", record.endpointVersion},
+             {"version_by", record.versionReason},
+             {"stage", record.stage},
+             {"model", record.model},
+             {"choice", record.choice},
+             {"confidence", std::int64_t(record.confidence.value_or(-1))},
+             {"service_wait_percent", std::lround(record.serviceWait * 100)},
+             {"larger_expected_percent", std::lround(record.largerExpectedAt * 100)},
+             {"attempts", std::int64_t(record.attempts)},
+             {"escalations", std::int64_t(record.escalations)},
+             {"resumes", std::int64_t(record.resumes)},
+             {"events", std::int64_t(record.events)},
+             {"first_ms", std::int64_t(record.firstPart.value_or(milliseconds(-1)).count())},
+             {"total_ms", std::int64_t(record.total.count())}});
+}
+
+void flow_reporter::attemptEnded(const flow_record &record, attempt_end end, next_step step,
+                                 time_point now)
+{
+    m_metrics.add("attempts_total{end=\"" + std::string(textOf(end)) + "\"}");
+    if (step != next_step::tryElsewhere && step != next_step::resumeElsewhere)
+        m_metrics.add("attempts_last_total{lacks=\"" + std::string(textOf(record.lack)) + "\"}");
+    if (!m_unusual.allows(now))
+        return;
+    logInfo(log_part::routing, "attempt ended",
+            {{"request", record.request},
+             {"end", textOf(end)},
+             {"next", textOf(step)},
+             {"endpoint", record.endpoint},
+             {"version", record.endpointVersion},
+             {"version_by", record.versionReason},
+             {"attempt", std::int64_t(record.attempts)},
+             {"took_ms", std::int64_t(record.attemptDuration.count())},
+             {"left_ms", std::int64_t(record.timeLeft.count())},
+             {"events", std::int64_t(record.events)},
+             {"endpoint_leaving", record.endpointLeaving ? "yes" : "no"},
+             {"retry_after_ms",
+              std::int64_t(record.endpointRetryAfter.value_or(milliseconds(-1)).count())},
+             {"lacks", textOf(record.lack)},
+             {"budget_left", std::lround(record.budgetLeft)},
+             {"request_key", record.key ? textOf(*record.key) : ""}});
+}
+
+void flow_reporter::escalated(const flow_record &record, const std::string &model, time_point now)
+{
+    if (!m_ordinary.allows(now))
+        return;
+    logInfo(log_part::routing, "escalated",
+            {{"request", record.request},
+             {"from", record.model},
+             {"to", model},
+             {"confidence", std::int64_t(record.confidence.value_or(-1))},
+             {"service_wait_percent", std::lround(record.serviceWait * 100)}});
+}
+
+void flow_reporter::sentFurther(const flow_record &record, further_send what)
+{
+    m_metrics.add("further_sends_total{service=\"" + record.service + "\",for=\""
+                  + std::string(textOf(what)) + "\"}");
+}
+
+void flow_reporter::logSuppressedLines()
+{
+    const std::uint64_t ordinarySuppressed = m_ordinary.takeSuppressedCount();
+    const std::uint64_t unusualSuppressed = m_unusual.takeSuppressedCount();
+    const std::uint64_t lost = takeDroppedLines();
+    m_metrics.add("log_lines_held_total", ordinarySuppressed + unusualSuppressed);
+    m_metrics.add("log_lines_lost_total", lost);
+    if (ordinarySuppressed + unusualSuppressed + lost == 0)
+        return;
+    logWarning(log_part::routing, "log lines left out",
+               {{"ordinary", std::int64_t(ordinarySuppressed)},
+                {"unusual", std::int64_t(unusualSuppressed)},
+                {"reader_too_slow", std::int64_t(lost)}});
+}
+
+void flow_reporter::setGauges(time_point now)
+{
+    const auto &listed = m_routing.directory().all();
+    const auto cold = std::count_if(listed.begin(), listed.end(),
+                                    [now](const auto &item) { return item.second->isCold(now); });
+    m_metrics.set("endpoints_listed", static_cast<double>(listed.size()));
+    m_metrics.set("endpoints_cold", static_cast<double>(cold));
+    const auto limited = std::count_if(listed.begin(), listed.end(), [](const auto &item) {
+        return item.second->rateLimit().has_value();
+    });
+    const auto leaving = std::count_if(listed.begin(), listed.end(),
+                                       [](const auto &item) { return item.second->isLeaving(); });
+    m_metrics.set("endpoints_leaving", static_cast<double>(leaving));
+    const auto inBackoff = std::count_if(listed.begin(), listed.end(), [now](const auto &item) {
+        return item.second->isInBackoff(now);
+    });
+    m_metrics.set("endpoints_in_backoff", static_cast<double>(inBackoff));
+    m_metrics.set("endpoints_limited", static_cast<double>(limited));
+    m_metrics.add("rate_limit_changes_total", m_routing.rateLimits().takeChanges());
+    m_metrics.add("requests_withheld_total", m_routing.crashes().takeNewlyWithheld());
+    m_metrics.set("requests_withheld", static_cast<double>(m_routing.suspects().withheld().size()));
+    m_metrics.set("requests_suspected", static_cast<double>(m_routing.suspects().suspectCount()));
+    m_metrics.set("entries_known", static_cast<double>(m_routing.entries()));
+    for (auto &[service, budget] : m_routing.allRepeats())
+        m_metrics.set("further_sends_left{service=\"" + service + "\"}",
+                      budget.availableSends(now, m_routing.shareOfEntries()));
+}
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -1,16 +1,16 @@
 //===-- ProxyServer.cpp - proxy server of an entry --------------------------===//
 //
-// The production environment of request flows, and the servers, logs and metrics around them.
+// The production environment of request flows, and the servers around them.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/ProxyServer.h"
 
+#include "FlowReporter.h"
+
 #include "laurelcroft/Proxy/CallerServer.h"
 #include "laurelcroft/Proxy/EndpointCaller.h"
 #include "laurelcroft/Proxy/RequestFlow.h"
-#include "laurelcroft/Proxy/RequestKey.h"
 #include "laurelcroft/Support/Log.h"
-#include "laurelcroft/Support/LogLimiter.h"
 #include "laurelcroft/Support/Runtime.h"
 
 #include <asio/io_context.hpp>
@@ -43,10 +43,6 @@
 /// Fraction of an endpoint's connection limit that the entries share equally. The remainder is
 /// left for new entries that are not known yet.
 constexpr double connectionShare = 0.8;
-/// Log lines per second for requests that were served at the first attempt, and for all others. At
-/// about 350 bytes per line, this limits the log to 140 kB/s.
-constexpr double ordinaryLinesPerSecond = 100;
-constexpr double unusualLinesPerSecond = 300;
 /// Minimum number of connections to an endpoint, regardless of the number of entries.
 constexpr std::size_t minConnections = 4;
 
@@ -79,15 +75,15 @@
         void finished(const flow_record &record) { server->finished(record); }
         void escalated(const flow_record &record, const std::string &model)
         {
-            server->escalated(record, model);
+            server->reporter.escalated(record, model, server->runtime.now());
         }
         void sentFurther(const flow_record &record, further_send what)
         {
-            server->sentFurther(record, what);
+            server->reporter.sentFurther(record, what);
         }
         void attemptEnded(const flow_record &record, attempt_end end, next_step step)
         {
-            server->attemptEnded(record, end, step);
+            server->reporter.attemptEnded(record, end, step, server->runtime.now());
         }
         void checkEnded(const endpoint_ptr &endpoint) { server->checkEnded(endpoint); }
     };
@@ -99,11 +95,6 @@
     void onRequest(message_head &&head, std::string &&body, caller_exchange exchange);
     void onReadyCheck(const message_head &head, caller_exchange &exchange);
     void finished(const flow_record &record);
-    void logFinished(const flow_record &record);
-    void logSuppressedLines();
-    void attemptEnded(const flow_record &record, attempt_end end, next_step step);
-    void escalated(const flow_record &record, const std::string &model);
-    void sentFurther(const flow_record &record, further_send what);
     void checkEnded(const endpoint_ptr &endpoint);
     bool hasRoomAt(const service_endpoint &endpoint) const;
     bool isReady() const;
@@ -126,8 +117,7 @@
     caller_server readiness;
     caller_server metricsServer;
     std::unordered_set<std::shared_ptr<flow>> flows;
-    log_limiter ordinary{ordinaryLinesPerSecond};
-    log_limiter unusual{unusualLinesPerSecond};
+    flow_reporter reporter;
     bool removalPosted = false;
     bool draining = false;
     bool isPastDrainDelay = false; ///< new requests may not finish before the deadline
@@ -153,9 +143,12 @@
                 [this](message_head &&head, std::string &&, caller_exchange exchange) {
                     onReadyCheck(head, exchange);
                 })
-    , metricsServer(context, [&metrics](message_head &&, std::string &&, caller_exchange exchange) {
-        exchange.reply(http_status::ok, {{"Content-Type", "text/plain"}}, metrics.prometheusText());
-    })
+    , metricsServer(context,
+                    [&metrics](message_head &&, std::string &&, caller_exchange exchange) {
+                        exchange.reply(http_status::ok, {{"Content-Type", "text/plain"}},
+                                       metrics.prometheusText());
+                    })
+    , reporter(metrics, routing)
 {
 }
 
@@ -204,21 +197,7 @@
 
 void proxy_server::state::finished(const flow_record &record)
 {
-    const std::string_view reason = textOf(record.reason);
-    metrics.add("answers_total{reason=\"" + std::string(reason) + "\"}");
-    if (record.firstPart)
-        metrics.record("first_part_seconds", *record.firstPart);
-    metrics.record("request_seconds", record.total);
-    if (record.escalations > 0)
-        metrics.add("escalations_total", record.escalations);
-    if (record.resumes > 0)
-        metrics.add("resumes_total", record.resumes);
-    if (!record.versionReason.empty())
-        metrics.add("versions_total{by=\"" + std::string(record.versionReason) + "\"}");
-    const bool isOrdinary = record.reason == flow_reason::served && record.resumes == 0
-            && record.attempts == record.escalations + 1;
-    if ((isOrdinary ? ordinary : unusual).allows(runtime.now()))
-        logFinished(record);
+    reporter.finished(record, runtime.now());
     // The flow is still on the call stack, so it is removed later.
     if (removalPosted)
         return;
@@ -226,101 +205,12 @@
     asio::post(context, [this] { removeFinishedFlows(); });
 }
 
-void proxy_server::state::logFinished(const flow_record &record)
-{
-    const std::string_view reason = textOf(record.reason);
-    logInfo(log_part::routing, "request ended",
-            {{"request", record.request},
-             {"reason", reason},
-             {"status", std::int64_t(record.status)},
-             {"session", record.session},
-             {"route", record.route},
-             {"customer", record.customer},
-             {"service", record.service},
-             {"contract", std::int64_t(record.contract)},
-             {"endpoint", record.endpoint},
-             {"endpoint_leaving", record.endpointLeaving ? "yes" : "no"},
-             {"version", record.endpointVersion},
-             {"version_by", record.versionReason},
-             {"stage", record.stage},
-             {"model", record.model},
-             {"choice", record.choice},
-             {"confidence", std::int64_t(record.confidence.value_or(-1))},
-             {"service_wait_percent", std::lround(record.serviceWait * 100)},
-             {"larger_expected_percent", std::lround(record.largerExpectedAt * 100)},
-             {"attempts", std::int64_t(record.attempts)},
-             {"escalations", std::int64_t(record.escalations)},
-             {"resumes", std::int64_t(record.resumes)},
-             {"events", std::int64_t(record.events)},
-             {"first_ms", std::int64_t(record.firstPart.value_or(milliseconds(-1)).count())},
-             {"total_ms", std::int64_t(record.total.count())}});
-}
-
-void proxy_server::state::logSuppressedLines()
-{
-    const std::uint64_t ordinarySuppressed = ordinary.takeSuppressedCount();
-    const std::uint64_t unusualSuppressed = unusual.takeSuppressedCount();
-    const std::uint64_t lost = takeDroppedLines();
-    metrics.add("log_lines_held_total", ordinarySuppressed + unusualSuppressed);
-    metrics.add("log_lines_lost_total", lost);
-    if (ordinarySuppressed + unusualSuppressed + lost == 0)
-        return;
-    logWarning(log_part::routing, "log lines left out",
-               {{"ordinary", std::int64_t(ordinarySuppressed)},
-                {"unusual", std::int64_t(unusualSuppressed)},
-                {"reader_too_slow", std::int64_t(lost)}});
-}
-
 void proxy_server::state::removeFinishedFlows()
 {
     removalPosted = false;
     std::erase_if(flows, [](const std::shared_ptr<flow> &item) { return item->isDone(); });
 }
 
-void proxy_server::state::attemptEnded(const flow_record &record, attempt_end end, next_step step)
-{
-    metrics.add("attempts_total{end=\"" + std::string(textOf(end)) + "\"}");
-    if (step != next_step::tryElsewhere && step != next_step::resumeElsewhere)
-        metrics.add("attempts_last_total{lacks=\"" + std::string(textOf(record.lack)) + "\"}");
-    if (!unusual.allows(runtime.now()))
-        return;
-    logInfo(log_part::routing, "attempt ended",
-            {{"request", record.request},
-             {"end", textOf(end)},
-             {"next", textOf(step)},
-             {"endpoint", record.endpoint},
-             {"version", record.endpointVersion},
-             {"version_by", record.versionReason},
-             {"attempt", std::int64_t(record.attempts)},
-             {"took_ms", std::int64_t(record.attemptDuration.count())},
-             {"left_ms", std::int64_t(record.timeLeft.count())},
-             {"events", std::int64_t(record.events)},
-             {"endpoint_leaving", record.endpointLeaving ? "yes" : "no"},
-             {"retry_after_ms",
-              std::int64_t(record.endpointRetryAfter.value_or(milliseconds(-1)).count())},
-             {"lacks", textOf(record.lack)},
-             {"budget_left", std::lround(record.budgetLeft)},
-             {"request_key", record.key ? textOf(*record.key) : ""}});
-}
-
-void proxy_server::state::escalated(const flow_record &record, const std::string &model)
-{
-    if (!ordinary.allows(runtime.now()))
-        return;
-    logInfo(log_part::routing, "escalated",
-            {{"request", record.request},
-             {"from", record.model},
-             {"to", model},
-             {"confidence", std::int64_t(record.confidence.value_or(-1))},
-             {"service_wait_percent", std::lround(record.serviceWait * 100)}});
-}
-
-void proxy_server::state::sentFurther(const flow_record &record, further_send what)
-{
-    metrics.add("further_sends_total{service=\"" + record.service + "\",for=\""
-                + std::string(textOf(what)) + "\"}");
-}
-
 void proxy_server::state::checkEnded(const endpoint_ptr &endpoint)
 {
     const time_point at = runtime.now();
@@ -338,7 +228,7 @@
     routing.runs().sweep(runtime.now());
     routing.directory().expire(runtime.now());
     routing.suspects().expire(runtime.now());
-    logSuppressedLines();
+    reporter.logSuppressedLines();
     setGauges();
     logReadiness();
     runtime.after(housekeepingInterval, [this] { housekeep(); });
@@ -356,34 +246,10 @@
 
 void proxy_server::state::setGauges()
 {
-    const time_point now = runtime.now();
     metrics.set("in_flight", static_cast<double>(flows.size()));
     metrics.set("caller_connections", static_cast<double>(callers.connections()));
     metrics.set("endpoint_connections_opened", static_cast<double>(endpoints.opened()));
-    const auto &listed = routing.directory().all();
-    const auto cold = std::count_if(listed.begin(), listed.end(),
-                                    [now](const auto &item) { return item.second->isCold(now); });
-    metrics.set("endpoints_listed", static_cast<double>(listed.size()));
-    metrics.set("endpoints_cold", static_cast<double>(cold));
-    const auto limited = std::count_if(listed.begin(), listed.end(), [](const auto &item) {
-        return item.second->rateLimit().has_value();
-    });
-    const auto leaving = std::count_if(listed.begin(), listed.end(),
-                                       [](const auto &item) { return item.second->isLeaving(); });
-    metrics.set("endpoints_leaving", static_cast<double>(leaving));
-    const auto inBackoff = std::count_if(listed.begin(), listed.end(), [now](const auto &item) {
-        return item.second->isInBackoff(now);
-    });
-    metrics.set("endpoints_in_backoff", static_cast<double>(inBackoff));
-    metrics.set("endpoints_limited", static_cast<double>(limited));
-    metrics.add("rate_limit_changes_total", routing.rateLimits().takeChanges());
-    metrics.add("requests_withheld_total", routing.crashes().takeNewlyWithheld());
-    metrics.set("requests_withheld", static_cast<double>(routing.suspects().withheld().size()));
-    metrics.set("requests_suspected", static_cast<double>(routing.suspects().suspectCount()));
-    metrics.set("entries_known", static_cast<double>(routing.entries()));
-    for (auto &[service, budget] : routing.allRepeats())
-        metrics.set("further_sends_left{service=\"" + service + "\"}",
-                    budget.availableSends(now, routing.shareOfEntries()));
+    reporter.setGauges(runtime.now());
 }
 
 void proxy_server::state::acceptWhenReady(time_point latest)
