Interfaces for services under hard load: stated pace, queue, pressure, and what switches them on

Cause: admission, pace and cascade need one view of a service's load before they are built beside each other. Change: the fourth figure of an endpoint's load is decoded as a slowdown (1: usual time); service_endpoint has expectedQueue() and an endpoint_pace; service_pressure holds recent waits as a share of the objective, decayed by time; load_settings says which feature is used where: by default where the settings list that callers compete for room, or endpoints state their pace. Nothing decides by them yet.

--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -7,6 +7,7 @@
 #ifndef LAURELCROFT_FLEET_SERVICEDIRECTORY_H
 #define LAURELCROFT_FLEET_SERVICEDIRECTORY_H
 
+#include "laurelcroft/Fleet/EndpointPace.h"
 #include "laurelcroft/Fleet/PrefixCacheEstimate.h"
 #include "laurelcroft/Support/Runtime.h"
 
@@ -54,6 +55,9 @@
     unsigned running = 0;
     unsigned waiting = 0;
     unsigned slots = 0;
+    /// How long work takes there at this moment, relative to its usual time: 2 means twice as long.
+    /// Empty if the endpoint does not state it.
+    std::optional<double> slowdown = std::nullopt;
 };
 
 /// One endpoint with the state that this process infers for it.
@@ -121,6 +125,13 @@
     prefix_cache_estimate &prefixCache() { return m_prefixCache; }
     const prefix_cache_estimate &prefixCache() const { return m_prefixCache; }
 
+    /// How long work takes at the endpoint, relative to its usual time.
+    endpoint_pace &pace() { return m_pace; }
+    const endpoint_pace &pace() const { return m_pace; }
+
+    /// \returns the estimated number of requests that wait at the endpoint, of all callers.
+    double expectedQueue(time_point now) const;
+
     /// Records that a part of an answer arrived, which shows that the endpoint works.
     void recordProgress(time_point now) { m_progressedAt = now; }
     time_point progressedAt() const { return m_progressedAt; }
@@ -183,6 +194,8 @@
     prefix_cache_estimate m_prefixCache;
     time_point m_progressedAt{};
     double m_otherCallersLoad = 0; ///< requests of other callers at the last load report
+    double m_reportedQueue = 0; ///< waiting requests at the last load report
+    endpoint_pace m_pace;
     time_point m_reportedAt{};
     double m_successWeight = 0;
     double m_failureWeight = 0;
--- a/include/laurelcroft/Proxy/RequestFlowEndpointState.h
+++ b/include/laurelcroft/Proxy/RequestFlowEndpointState.h
@@ -14,6 +14,8 @@
 {
     if (m_answer.load)
         m_endpoint->recordLoadReport(*m_answer.load, now());
+    if (m_endpoint->pace().isStated())
+        m_env.routing().notePaceStated(m_service);
     // A misdirected answer comes from another process at the address, so the values below don't
     // apply to this endpoint.
     if (m_answer.misdirected)
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -15,8 +15,10 @@
 #include "laurelcroft/Policy/PrefillRate.h"
 #include "laurelcroft/Policy/RateShare.h"
 #include "laurelcroft/Policy/SendBudget.h"
+#include "laurelcroft/Policy/ServicePressure.h"
 #include "laurelcroft/Proxy/CrashWatch.h"
 #include "laurelcroft/Proxy/LeavingWatch.h"
+#include "laurelcroft/Proxy/LoadSettings.h"
 #include "laurelcroft/Proxy/RateLimitWatch.h"
 #include "laurelcroft/Proxy/RolloutTracker.h"
 #include "laurelcroft/Support/Random.h"
@@ -25,6 +27,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -39,6 +42,7 @@
     send_budget_bounds repeats;
     /// Share of requests that a version under roll-out may get on trial.
     double rolloutExposure = 0.1;
+    load_settings load;
     std::string dataCentre; ///< data centre of this entry
     std::map<std::string, std::string> regions; ///< keyed by data centre
 };
@@ -118,6 +122,25 @@
     /// \returns recent waits for the first part of an answer at endpoints of \p service.
     recent_wait &waits(std::string_view service);
 
+    /// \returns recent waits for the first part of an answer at endpoints of \p service, as far as
+    /// this entry knows them.
+    service_pressure &pressure(std::string_view service);
+
+    /// \returns true if the pace of the endpoints of \p service is used: one of them has stated it,
+    /// or the settings say so.
+    bool usesPace(std::string_view service) const;
+
+    /// Records that an endpoint of \p service has stated its pace.
+    void notePaceStated(std::string_view service);
+
+    /// \returns true if requests to \p service are admitted by the room that its endpoints have:
+    /// the settings state that callers compete for it, or it changes without notice because the
+    /// endpoints share their machines and state their pace.
+    bool managesRoom(std::string_view service) const;
+
+    /// \returns true if the cascade of \p service takes the pressure on it into account.
+    bool usesPressureInCascade(std::string_view service) const;
+
     /// \returns the estimated prompt processing rate of \p model.
     prefill_rate &promptRate(std::string_view model);
 
@@ -199,6 +222,8 @@
     std::map<std::string, send_budget, std::less<>> m_repeats;
     std::map<std::string, failure_streak, std::less<>> m_outlooks;
     std::map<std::string, recent_wait, std::less<>> m_waits;
+    std::map<std::string, service_pressure, std::less<>> m_pressures;
+    std::set<std::string, std::less<>> m_statingPace; ///< services whose endpoints state their pace
     std::map<std::string, prefill_rate, std::less<>> m_promptRates;
     struct sample_list
     {
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -49,7 +49,15 @@
 {
     const double total = static_cast<double>(load.running) + load.waiting;
     m_otherCallersLoad = std::max(0.0, total - m_running);
+    m_reportedQueue = load.waiting;
     m_reportedAt = now;
+    if (load.slowdown)
+        m_pace.noteStated(*load.slowdown, now);
+}
+
+double service_endpoint::expectedQueue(time_point now) const
+{
+    return m_reportedQueue * decayFactor(now - m_reportedAt, reportHalfLife);
 }
 
 double service_endpoint::expectedLoad(time_point now) const
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -179,6 +179,34 @@
             && now - endpoint.lastSentAt() >= delays.sinceSend;
 }
 
+service_pressure &routing_state::pressure(std::string_view service)
+{
+    return findOrCreate(m_pressures, service);
+}
+
+void routing_state::notePaceStated(std::string_view service)
+{
+    if (m_statingPace.find(service) == m_statingPace.end())
+        m_statingPace.emplace(service);
+}
+
+bool routing_state::usesPace(std::string_view service) const
+{
+    return load_settings::isInUse(m_bounds.load.pace, m_statingPace.count(service) != 0);
+}
+
+bool routing_state::managesRoom(std::string_view service) const
+{
+    const bool isCalledFor = m_bounds.load.competesForRoom || m_statingPace.count(service) != 0;
+    return load_settings::isInUse(m_bounds.load.admission, isCalledFor);
+}
+
+bool routing_state::usesPressureInCascade(std::string_view service) const
+{
+    const bool isCalledFor = m_bounds.load.competesForRoom || m_statingPace.count(service) != 0;
+    return load_settings::isInUse(m_bounds.load.cascade, isCalledFor);
+}
+
 prefill_rate &routing_state::promptRate(std::string_view model)
 {
     return findOrCreate(m_promptRates, model);
