Split StoreSyncImpl.h by duty

Cause: 412 lines of three duties under a name that says none. Conclusion: a pure move; 274 test cases of Proxy pass.

--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -268,8 +268,10 @@
 } // namespace laurelcroft
 
 #include "laurelcroft/Proxy/StoreSyncEndpoints.h"
+#include "laurelcroft/Proxy/StoreSyncEntries.h"
 #include "laurelcroft/Proxy/StoreSyncFindings.h"
-#include "laurelcroft/Proxy/StoreSyncImpl.h"
 #include "laurelcroft/Proxy/StoreSyncRollouts.h"
+#include "laurelcroft/Proxy/StoreSyncRows.h"
+#include "laurelcroft/Proxy/StoreSyncTables.h"
 
 #endif
