Move a request early only if it can be in time elsewhere, where endpoints share machines

Cause: an endpoint that shares its machine pauses for a second or two beside a long prompt. Change: attempt_wait carries the time until another endpoint would have read the prompt, set only where endpoints state their pace. A move that can't be in time any more waits for four pauses, or four objectives for the first event: half of what callers bear.

--- a/include/laurelcroft/Policy/AttemptTimeout.h
+++ b/include/laurelcroft/Policy/AttemptTimeout.h
@@ -4,11 +4,16 @@
 // the timeout is too short, busy endpoints process every prompt twice; if it is too long, one lost
 // response makes the request miss its latency objective.
 //
+// Endpoints that share their machines pause often. A request that is moved has its whole prompt
+// read again, beside the prompts of others. There, a request is moved early only if it can still be
+// in time elsewhere; otherwise its late answer comes sooner where it is already being made.
+//
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_POLICY_ATTEMPTTIMEOUT_H
 #define LAURELCROFT_POLICY_ATTEMPTTIMEOUT_H
 
 #include <chrono>
+#include <optional>
 
 namespace laurelcroft {
 
@@ -29,6 +34,9 @@
     double meanWait = 0; ///< recent mean at the service, as a share of the objective
     double prefillMs = 0; ///< estimated time to process this prompt and those queued before it
     bool endpointSilent = false; ///< it responds to none of this entry's other requests either
+    /// Estimated time until another endpoint would have read the prompt. Set where endpoints share
+    /// their machines with others, so that a pause is seldom a loss; empty elsewhere.
+    std::optional<double> elsewhereMs = std::nullopt;
 };
 
 /// \returns how long to wait, counted from the last progress of the attempt.
--- a/include/laurelcroft/Proxy/RequestFlowProgress.h
+++ b/include/laurelcroft/Proxy/RequestFlowProgress.h
@@ -66,6 +66,8 @@
     view.meanWait = m_env.routing().waits(m_service).mean();
     view.prefillMs = m_expectedPrefillMs;
     view.endpointSilent = isEndpointSilent();
+    if (m_env.routing().usesPace(m_service))
+        view.elsewhereMs = prefillMsPerToken() * m_request->promptTokens;
     if (m_route->form == answer_form::events)
         view.part = m_hasFirstEvent ? awaited_part::nextEvent : awaited_part::firstEvent;
     return attemptTimeoutOf(view);
--- a/lib/Policy/AttemptTimeout.cpp
+++ b/lib/Policy/AttemptTimeout.cpp
@@ -35,6 +35,10 @@
 /// that have lost only this request.
 constexpr double silentGapShare = 0.75;
 constexpr double busyGapShare = 2.25;
+/// The same for a request that can't be in time elsewhere: half of the eight pauses, and at most
+/// the four objectives, after which callers give a stream up.
+constexpr double lateGapShare = 4;
+constexpr double lateObjectiveShare = 4;
 
 } // namespace
 
@@ -43,13 +47,33 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(whole * part);
 }
 
+/// \returns true if a request that is moved after \p early misses \p limit elsewhere.
+static bool isMoveTooLate(const attempt_wait &view, std::chrono::milliseconds early,
+                          std::chrono::milliseconds limit)
+{
+    const std::chrono::duration<double, std::milli> elsewhere(view.elsewhereMs.value_or(0));
+    return view.elsewhereMs && early + elsewhere > limit;
+}
+
+static std::chrono::milliseconds nextEventTimeout(const attempt_wait &view)
+{
+    const std::chrono::milliseconds early
+            = share(view.eventGap, view.endpointSilent ? silentGapShare : busyGapShare);
+    return isMoveTooLate(view, early, view.eventGap) ? share(view.eventGap, lateGapShare) : early;
+}
+
 std::chrono::milliseconds laurelcroft::attemptTimeoutOf(const attempt_wait &view)
 {
     if (view.part == awaited_part::nextEvent)
-        return share(view.eventGap, view.endpointSilent ? silentGapShare : busyGapShare);
+        return nextEventTimeout(view);
     const std::chrono::milliseconds latest = share(view.timeout, maxTimeoutShare);
     const double most = view.endpointSilent ? maxSilentShare : maxShare;
     const double usual = std::clamp(unusualWaitFactor * view.meanWait, minShare, most);
     const std::chrono::milliseconds reading(static_cast<long>(view.prefillMs * prefillMargin));
-    return std::min(latest, share(view.objective, usual) + reading);
+    const std::chrono::milliseconds early
+            = std::min(latest, share(view.objective, usual) + reading);
+    const bool isStream = view.part == awaited_part::firstEvent;
+    if (!isStream || !isMoveTooLate(view, early, view.objective))
+        return early;
+    return std::min(latest, share(view.objective, lateObjectiveShare) + reading);
 }
