Choose endpoints by their pace, stated and learned, and share it between entries

The choice, the expected waits and the time-outs took all endpoints of a service as equally fast. Where endpoints state how long work takes, the lasting part of what they state (the median of the latest values) and the moment on top of it now scale the times of reading prompts, of queues and of batches; samples of the reading rate and the evidence on versions are turned into usual times by it. Entries tell each other the stated values, and observed times where nothing is stated, within the bytes of findings.

--- a/include/laurelcroft/Fleet/EndpointPace.h
+++ b/include/laurelcroft/Fleet/EndpointPace.h
@@ -1,8 +1,12 @@
 //===-- Fleet/EndpointPace.h - how long work takes there ---------*- C++ -*-===//
 //
-// An endpoint that shares its machine states in its answers how long work takes there at that
-// moment, relative to its usual time. The value changes several times per second, so its weight
-// falls with its age. Not thread-safe.
+// How long work takes at one endpoint, relative to what is usual for its service. Load: endpoints
+// of unlike speed, some of which slow down for a moment because they share their machines.
+//
+// Two sources: what the endpoint states in its answers, and times that entries observe. Each has a
+// lasting part, which is forgotten over tens of seconds, so that an endpoint that nobody has used
+// for a while is tried again. A stated value that differs from the lasting one is a moment that
+// passes within a second. Not thread-safe.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_FLEET_ENDPOINTPACE_H
@@ -10,28 +14,81 @@
 
 #include "laurelcroft/Support/Runtime.h"
 
+#include <array>
+#include <cstddef>
+
 namespace laurelcroft {
 
-/// The pace of one endpoint.
+/// The pace of one endpoint. All slowdowns are factors; 2 means that work takes twice as long.
 class endpoint_pace
 {
 public:
+    /// Range of valid slowdowns. A machine slower than the maximum serves nobody in time; the
+    /// minimum limits how many requests a wrong value can attract.
+    static constexpr double minSlowdown = 0.1;
+    static constexpr double maxSlowdown = 20;
+
     /// Records the slowdown that an answer states. A value outside of the valid range is ignored.
     void noteStated(double slowdown, time_point now);
 
+    /// Records the slowdown that an answer to another entry has stated. A value outside of the
+    /// valid range is ignored.
+    void noteStatedElsewhere(double slowdown, time_point now);
+
+    /// Records an observed time.
+    /// \param ratio the observed time divided by the one expected at the stated slowdown.
+    /// \param weight of the observation, in samples.
+    void addObservation(double ratio, double weight, time_point now);
+
     /// \returns true if the endpoint has ever stated a valid slowdown.
     bool isStated() const { return m_isStated; }
 
-    /// \returns the expected time of work that starts now, relative to the usual time of the
-    /// service's endpoints; 1 if nothing is known.
+    /// \returns the slowdown in the latest answer to this entry; 1 if none stated it.
+    double lastStated() const { return m_lastStated; }
+
+    /// \returns the lasting slowdown that the endpoint states; 1 if it is not known.
+    double statedUsual(time_point now) const;
+
+    /// \returns the lasting slowdown, as stated and observed; 1 if nothing is known.
+    double usual(time_point now) const;
+
+    /// \returns the slowdown of work that starts now.
     double slowdown(time_point now) const;
 
+    /// \returns the expected time, in milliseconds, of work that starts now and usually takes
+    /// \p workMs at the service's endpoints.
+    double expectedMs(double workMs, time_point now) const;
+
 private:
+    /// Number of stated values of which the median is the lasting slowdown.
+    static constexpr std::size_t maxValues = 5;
+    /// A single value may be a moment.
+    static constexpr std::size_t minValues = 2;
+
+    void addValue(double slowdown, time_point now);
+    /// \returns the median of the latest stated values; 1 if there are too few.
+    double median() const;
+    double observed(time_point now) const;
+    /// \returns the latest stated value relative to the lasting one, when it was stated.
+    double moment() const;
+
     bool m_isStated = false;
-    double m_stated = 1;
+    double m_lastStated = 1; ///< in the latest answer to this entry
     time_point m_statedAt{};
+    std::array<double, maxValues> m_values{}; ///< latest stated values, a ring
+    std::size_t m_count = 0; ///< values ever added
+    time_point m_valueAt{}; ///< when the latest value was added
+    double m_logSum = 0; ///< weighted sum of the logarithms of observed ratios
+    double m_weight = 0; ///< of the observations
+    time_point m_observedAt{};
 };
 
+/// \returns \p time, observed at an endpoint with \p slowdown, as it would be at a usual one.
+inline duration atUsualPace(duration time, double slowdown)
+{
+    return slowdown == 1 ? time : std::chrono::duration_cast<duration>(time / slowdown);
+}
+
 } // namespace laurelcroft
 
 #endif
--- a/include/laurelcroft/Policy/DirectChoice.h
+++ b/include/laurelcroft/Policy/DirectChoice.h
@@ -23,6 +23,7 @@
     std::uint64_t idHash = 0;
     double load = 0; ///< estimated number of requests there, of all callers
     double slots = 1; ///< number of requests that run concurrently
+    double slowdown = 1; ///< lasting; 2 means that work takes twice as long as usual
     double waitMs = 0; ///< estimated time to process this prompt and those queued before it
     double uncachedMs = 0; ///< part of waitMs for prefixes not known to be cached
     double failureRate = 0; ///< recent share of failures, 0 to 1
--- a/include/laurelcroft/Proxy/NoticeChannel.h
+++ b/include/laurelcroft/Proxy/NoticeChannel.h
@@ -18,6 +18,7 @@
 #include "laurelcroft/Proxy/CrashNotices.h"
 #include "laurelcroft/Proxy/EvidenceNotice.h"
 #include "laurelcroft/Proxy/LeavingNotice.h"
+#include "laurelcroft/Proxy/PaceNotice.h"
 #include "laurelcroft/Proxy/RateLimitNotice.h"
 #include "laurelcroft/Support/Metrics.h"
 #include "laurelcroft/Support/Runtime.h"
@@ -58,6 +59,7 @@
     std::function<void(const cleared_notice &notice)> onCleared;
     std::function<void(const rate_limit_notice &notice)> onRateLimit = nullptr;
     std::function<void(const leaving_notice &notice)> onLeaving = nullptr;
+    std::function<void(const pace_notice &notice)> onPace = nullptr;
     /// Handles datagrams of any other kind. \returns true if it accepts the datagram. May be empty.
     std::function<bool(std::string_view bytes)> onOther = nullptr;
 };
@@ -87,6 +89,10 @@
     static constexpr double findingBytesPerSecond = 1000;
     static constexpr double findingBurstBytes = 12000;
 
+    /// Number of entries that a pace notice is sent to, round-robin. Each second a few of them
+    /// learn of all endpoints that answered this entry, for about 500 bytes.
+    static constexpr std::size_t paceRecipients = 4;
+
     /// \param ownAddress address as "host:port" that open() binds to.
     notice_channel(asio::io_context &context, metric_registry &metrics, std::string ownAddress,
                    notice_handlers handlers);
@@ -121,6 +127,9 @@
     void sendRateLimitNotice(const rate_limit_notice &notice);
     void sendLeavingNotice(const leaving_notice &notice);
 
+    /// Sends \p notice to \c paceRecipients other entries, chosen round-robin, within the budget.
+    void sendPaceNotice(const pace_notice &notice);
+
 private:
     struct state;
     void setReaders(const entry_map &entries, const std::string &own);
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -13,6 +13,7 @@
 #include "laurelcroft/Policy/AttemptTimeout.h"
 #include "laurelcroft/Policy/CandidateSample.h"
 #include "laurelcroft/Policy/DirectChoice.h"
+#include "laurelcroft/Policy/PauseSample.h"
 #include "laurelcroft/Proxy/FlowTypes.h"
 #include "laurelcroft/Proxy/ProxyTypes.h"
 #include "laurelcroft/Proxy/RequestKey.h"
@@ -163,6 +164,18 @@
     std::string modelName() const;
     unsigned tokensToRead(unsigned kept) const;
     double prefillMsPerToken();
+    /// \returns the lasting slowdown of \p endpoint; 1 where pace is not used.
+    double usualSlowdown(const service_endpoint &endpoint);
+    /// \returns the expected time at \p endpoint of work that usually takes \p workMs.
+    double expectedMs(const service_endpoint &endpoint, double workMs);
+    /// \returns the expected time at \p endpoint until a prompt that usually takes \p readingMs is
+    /// read, after those queued before it.
+    double waitMs(const service_endpoint &endpoint, const direct_candidate &candidate,
+                  double readingMs);
+    /// \returns the lasting slowdown that the endpoint of the current attempt states.
+    double statedSlowdown();
+    /// Reports how fast the endpoint of the current attempt has answered.
+    void observePace();
     double shareOfObjective(std::chrono::duration<double, std::milli> time) const;
     void endReading();
     milliseconds currentAttemptTimeout();
@@ -275,6 +288,7 @@
     time_point m_lastProgressAt{};
     time_point m_firstEventAt{}; ///< first event of the current attempt
     std::int64_t m_attemptEvents = 0;
+    pause_sample m_pauses; ///< between the events of the current attempt
     bool m_hasFirstEvent = false;
     bool m_countedSlow = false; ///< the current attempt was counted as a slow answer
     bool m_done = false;
@@ -289,6 +303,7 @@
 #include "laurelcroft/Proxy/RequestFlowCascade.h"
 #include "laurelcroft/Proxy/RequestFlowChoosing.h"
 #include "laurelcroft/Proxy/RequestFlowEndpointState.h"
+#include "laurelcroft/Proxy/RequestFlowPace.h"
 #include "laurelcroft/Proxy/RequestFlowProgress.h"
 #include "laurelcroft/Proxy/RequestFlowSending.h"
 #include "laurelcroft/Proxy/RequestFlowSuspicion.h"
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -63,9 +63,11 @@
 template <flow_environment Env>
 void request_flow<Env>::onEvent(const stream_event &event)
 {
-    m_lastProgressAt = now();
+    const time_point previousAt = std::exchange(m_lastProgressAt, now());
     m_endpoint->recordProgress(m_lastProgressAt);
     ++m_attemptEvents;
+    if (m_hasFirstEvent)
+        m_pauses.add(m_lastProgressAt - previousAt);
     if (!std::exchange(m_hasFirstEvent, true)) {
         m_firstEventAt = m_lastProgressAt;
         // Pauses between events have a shorter limit than the wait for the first event.
--- a/include/laurelcroft/Proxy/RequestFlowAttempts.h
+++ b/include/laurelcroft/Proxy/RequestFlowAttempts.h
@@ -12,13 +12,18 @@
 template <flow_environment Env>
 answer_timing request_flow<Env>::timingNow()
 {
+    // Only what the endpoint states is taken into account: a version that makes all its endpoints
+    // slow shows in the observed times.
+    const double slowdown = statedSlowdown();
     answer_timing timing;
-    timing.wait = (m_hasFirstEvent ? m_firstEventAt : now()) - m_attemptAt;
+    timing.wait = atUsualPace((m_hasFirstEvent ? m_firstEventAt : now()) - m_attemptAt, slowdown);
     timing.countedSlow = m_countedSlow;
     timing.reading = std::chrono::duration_cast<duration>(
-            std::chrono::duration<double, std::milli>(m_expectedPrefillMs + m_remotePrefillMs));
+            std::chrono::duration<double, std::milli>(m_expectedPrefillMs + m_remotePrefillMs)
+            / slowdown);
     if (m_attemptEvents > 1)
-        timing.pause = (m_lastProgressAt - m_firstEventAt) / (m_attemptEvents - 1);
+        timing.pause = atUsualPace((m_lastProgressAt - m_firstEventAt) / (m_attemptEvents - 1),
+                                   slowdown);
     return timing;
 }
 
@@ -88,6 +93,7 @@
     switch (end) {
     case attempt_end::answered:
         m_endpoint->recordSuccess(at);
+        observePace();
         rollouts.observe(version, m_route->name, m_record.model, timingNow(), at);
         break;
     case attempt_end::failed:
--- a/include/laurelcroft/Proxy/RequestFlowCandidates.h
+++ b/include/laurelcroft/Proxy/RequestFlowCandidates.h
@@ -19,10 +19,9 @@
     candidate.idHash = endpoint->idHash();
     candidate.load = endpoint->expectedLoad(at);
     candidate.slots = std::max(1U, endpoint->record().slots);
-    candidate.waitMs = endpoint->prefillMs()
-            + flow_bounds::remoteReadingWeight * endpoint->remotePrefillMs(at)
-            + prompt.msPerToken * tokensToRead(kept);
-    candidate.uncachedMs = prompt.msPerToken * (prompt.sharedTokens - kept);
+    candidate.waitMs = waitMs(*endpoint, candidate, prompt.msPerToken * tokensToRead(kept));
+    candidate.slowdown = usualSlowdown(*endpoint);
+    candidate.uncachedMs = candidate.slowdown * prompt.msPerToken * (prompt.sharedTokens - kept);
     candidate.failureRate = endpoint->failureRate(at);
     candidate.sameDataCentre = endpoint->record().dataCentre == m_env.routing().dataCentre();
     // An endpoint that refuses immediately has no load and thus the lowest cost. Further attempts
--- a/include/laurelcroft/Proxy/RequestFlowCascade.h
+++ b/include/laurelcroft/Proxy/RequestFlowCascade.h
@@ -73,7 +73,8 @@
     if (m_headReceived)
         m_env.routing()
                 .promptRate(m_record.model)
-                .addSample(m_readTokens, wait.count(), m_ownPrefillShare);
+                .addSample(m_readTokens, wait.count() / usualSlowdown(*m_endpoint),
+                           m_ownPrefillShare);
     m_record.serviceWait = m_env.routing().waits(m_service).mean();
 }
 
--- a/include/laurelcroft/Proxy/RequestFlowEndpointState.h
+++ b/include/laurelcroft/Proxy/RequestFlowEndpointState.h
@@ -12,10 +12,13 @@
 template <flow_environment Env>
 void request_flow<Env>::noteEndpointState()
 {
+    // Another process runs on another machine.
+    if (m_answer.load && m_answer.misdirected)
+        m_answer.load->slowdown.reset();
     if (m_answer.load)
         m_endpoint->recordLoadReport(*m_answer.load, now());
-    if (m_endpoint->pace().isStated())
-        m_env.routing().notePaceStated(m_service);
+    if (m_answer.load && m_answer.load->slowdown)
+        m_env.routing().notePaceStated(*m_endpoint, now());
     // A misdirected answer comes from another process at the address, so the values below don't
     // apply to this endpoint.
     if (m_answer.misdirected)
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -46,6 +46,7 @@
     m_lastProgressAt = m_attemptAt;
     m_hasFirstEvent = false;
     m_attemptEvents = 0;
+    m_pauses.clear();
     m_headReceived = false;
     m_countedSlow = false;
     m_body.clear();
@@ -57,10 +58,11 @@
     beginRun();
     m_readTokens = tokensToRead(endpoint->prefixCache().cachedTokens(m_prefixes));
     m_prefillMs = prefillMsPerToken() * m_readTokens;
-    m_expectedPrefillMs = m_endpoint->prefillMs() + m_prefillMs;
+    m_expectedPrefillMs = expectedMs(*m_endpoint, m_endpoint->prefillMs() + m_prefillMs);
     m_remotePrefillMs = m_endpoint->remotePrefillMs(m_attemptAt);
-    m_ownPrefillShare = pick.waitMs > 0 ? m_prefillMs / pick.waitMs : 1;
+    m_ownPrefillShare = pick.waitMs > 0 ? expectedMs(*m_endpoint, m_prefillMs) / pick.waitMs : 1;
     m_endpoint->addPrefill(m_prefillMs);
+    state.pace().workOf(m_service).readingMs.add(m_prefillMs);
     state.noteSend(*endpoint, m_prefillMs, m_prefixes);
     m_endpoint->prefixCache().insert(m_prefixes);
     m_tried.push_back(endpoint->record().id);
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -19,6 +19,7 @@
 #include "laurelcroft/Proxy/CrashWatch.h"
 #include "laurelcroft/Proxy/LeavingWatch.h"
 #include "laurelcroft/Proxy/LoadSettings.h"
+#include "laurelcroft/Proxy/PaceWatch.h"
 #include "laurelcroft/Proxy/RateLimitWatch.h"
 #include "laurelcroft/Proxy/RolloutTracker.h"
 #include "laurelcroft/Support/Random.h"
@@ -130,8 +131,13 @@
     /// or the settings say so.
     bool usesPace(std::string_view service) const;
 
-    /// Records that an endpoint of \p service has stated its pace.
-    void notePaceStated(std::string_view service);
+    /// Records that an answer of \p endpoint states its pace.
+    void notePaceStated(const service_endpoint &endpoint, time_point now);
+
+    /// Applies the pace that another entry has learned. Unlisted endpoints are ignored.
+    void notePaceElsewhere(const pace_notice &notice, time_point now);
+
+    pace_watch &pace() { return m_pace; }
 
     /// \returns true if requests to \p service are admitted by the room that its endpoints have:
     /// the settings state that callers compete for it, or it changes without notice because the
@@ -218,6 +224,7 @@
     crash_watch m_crashes;
     rate_limit_watch m_rateLimits;
     leaving_watch m_leaving;
+    pace_watch m_pace;
     std::map<std::string, rollout_tracker, std::less<>> m_rollouts;
     std::map<std::string, send_budget, std::less<>> m_repeats;
     std::map<std::string, failure_streak, std::less<>> m_outlooks;
--- a/lib/Fleet/EndpointPace.cpp
+++ b/lib/Fleet/EndpointPace.cpp
@@ -1,6 +1,7 @@
 //===-- EndpointPace.cpp - how long work takes there ----------------------===//
 //
-// The stated slowdown decays towards 1.
+// The lasting slowdown is the median of the latest stated values, multiplied by the mean ratio of
+// observed to expected times. The latest stated value counts beyond it for a moment.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Fleet/EndpointPace.h"
@@ -12,26 +13,134 @@
 
 namespace {
 
-/// Half-life of a stated slowdown. Endpoints state a new value several times per second.
-constexpr milliseconds statedHalfLife{300};
-/// Range of valid values. A machine that is slower than the maximum serves nobody in time.
-constexpr double minSlowdown = 0.1;
-constexpr double maxSlowdown = 20;
+/// Half-life of a momentary slowdown. Machines change several times per second: after 50 ms a value
+/// still holds at most machines, after 200 ms at two of three, after 1,000 ms at one of ten.
+constexpr milliseconds momentHalfLife{300};
+/// Expected remaining time of a momentary slowdown, in milliseconds; longer work is slowed down for
+/// this part only.
+constexpr double momentLeftMs = 300;
+/// Half-life of the lasting slowdown without new samples. Long compared with the time between two
+/// answers of an endpoint to all entries, short compared with the time for which machines keep
+/// their neighbours.
+constexpr seconds lastingHalfLife{30};
+/// Observations without any effect that are assumed at first, since a single one may have been
+/// delayed by other work.
+constexpr double priorWeight = 1;
+/// Observations count for at most this many samples, so that a changed pace is learned in a few.
+constexpr double maxWeight = 8;
+/// Largest effect of one observation, as a factor.
+constexpr double maxRatio = 4;
+/// A stated slowdown is corrected by observed times only beyond this factor: other work on the
+/// endpoint makes observed times differ as well, and a stated value is exact unless it is wrong.
+constexpr double trustedRatio = 1.5;
 
 } // namespace
 
+static double decayFactor(duration age, duration halfLife)
+{
+    const double halves
+            = std::chrono::duration<double>(age) / std::chrono::duration<double>(halfLife);
+    return std::exp2(-std::max(0.0, halves));
+}
+
+/// \returns false also for a value that is not a number.
+static bool isValid(double slowdown)
+{
+    return slowdown >= endpoint_pace::minSlowdown && slowdown <= endpoint_pace::maxSlowdown;
+}
+
 void endpoint_pace::noteStated(double slowdown, time_point now)
 {
-    if (!(slowdown >= minSlowdown && slowdown <= maxSlowdown))
+    if (!isValid(slowdown))
         return;
     m_isStated = true;
-    m_stated = slowdown;
+    m_lastStated = slowdown;
     m_statedAt = now;
+    addValue(slowdown, now);
+}
+
+void endpoint_pace::noteStatedElsewhere(double slowdown, time_point now)
+{
+    if (!isValid(slowdown))
+        return;
+    m_isStated = true;
+    addValue(slowdown, now);
+}
+
+void endpoint_pace::addValue(double slowdown, time_point now)
+{
+    m_values[m_count % maxValues] = slowdown;
+    ++m_count;
+    m_valueAt = now;
+}
+
+void endpoint_pace::addObservation(double ratio, double weight, time_point now)
+{
+    if (!(ratio > 0) || !(weight > 0))
+        return;
+    const double keep = decayFactor(now - m_observedAt, lastingHalfLife);
+    const double effect = std::log(std::clamp(ratio, 1 / maxRatio, maxRatio));
+    m_logSum = m_logSum * keep + effect * weight;
+    m_weight = m_weight * keep + weight;
+    if (m_weight > maxWeight) {
+        m_logSum *= maxWeight / m_weight;
+        m_weight = maxWeight;
+    }
+    m_observedAt = now;
+}
+
+/// \returns the lower of the two middle values for an even number, since momentary slowdowns only
+/// make values larger.
+double endpoint_pace::median() const
+{
+    if (m_count < minValues)
+        return 1;
+    const std::size_t count = std::min(m_count, maxValues);
+    std::array<double, maxValues> sorted = m_values;
+    const auto end = sorted.begin() + static_cast<std::ptrdiff_t>(count);
+    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>((count - 1) / 2);
+    std::nth_element(sorted.begin(), middle, end);
+    return *middle;
+}
+
+double endpoint_pace::statedUsual(time_point now) const
+{
+    return 1 + (median() - 1) * decayFactor(now - m_valueAt, lastingHalfLife);
+}
+
+double endpoint_pace::observed(time_point now) const
+{
+    const double keep = decayFactor(now - m_observedAt, lastingHalfLife);
+    const double effect = m_logSum * keep / (m_weight * keep + priorWeight);
+    if (!m_isStated)
+        return std::exp(effect);
+    const double beyond = std::max(0.0, std::abs(effect) - std::log(trustedRatio));
+    return std::exp(std::copysign(beyond, effect));
+}
+
+double endpoint_pace::usual(time_point now) const
+{
+    return std::clamp(statedUsual(now) * observed(now), minSlowdown, maxSlowdown);
+}
+
+double endpoint_pace::moment() const
+{
+    return m_statedAt == time_point() ? 1 : m_lastStated / median();
 }
 
 double endpoint_pace::slowdown(time_point now) const
 {
-    const double halves = std::chrono::duration<double>(now - m_statedAt)
-            / std::chrono::duration<double>(statedHalfLife);
-    return 1 + (m_stated - 1) * std::exp2(-std::max(0.0, halves));
+    const double lasting = usual(now);
+    const double moment = this->moment();
+    return lasting * (1 + (moment - 1) * decayFactor(now - m_statedAt, momentHalfLife));
+}
+
+double endpoint_pace::expectedMs(double workMs, time_point now) const
+{
+    const double lastingMs = workMs * usual(now);
+    const double moment = this->moment();
+    if (moment <= 1)
+        return lastingMs;
+    const double addedMs = std::min((moment - 1) * lastingMs, momentLeftMs * (1 - 1 / moment));
+    return lastingMs + addedMs * decayFactor(now - m_statedAt, momentHalfLife);
 }
--- a/lib/Policy/DirectChoice.cpp
+++ b/lib/Policy/DirectChoice.cpp
@@ -64,7 +64,8 @@
 
 static double costOf(const direct_candidate &candidate)
 {
-    double cost = candidate.waitMs + candidate.load / candidate.slots * fullSlotsMs;
+    double cost = candidate.waitMs
+            + candidate.load / candidate.slots * fullSlotsMs * candidate.slowdown;
     if (!candidate.sameDataCentre)
         cost += otherDataCentreMs;
     cost += candidate.failureRate * failurePenaltyMs;
--- a/lib/Proxy/NoticeChannel.cpp
+++ b/lib/Proxy/NoticeChannel.cpp
@@ -34,6 +34,8 @@
 constexpr std::size_t fieldsBeforePrefixes = 2;
 /// Burst size of the byte budget, as seconds of its rate.
 constexpr double burstSeconds = 1;
+/// Part of the burst for findings that pace notices leave to them, since a late finding costs more.
+constexpr double paceReserveBytes = 0.75 * notice_channel::findingBurstBytes;
 
 } // namespace
 
@@ -110,6 +112,7 @@
     std::vector<udp::endpoint> others; ///< all other entries, in an order specific to this entry
     std::map<std::string, udp::endpoint> byName; ///< the same entries by name
     std::size_t nextRecipient = 0;
+    std::size_t nextPaceRecipient = 0;
     token_bucket findingBytes{findingBytesPerSecond, findingBurstBytes};
     std::map<std::string, std::vector<udp::endpoint>> recipients; ///< by data centre
     token_bucket bytes{bytesPerSecond, bytesPerSecond *burstSeconds};
@@ -167,6 +170,16 @@
                               });
 }
 
+/// Calls \p handler, if set, with \p notice, if present. \returns true if \p notice is present.
+template <class Notice>
+static bool dispatch(const std::function<void(const Notice &)> &handler,
+                     const std::optional<Notice> &notice)
+{
+    if (notice && handler)
+        handler(*notice);
+    return notice.has_value();
+}
+
 void notice_channel::state::handleDatagram(std::string_view bytes)
 {
     // Send notices are by far the most frequent. No datagram decodes as two kinds.
@@ -182,6 +195,10 @@
     }
     if (receiveFinding(bytes))
         return;
+    if (dispatch(handlers.onPace, decodePaceNotice(bytes))) {
+        metrics.add("pace_notices_total{way=\"received\"}");
+        return;
+    }
     if (handlers.onOther && handlers.onOther(bytes))
         return;
     metrics.add("send_notices_total{way=\"refused\"}");
@@ -189,16 +206,6 @@
              {{"from", from.address().to_string()}, {"bytes", std::int64_t(bytes.size())}});
 }
 
-/// Calls \p handler, if set, with \p notice, if present. \returns true if \p notice is present.
-template <class Notice>
-static bool dispatch(const std::function<void(const Notice &)> &handler,
-                     const std::optional<Notice> &notice)
-{
-    if (notice && handler)
-        handler(*notice);
-    return notice.has_value();
-}
-
 bool notice_channel::state::receiveFinding(std::string_view bytes)
 {
     // Each decoder parses the whole datagram, so the most frequent kind is tried first.
@@ -257,6 +264,26 @@
     m_state->sendFinding(encodeLeavingNotice(notice), false);
 }
 
+void notice_channel::sendPaceNotice(const pace_notice &notice)
+{
+    const std::string bytes = encodePaceNotice(notice);
+    const double cost = static_cast<double>(bytes.size()) + headerBytes;
+    const std::vector<udp::endpoint> &others = m_state->others;
+    for (std::size_t i = 0; i < std::min(paceRecipients, others.size()); ++i) {
+        if (!m_state->findingBytes.refillAndCheck(cost + paceReserveBytes, bootNow())) {
+            m_state->metrics.add("pace_notices_total{way=\"held\"}");
+            return;
+        }
+        m_state->findingBytes.consume(cost);
+        m_state->bytes.consume(cost);
+        m_state->nextPaceRecipient = (m_state->nextPaceRecipient + 1) % others.size();
+        asio::error_code error;
+        m_state->socket.send_to(asio::buffer(bytes), others[m_state->nextPaceRecipient], 0, error);
+        m_state->metrics.add(error ? "pace_notices_total{way=\"failed\"}"
+                                   : "pace_notices_total{way=\"sent\"}");
+    }
+}
+
 void notice_channel::send(const std::string &entry, std::string_view bytes)
 {
     const auto it = m_state->byName.find(entry);
--- /dev/null
+++ b/lib/Proxy/PaceNotice.cpp
@@ -0,0 +1,63 @@
+//===-- PaceNotice.cpp - pace of endpoints by datagram ----------------------===//
+//
+// A MessagePack array: kind, and for each endpoint its id and three numbers.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Proxy/PaceNotice.h"
+
+#include "laurelcroft/Support/MessagePack.h"
+
+#include <algorithm>
+
+using namespace laurelcroft;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view kind = "pace";
+constexpr std::size_t reportFields = 4;
+
+} // namespace
+
+std::string laurelcroft::encodePaceNotice(const pace_notice &notice)
+{
+    json item = json::array({kind});
+    const std::size_t count = std::min(notice.reports.size(), pace_notice::maxReports);
+    for (std::size_t i = 0; i < count; ++i) {
+        const pace_report &report = notice.reports[i];
+        item.push_back(report.endpoint);
+        item.push_back(report.statedPercent);
+        item.push_back(report.observedPercent);
+        item.push_back(report.samples);
+    }
+    return encodeMessagePack(item);
+}
+
+/// \returns the number in \p item, or nothing if it is none or above \p max.
+static std::optional<unsigned> numberIn(const json &item, unsigned max)
+{
+    if (!item.is_number_unsigned() || item.get<std::uint64_t>() > max)
+        return std::nullopt;
+    return item.get<unsigned>();
+}
+
+std::optional<pace_notice> laurelcroft::decodePaceNotice(std::string_view bytes)
+{
+    const json item = decodeMessagePack(bytes);
+    if (!item.is_array() || item.empty() || item[0] != json(kind))
+        return std::nullopt;
+    const std::size_t fields = item.size() - 1;
+    if (fields % reportFields != 0 || fields / reportFields > pace_notice::maxReports)
+        return std::nullopt;
+    pace_notice notice;
+    for (std::size_t i = 1; i < item.size(); i += reportFields) {
+        const std::optional<unsigned> stated = numberIn(item[i + 1], pace_notice::maxPercent);
+        const std::optional<unsigned> observed = numberIn(item[i + 2], pace_notice::maxPercent);
+        const std::optional<unsigned> samples = numberIn(item[i + 3], pace_notice::maxSamples);
+        const bool isNamed = isName(item[i]) && !item[i].get_ref<const std::string &>().empty();
+        if (!isNamed || !stated || !observed || !samples)
+            return std::nullopt;
+        notice.reports.push_back({item[i].get<std::string>(), *stated, *observed, *samples});
+    }
+    return notice;
+}
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -53,8 +53,10 @@
     const auto it = m_directory.all().find(endpoint);
     if (it == m_directory.all().end())
         return;
-    it->second->addRemotePrefill(reading, now);
-    it->second->prefixCache().insert(prefixes);
+    service_endpoint &there = *it->second;
+    const double slowdown = usesPace(there.record().service) ? there.pace().usual(now) : 1;
+    there.addRemotePrefill(std::chrono::duration_cast<milliseconds>(reading * slowdown), now);
+    there.prefixCache().insert(prefixes);
 }
 
 void routing_state::noteRateLimitElsewhere(const rate_limit_notice &notice, time_point now)
@@ -184,10 +186,18 @@
     return findOrCreate(m_pressures, service);
 }
 
-void routing_state::notePaceStated(std::string_view service)
+void routing_state::notePaceStated(const service_endpoint &endpoint, time_point now)
 {
+    const std::string &service = endpoint.record().service;
     if (m_statingPace.find(service) == m_statingPace.end())
         m_statingPace.emplace(service);
+    if (usesPace(service))
+        m_pace.noteStated(endpoint, now);
+}
+
+void routing_state::notePaceElsewhere(const pace_notice &notice, time_point now)
+{
+    m_pace.applyNotice(m_directory, notice, now);
 }
 
 bool routing_state::usesPace(std::string_view service) const
--- a/unittests/Fleet/EndpointPaceTests.cpp
+++ b/unittests/Fleet/EndpointPaceTests.cpp
@@ -1,6 +1,6 @@
 //===-- EndpointPaceTests.cpp - how long work takes there ------------------===//
 //
-// How a stated slowdown counts as it grows older.
+// How stated and observed slowdowns count as they grow older, and what wrong values do.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Fleet/EndpointPace.h"
@@ -32,3 +32,89 @@
     CHECK(!pace.isStated());
     CHECK(pace.slowdown(now) == 1);
 }
+
+TEST_CASE("a moment of slowness does not change what an endpoint is known for")
+{
+    endpoint_pace pace;
+    time_point now{seconds(100)};
+    for (int i = 0; i < 3; ++i) {
+        now += seconds(1);
+        pace.noteStated(1.2, now);
+    }
+    now += seconds(1);
+    pace.noteStated(3.0, now);
+    CHECK(pace.usual(now) == doctest::Approx(1.2));
+    CHECK(pace.slowdown(now) == doctest::Approx(3.0));
+    CHECK(pace.slowdown(now + milliseconds(50)) > 2.7);
+    CHECK(pace.slowdown(now + milliseconds(1000)) < 1.5);
+}
+
+TEST_CASE("a lasting slowdown is kept for tens of seconds and then forgotten")
+{
+    endpoint_pace pace;
+    const time_point now{seconds(100)};
+    pace.noteStatedElsewhere(3, now);
+    pace.noteStatedElsewhere(3, now);
+    CHECK(pace.usual(now + seconds(10)) > 2.5);
+    CHECK(pace.usual(now + seconds(300)) < 1.01);
+}
+
+TEST_CASE("a turn of the pace counts from the next answer on")
+{
+    endpoint_pace pace;
+    const time_point now{seconds(100)};
+    pace.noteStated(2.5, now);
+    pace.noteStated(1, now + milliseconds(50));
+    CHECK(pace.slowdown(now + milliseconds(50)) == 1);
+}
+
+TEST_CASE("a long work is slowed down only for the rest of the moment")
+{
+    endpoint_pace pace;
+    const time_point now{seconds(100)};
+    pace.noteStated(1, now);
+    pace.noteStated(1, now);
+    pace.noteStated(2.5, now);
+    CHECK(pace.expectedMs(10, now) == doctest::Approx(25));
+    CHECK(pace.expectedMs(3000, now) < 3300);
+    CHECK(pace.expectedMs(3000, now) > 3000);
+}
+
+TEST_CASE("observed times count more with each of them, and a single one only little")
+{
+    endpoint_pace pace;
+    time_point now{seconds(100)};
+    pace.addObservation(1000, 1, now);
+    CHECK(pace.usual(now) <= 2);
+    for (int i = 0; i < 8; ++i)
+        pace.addObservation(3, 1, now);
+    CHECK(pace.usual(now) > 2.3);
+    CHECK(pace.usual(now + seconds(300)) < 1.1);
+    for (int i = 0; i < 20; ++i)
+        pace.addObservation(1, 1, now);
+    CHECK(pace.usual(now) < 1.3);
+    for (const double wrong : {0.0, -1.0, std::numeric_limits<double>::quiet_NaN()})
+        pace.addObservation(wrong, 1, now);
+    CHECK(pace.usual(now) < 1.3);
+}
+
+TEST_CASE("an endpoint that states to be fast and is slow no longer counts as fast")
+{
+    endpoint_pace pace;
+    const time_point now{seconds(100)};
+    pace.noteStated(0.5, now);
+    pace.noteStated(0.5, now);
+    for (int i = 0; i < 8; ++i)
+        pace.addObservation(4, 1, now);
+    CHECK(pace.usual(now) > 1);
+}
+
+TEST_CASE("a clock that jumps back leaves the pace as it was")
+{
+    endpoint_pace pace;
+    const time_point now{seconds(100)};
+    pace.noteStated(2, now);
+    pace.addObservation(2, 4, now);
+    CHECK(pace.slowdown(now - seconds(50)) == doctest::Approx(pace.slowdown(now)));
+    CHECK(pace.expectedMs(100, now - seconds(50)) == doctest::Approx(pace.expectedMs(100, now)));
+}
