--- a/unittests/Proxy/StreamPatienceTests.cpp
+++ b/unittests/Proxy/StreamPatienceTests.cpp
@@ -18,8 +18,11 @@
 {
     auto request = requestFor(draftRoute());
     request->promptTokens = 60'000;
-    if (statesPace)
-        fixture.routing.notePaceStated("pool");
+    if (statesPace) {
+        service_endpoint &endpoint = *fixture.routing.directory().all().at("e1");
+        endpoint.pace().noteStated(1, fixture.runtime.now());
+        fixture.routing.notePaceStated(endpoint, fixture.runtime.now());
+    }
     startFlow(fixture, request);
     REQUIRE(fixture.calls.size() == 1);
     fixture.runtime.advance(readingTime);
