Admit requests by expected wait, urgency and customers' fair shares

Cause: nothing was refused for lack of room. Beyond the room of the endpoints, all requests queued until nearly all of them were late.

Change: before the first send, an entry decides by the expected wait at the service, which it learns from stated loads and observed waits. The admitted part of demand falls exponentially with the wait; more urgent work goes first, and within an urgency each customer has a max-min fair share. Only where room is managed (ROOM.md).

An entry with little traffic needs more of its own samples, most refusals of usual customers are in the first two seconds.

--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -142,6 +142,9 @@
     /// \returns the estimated number of running and waiting requests of all callers.
     double expectedLoad(time_point now) const;
 
+    /// \returns how much the last load report still counts, from 1 when it is new to 0.
+    double reportWeight(time_point now) const;
+
     /// Records that a request was answered.
     void recordSuccess(time_point now);
 
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -7,6 +7,7 @@
 #define LAURELCROFT_PROXY_FLOWTYPES_H
 
 #include "laurelcroft/Policy/AttemptOutcome.h"
+#include "laurelcroft/Policy/RoomAdmission.h"
 #include "laurelcroft/Support/Runtime.h"
 
 #include <cstdint>
@@ -30,6 +31,8 @@
     backoffEndpoints, ///< the remaining endpoints are in backoff after a Retry-After
     evacuated, ///< all listed endpoints are in evacuated data centres
     withheld, ///< the request is withheld because endpoints crashed while running it
+    noRoom, ///< the endpoints have too little room for requests of its urgency
+    overShare, ///< its customer asks for more than its fair share of the room
     outsideRegions, ///< the remaining endpoints are outside the permitted regions
     refusedByEndpoints, ///< all endpoints tried refused it without running it
     brokenAttempt, ///< an endpoint broke off and no further attempt is allowed
@@ -41,6 +44,19 @@
 
 std::string_view textOf(flow_reason reason);
 
+/// How a request was admitted, or refused for lack of room.
+struct room_record
+{
+    room_reason reason = room_reason::free;
+    int urgency = 0;
+    double wait = 0; ///< expected at the service, as a share of the objective
+    double admitted = 1; ///< part of demand that was admitted at that wait
+    double load = 0; ///< of an endpoint, divided by its slots
+    milliseconds age{0}; ///< of this knowledge
+    double chance = 1; ///< of this request
+    double demandRatio = 0; ///< demand of its customer relative to the fair share; 0: no limit
+};
+
 /// What is logged and counted of one request.
 struct flow_record
 {
@@ -71,6 +87,7 @@
     /// if no larger model was considered. Above 1, the low-confidence answer was kept.
     double largerExpectedAt = 0;
     double serviceWait = 0; ///< recent mean wait at the service, as a share of the objective
+    std::optional<room_record> room; ///< empty if room was not asked about
     int status = 0;
     flow_reason reason = flow_reason::served;
     std::optional<milliseconds> firstPart; ///< from arrival to the first event or the answer
@@ -100,6 +117,8 @@
 inline constexpr milliseconds suspectResendDelay{10};
 /// Interval at which a waiting request tries to choose an endpoint again.
 inline constexpr milliseconds roomCheckInterval{25};
+/// Until an answer was seen, one is assumed to take the route's objective divided by this.
+inline constexpr int assumedAnswerDivisor = 8;
 /// Shortest Retry-After sent to refused callers: about the time in which a slot becomes free.
 inline constexpr milliseconds minRetryAfter{250};
 /// Longest Retry-After, used while a service answers no requests: a third of the time limit of most
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -110,6 +110,14 @@
     void serve();
     const weighted_service &pickService();
     void sendNext();
+    /// Refuses the request, before its first send, if the service has no room for it.
+    /// \returns true if it was refused.
+    bool refuseForRoom(const endpoint_pick &pick);
+    room_view roomView(const endpoint_pick &pick, service_room &room);
+    double endpointLoad(const service_endpoint &endpoint, const service_room &room);
+    void noteStatedRoom();
+    void noteAnswerTime();
+    int urgency() const;
     bool waitForRoom();
     /// Schedules another attempt to choose an endpoint.
     /// \returns false when the request has already waited for \p longest.
@@ -238,6 +246,8 @@
     timer_id m_progressTimer = 0;
     flow_record m_record;
 
+    double m_loadAtSend = 0; ///< of the endpoint before the first send, divided by its slots
+
     std::vector<std::string> m_tried;
     std::set<std::string> m_failedDataCentres; ///< where an attempt broke off or could not connect
     std::size_t m_modelIndex = 0;
@@ -290,6 +300,7 @@
 #include "laurelcroft/Proxy/RequestFlowChoosing.h"
 #include "laurelcroft/Proxy/RequestFlowEndpointState.h"
 #include "laurelcroft/Proxy/RequestFlowProgress.h"
+#include "laurelcroft/Proxy/RequestFlowRoom.h"
 #include "laurelcroft/Proxy/RequestFlowSending.h"
 #include "laurelcroft/Proxy/RequestFlowSuspicion.h"
 
--- a/include/laurelcroft/Proxy/RequestFlowCascade.h
+++ b/include/laurelcroft/Proxy/RequestFlowCascade.h
@@ -74,6 +74,7 @@
         m_env.routing()
                 .promptRate(m_record.model)
                 .addSample(m_readTokens, wait.count(), m_ownPrefillShare);
+    noteAnswerTime();
     m_record.serviceWait = m_env.routing().waits(m_service).mean();
 }
 
--- a/include/laurelcroft/Proxy/RequestFlowEndpointState.h
+++ b/include/laurelcroft/Proxy/RequestFlowEndpointState.h
@@ -20,6 +20,7 @@
     // apply to this endpoint.
     if (m_answer.misdirected)
         return;
+    noteStatedRoom();
     // An unsigned answer may come from an intermediary, so a missing limit in it doesn't clear the
     // known one.
     if (m_answer.rateLimit || m_answer.signedByEndpoint)
--- /dev/null
+++ b/include/laurelcroft/Proxy/RequestFlowRoom.h
@@ -0,0 +1,128 @@
+//===-- Proxy/RequestFlowRoom.h - admission by room -------------*- C++ -*-===//
+//
+// Members of request_flow that ask, before the first send, whether the endpoints have room for the
+// request, and that learn from answers how much room there is. Included by RequestFlow.h only.
+//
+//===----------------------------------------------------------------------===//
+#ifndef LAURELCROFT_PROXY_REQUESTFLOWROOM_H
+#define LAURELCROFT_PROXY_REQUESTFLOWROOM_H
+
+#include "laurelcroft/Policy/RoomAdmission.h"
+
+#include <cmath>
+
+namespace laurelcroft {
+
+template <flow_environment Env>
+int request_flow<Env>::urgency() const
+{
+    return m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
+}
+
+template <flow_environment Env>
+double request_flow<Env>::endpointLoad(const service_endpoint &endpoint, const service_room &room)
+{
+    // A report that has lost weight is completed with the mean of the service. Otherwise an entry
+    // that has not heard from an endpoint for long would take it for idle.
+    const double slots = std::max(1U, endpoint.record().slots);
+    const double missing = 1 - endpoint.reportWeight(now());
+    return endpoint.expectedLoad(now()) / slots + missing * room.loadPerSlot(now());
+}
+
+template <flow_environment Env>
+room_view request_flow<Env>::roomView(const endpoint_pick &pick, service_room &room)
+{
+    const bool hasPrompt = m_request->promptTokens > 0;
+    const service_endpoint &endpoint = *pick.endpoint;
+    const double slots = std::max(1U, endpoint.record().slots);
+    const double readMs
+            = prefillMsPerToken() * tokensToRead(endpoint.prefixCache().cachedTokens(m_prefixes));
+    const double promptsBeforeMs = std::max(0.0, pick.waitMs - readMs);
+    room_view view;
+    view.answerTime = hasPrompt ? milliseconds(std::llround(readMs)) : room.answerTime();
+    // This entry's own requests are known without delay, also before the first answer.
+    const double ownQueue = std::max(0.0, endpoint.running() / slots - 1);
+    const milliseconds slotTime
+            = std::max(view.answerTime, m_route->objective / flow_bounds::assumedAnswerDivisor);
+    const std::chrono::duration<double, std::milli> ownWait = ownQueue * slotTime;
+    view.wait = std::max(room.waitShare(now()), shareOfObjective(ownWait));
+    const double ahead = room.shares().demandUpTo(urgency());
+    view.ownWait = milliseconds(std::llround(double(room.wait(now()).count()) * ahead));
+    m_loadAtSend = endpointLoad(endpoint, room);
+    view.isFree = m_loadAtSend < 1
+            && isNegligibleWait(shareOfObjective(
+                    std::chrono::duration<double, std::milli>(hasPrompt ? promptsBeforeMs : 0)));
+    view.timeLeft = timeLeft();
+    room.noteFraction(view.isFree ? 1 : admittedFraction(view.wait), now());
+    view.share
+            = room.shares().shareOf(urgency(), m_record.customer, view.wait, room.usualFraction());
+    view.draw = m_env.routing().random().uniform();
+    return view;
+}
+
+template <flow_environment Env>
+bool request_flow<Env>::refuseForRoom(const endpoint_pick &pick)
+{
+    // A request that was sent may have run, and the rest of a stream is worth what the caller has
+    // of it already.
+    if (m_attemptNumber > 0 || m_request->afterEvent || !m_env.routing().managesRoom(m_service))
+        return false;
+    service_room &room = m_env.routing().room(m_service);
+    constexpr double tokensPerUnit = 4096;
+    const double size = 1 + m_request->promptTokens / tokensPerUnit;
+    room.shares().addDemand(urgency(), m_record.customer, size, now());
+    const room_view view = roomView(pick, room);
+    const room_reason reason = decideRoom(view);
+    room_record &record = m_record.room.emplace();
+    record.reason = reason;
+    record.urgency = urgency();
+    record.wait = view.wait;
+    record.admitted = admittedFraction(view.wait);
+    record.load = room.loadPerSlot(now());
+    record.age = std::chrono::duration_cast<milliseconds>(room.age(now()));
+    record.chance = view.share.chance;
+    record.demandRatio = view.share.demandRatio;
+    if (!isRefusal(reason))
+        return false;
+    const milliseconds back = timeUntilRoom(room.wait(now()), view.share.chance,
+                                            m_env.routing().random().uniform());
+    refuse(http_status::unavailable,
+           reason == room_reason::overShare ? flow_reason::overShare : flow_reason::noRoom,
+           std::clamp(back, flow_bounds::minRetryAfter, flow_bounds::maxRetryAfter));
+    return true;
+}
+
+template <flow_environment Env>
+void request_flow<Env>::noteStatedRoom()
+{
+    if (!m_answer.load || !m_env.routing().managesRoom(m_service))
+        return;
+    const double slots = std::max(1U, m_endpoint->record().slots);
+    const endpoint_load &load = *m_answer.load;
+    service_room &room = m_env.routing().room(m_service);
+    room.addLoad((double(load.running) + load.waiting) / slots, now());
+    // Model endpoints run many requests in one batch, so their queue tells no time.
+    if (m_request->promptTokens == 0)
+        room.addQueue(load.waiting / slots, m_route->objective, now());
+}
+
+template <flow_environment Env>
+void request_flow<Env>::noteAnswerTime()
+{
+    if (!m_headReceived || m_attemptNumber > 1 || !m_env.routing().managesRoom(m_service))
+        return;
+    service_room &room = m_env.routing().room(m_service);
+    const milliseconds time = std::chrono::duration_cast<milliseconds>(now() - m_attemptAt);
+    if (m_request->promptTokens > 0) {
+        const milliseconds own(std::llround(prefillMsPerToken() * m_readTokens));
+        room.addObservedWait(time - own, m_route->objective, now());
+        return;
+    }
+    room.addAnswerTime(time, m_loadAtSend, now());
+    if (!m_answer.load)
+        room.addObservedWait(time - room.answerTime(), m_route->objective, now());
+}
+
+} // namespace laurelcroft
+
+#endif
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -19,6 +19,8 @@
     const std::optional<endpoint_pick> pick = pickEndpoint();
     if (pick) {
         m_waitingSince.reset();
+        if (refuseForRoom(*pick))
+            return;
         send(*pick);
         return;
     }
@@ -86,8 +88,7 @@
     attempt.request = m_request;
     attempt.endpoint = endpoint;
     attempt.remaining = timeLeft();
-    attempt.priority
-            = m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
+    attempt.priority = urgency();
     if (m_customer)
         attempt.customer = m_customer->name;
     m_record.model = modelName();
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -16,6 +16,7 @@
 #include "laurelcroft/Policy/RateShare.h"
 #include "laurelcroft/Policy/SendBudget.h"
 #include "laurelcroft/Policy/ServicePressure.h"
+#include "laurelcroft/Policy/ServiceRoom.h"
 #include "laurelcroft/Proxy/CrashWatch.h"
 #include "laurelcroft/Proxy/LeavingWatch.h"
 #include "laurelcroft/Proxy/LoadSettings.h"
@@ -138,6 +139,10 @@
     /// endpoints share their machines and state their pace.
     bool managesRoom(std::string_view service) const;
 
+    /// \returns the expected wait and the shares of customers at \p service.
+    service_room &room(std::string_view service);
+    std::map<std::string, service_room, std::less<>> &allRooms() { return m_rooms; }
+
     /// \returns true if the cascade of \p service takes the pressure on it into account.
     bool usesPressureInCascade(std::string_view service) const;
 
@@ -223,6 +228,7 @@
     std::map<std::string, failure_streak, std::less<>> m_outlooks;
     std::map<std::string, recent_wait, std::less<>> m_waits;
     std::map<std::string, service_pressure, std::less<>> m_pressures;
+    std::map<std::string, service_room, std::less<>> m_rooms;
     std::set<std::string, std::less<>> m_statingPace; ///< services whose endpoints state their pace
     std::map<std::string, prefill_rate, std::less<>> m_promptRates;
     struct sample_list
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -62,7 +62,12 @@
 
 double service_endpoint::expectedLoad(time_point now) const
 {
-    return m_running + m_otherCallersLoad * decayFactor(now - m_reportedAt, reportHalfLife);
+    return m_running + m_otherCallersLoad * reportWeight(now);
+}
+
+double service_endpoint::reportWeight(time_point now) const
+{
+    return decayFactor(now - m_reportedAt, reportHalfLife);
 }
 
 void service_endpoint::setRateLimit(std::optional<double> perSecond, time_point now)
--- a/lib/Proxy/FlowReporter.cpp
+++ b/lib/Proxy/FlowReporter.cpp
@@ -26,12 +26,35 @@
         m_metrics.add("resumes_total", record.resumes);
     if (!record.versionReason.empty())
         m_metrics.add("versions_total{by=\"" + std::string(record.versionReason) + "\"}");
+    if (record.room)
+        reportRoom(record, now);
     const bool isOrdinary = record.reason == flow_reason::served && record.resumes == 0
             && record.attempts == record.escalations + 1;
     if ((isOrdinary ? m_ordinary : m_unusual).allows(now))
         logFinished(record);
 }
 
+void flow_reporter::reportRoom(const flow_record &record, time_point now)
+{
+    const room_record &room = *record.room;
+    m_metrics.add("room_decisions_total{urgency=\"" + std::to_string(room.urgency) + "\",result=\""
+                  + std::string(textOf(room.reason)) + "\"}");
+    if (!isRefusal(room.reason) || !m_unusual.allows(now))
+        return;
+    logInfo(log_part::routing, "request refused for lack of room",
+            {{"request", record.request},
+             {"reason", textOf(room.reason)},
+             {"service", record.service},
+             {"customer", record.customer},
+             {"urgency", std::int64_t(room.urgency)},
+             {"wait_percent", std::lround(room.wait * 100)},
+             {"admitted_percent", std::lround(room.admitted * 100)},
+             {"load_percent", std::lround(room.load * 100)},
+             {"age_ms", std::int64_t(room.age.count())},
+             {"chance_percent", std::lround(room.chance * 100)},
+             {"customer_demand_percent", std::lround(room.demandRatio * 100)}});
+}
+
 void flow_reporter::logFinished(const flow_record &record)
 {
     const std::string_view reason = textOf(record.reason);
@@ -145,6 +168,12 @@
     m_metrics.set("requests_withheld", static_cast<double>(m_routing.suspects().withheld().size()));
     m_metrics.set("requests_suspected", static_cast<double>(m_routing.suspects().suspectCount()));
     m_metrics.set("entries_known", static_cast<double>(m_routing.entries()));
+    for (const auto &[service, room] : m_routing.allRooms()) {
+        const std::string label = "{service=\"" + service + "\"}";
+        m_metrics.set("room_wait_share" + label, room.waitShare(now));
+        m_metrics.set("room_load_share" + label, room.loadPerSlot(now));
+        m_metrics.set("service_pressure" + label, m_routing.pressure(service).level(now));
+    }
     for (auto &[service, budget] : m_routing.allRepeats())
         m_metrics.set("further_sends_left{service=\"" + service + "\"}",
                       budget.availableSends(now, m_routing.shareOfEntries()));
--- a/lib/Proxy/FlowReporter.h
+++ b/lib/Proxy/FlowReporter.h
@@ -50,6 +50,7 @@
     static constexpr double ordinaryLinesPerSecond = 100;
     static constexpr double unusualLinesPerSecond = 300;
 
+    void reportRoom(const flow_record &record, time_point now);
     static void logFinished(const flow_record &record);
 
     metric_registry &m_metrics;
--- a/lib/Proxy/FlowTypes.cpp
+++ b/lib/Proxy/FlowTypes.cpp
@@ -12,7 +12,7 @@
 
 std::string_view laurelcroft::textOf(flow_reason reason)
 {
-    static constexpr std::array<std::pair<flow_reason, std::string_view>, 19> names = {{
+    static constexpr std::array<std::pair<flow_reason, std::string_view>, 21> names = {{
             {flow_reason::served, "served"},
             {flow_reason::endpointFailure, "endpoint_failure"},
             {flow_reason::noContract, "no_contract"},
@@ -25,6 +25,8 @@
             {flow_reason::backoffEndpoints, "backoff_endpoints"},
             {flow_reason::evacuated, "evacuated"},
             {flow_reason::withheld, "request_withheld"},
+            {flow_reason::noRoom, "no_room"},
+            {flow_reason::overShare, "over_share"},
             {flow_reason::outsideRegions, "outside_regions"},
             {flow_reason::refusedByEndpoints, "refused_by_endpoints"},
             {flow_reason::brokenAttempt, "broken_attempt"},
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -184,6 +184,11 @@
     return findOrCreate(m_pressures, service);
 }
 
+service_room &routing_state::room(std::string_view service)
+{
+    return findOrCreate(m_rooms, service);
+}
+
 void routing_state::notePaceStated(std::string_view service)
 {
     if (m_statingPace.find(service) == m_statingPace.end())
