--- a/unittests/Proxy/RoomTests.cpp
+++ b/unittests/Proxy/RoomTests.cpp
@@ -193,3 +193,61 @@
     for (const room_outcome &outcome : fixture.outcomes)
         CHECK_FALSE(outcome.record.room.has_value());
 }
+
+namespace {
+
+/// A fixture in which nothing is admitted by the wait: the only endpoint is full and the expected
+/// wait is three times the objective.
+struct full_fixture : flow_fixture
+{
+    full_fixture(const service_route &route, int seed)
+        : flow_fixture(route, {"e1", "e2"})
+    {
+        routing.notePaceStated("pool"); // so that room is managed
+        for (int i = 0; i < seed; ++i)
+            routing.random().bits();
+        for (int i = 0; i < 50; ++i)
+            routing.room("pool").addObservedWait(4 * route.objective, route.objective,
+                                                 runtime.now());
+        for (const auto &[id, endpoint] : routing.directory().all())
+            endpoint->recordLoadReport({4, 24, 4}, runtime.now());
+        for (int i = 0; i < 1000; ++i)
+            routing.room("pool").shares().addDemand(0, "other", 1, runtime.now());
+    }
+};
+
+std::size_t refusedOf(const service_route &route, const std::shared_ptr<proxy_request> &request)
+{
+    std::size_t refused = 0;
+    for (int i = 0; i < 20; ++i) {
+        full_fixture fixture(route, i);
+        startFlow(fixture, request);
+        refused += fixture.status == http_status::unavailable ? 1 : 0;
+    }
+    return refused;
+}
+
+} // namespace
+
+TEST_CASE("a first send is refused for lack of room, the rest of a stream isn't")
+{
+    const auto first = requestFor(draftRoute());
+    const auto resumed = requestFor(draftRoute());
+    resumed->afterEvent = 7;
+    CHECK(refusedOf(draftRoute(), first) > 10);
+    CHECK(refusedOf(draftRoute(), resumed) == 0);
+    CHECK(refusedOf(fetchRoute(), requestFor(fetchRoute())) > 10);
+}
+
+TEST_CASE("a request that was sent is not refused for lack of room")
+{
+    flow_fixture fixture(lookupRoute(), {"e1", "e2"});
+    fixture.routing.notePaceStated("pool");
+    startFlow(fixture, requestFor(lookupRoute()));
+    REQUIRE(fixture.calls.size() == 1);
+    for (int i = 0; i < 50; ++i)
+        fixture.routing.room("pool").addObservedWait(seconds(9), milliseconds(300),
+                                                     fixture.runtime.now());
+    fixture.end(0, call_end::broken);
+    CHECK(fixture.calls.size() == 2);
+}
