--- a/include/laurelcroft/Proxy/RequestFlowCascade.h
+++ b/include/laurelcroft/Proxy/RequestFlowCascade.h
@@ -75,6 +75,7 @@
                 .promptRate(m_record.model)
                 .addSample(m_readTokens, wait.count() / usualSlowdown(*m_endpoint),
                            m_ownPrefillShare);
+    noteAnswerTime();
     m_record.serviceWait = m_env.routing().waits(m_service).mean();
 }
 
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -186,6 +186,11 @@
     return findOrCreate(m_pressures, service);
 }
 
+service_room &routing_state::room(std::string_view service)
+{
+    return findOrCreate(m_rooms, service);
+}
+
 void routing_state::notePaceStated(const service_endpoint &endpoint, time_point now)
 {
     const std::string &service = endpoint.record().service;
