Bound the memory that slow callers make an entry hold

An answer was read from its endpoint as fast as it came and held for the caller, up to 8 MB each; above that the caller got a 502. Callers that read nothing made an entry grow without a common limit.

A budget for all connections of an entry (Policy/MemoryBudget, a quarter of limits.memory-mb) gives each connection a share of what is free. A call is paused while its caller is behind. Answers above 256 KB are passed on as they arrive, with the endpoint's length or in chunks, and end visibly incomplete if the endpoint breaks off. When the budget is pressed, callers that have read nothing for 5 s are closed and new requests refused, the least urgent first.

--- a/include/laurelcroft/Http/EventSplitter.h
+++ b/include/laurelcroft/Http/EventSplitter.h
@@ -32,6 +32,9 @@
     /// \returns true if no incomplete event is buffered.
     bool atBoundary() const { return m_rest.empty(); }
 
+    /// \returns the bytes of the incomplete event.
+    std::size_t heldBytes() const { return m_rest.size(); }
+
 private:
     std::string m_rest;
     std::size_t m_scanned = 0;
--- a/include/laurelcroft/Http/Parser.h
+++ b/include/laurelcroft/Http/Parser.h
@@ -11,8 +11,10 @@
 #include "laurelcroft/Http/Message.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,6 +27,7 @@
     std::string target; ///< requests only: path and query
     int status = 0; ///< responses only
     http_headers headers;
+    std::optional<std::uint64_t> bodyLength; ///< responses only: as stated in Content-Length
     bool keepAlive = true; ///< the connection may be reused for another message
     bool endsWithConnection = false; ///< the end of the connection delimits the body
     bool isHttp10 = false; ///< HTTP/1.0: the peer does not support chunked encoding
--- a/include/laurelcroft/Proxy/EndpointCaller.h
+++ b/include/laurelcroft/Proxy/EndpointCaller.h
@@ -37,6 +37,14 @@
     /// has ended.
     void cancel(call_id call);
 
+    /// Stops reading the answer of a call until resume(); the data of one read may still follow.
+    /// Neither has an effect on a call that has ended.
+    void pause(call_id call);
+    void resume(call_id call);
+
+    /// \returns the number of calls that are paused.
+    std::size_t paused() const;
+
     /// \returns true when a call to \p endpoint can use an idle connection, or open one without
     /// exceeding \p maxConnections.
     bool hasRoom(const service_endpoint &endpoint, std::size_t maxConnections) const;
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -36,6 +36,8 @@
     silentEndpoint, ///< an endpoint made no progress and no further attempt is allowed
     timedOut, ///< the route's timeout or the caller's own limit elapsed
     callerLeft, ///< the caller disconnected
+    callerStalled, ///< the caller read nothing and was disconnected to free memory
+    noMemory, ///< refused since the memory budget is used up by slow peers
     stopping ///< this process is shutting down
 };
 
@@ -112,8 +114,14 @@
 /// time of those prompts is only an estimate, and the other entries see the same endpoints as free.
 /// Of 1 and 0.5, 0.5 served best.
 inline constexpr double remoteReadingWeight = 0.5;
-/// Largest buffered answer, in bytes; the limit for a body in either direction.
-inline constexpr std::size_t maxAnswerBytes = 8U << 20;
+/// Largest answer that is held back until it is complete, in bytes. A larger one is passed on as it
+/// arrives and can't be repeated elsewhere. Answers that break off do so while they are computed,
+/// or within this much of their beginning.
+inline constexpr std::size_t maxHeldAnswerBytes = 256U << 10;
+/// Largest event of a stream, in bytes. An incomplete event is held back.
+inline constexpr std::size_t maxEventBytes = 1U << 20;
+/// After the deadline, an answer that was begun ends when its caller takes nothing for this long.
+inline constexpr milliseconds callerStallTimeout{10000};
 
 } // namespace flow_bounds
 
--- a/include/laurelcroft/Proxy/ProxyServer.h
+++ b/include/laurelcroft/Proxy/ProxyServer.h
@@ -32,6 +32,7 @@
     std::string metricsHost;
     std::uint16_t metricsPort = 0; ///< 0 disables the metrics server
     std::size_t maxCallers = 3000; ///< maximum number of caller connections
+    std::size_t memoryBudget = 0; ///< bytes held for slow peers; 0: a safe default
     /// Delay after the stop signal until the load balancer no longer sends requests here.
     milliseconds drainDelay{2600};
     /// Time limit for the shutdown. Requests that still run are aborted shortly before.
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -51,6 +51,25 @@
     env.write(body);
     env.end();
     env.abort();
+    env.beginWhole(status, headers, std::optional<std::uint64_t>());
+    {
+        env.holdAnswer(body.size())
+        } -> std::same_as<bool>;
+    {
+        env.isCallerBehind()
+        } -> std::same_as<bool>;
+    {
+        env.hasMemoryFor(status)
+        } -> std::same_as<bool>;
+    {
+        env.wasCallerCutOff()
+        } -> std::same_as<bool>;
+    {
+        env.callerProgressAt()
+        } -> std::same_as<time_point>;
+    env.whenCallerDrained([] {});
+    env.pause(call);
+    env.resume(call);
     env.finished(record);
     env.attemptEnded(record, attempt_end::notSent, next_step::refuse);
     env.checkEnded(endpoint);
@@ -181,6 +200,17 @@
     cascade_view cascadeView();
     void onData(std::string_view data);
     void onEvent(const stream_event &event);
+    /// Keeps a part of an answer that is delivered when it is complete, unless it grows too large.
+    void holdBack(std::string_view data);
+    /// Begins to pass on a large answer. From then on, it can't be replaced by another one.
+    void beginPassingOn();
+    void passOn(std::string_view data);
+    /// Stops reading the answer if the caller is behind, until the caller has taken some of it.
+    void pauseIfBehind();
+    void resumeReading();
+    /// \returns true while an answer that was begun still arrives, or is taken by the caller.
+    bool continuesPastDeadline();
+    void watchDeadline(duration wait);
     void onEnd(call_end end);
     void endAttempt(attempt_end end);
     /// Ends the attempt and its call. After a lost connection, checks whether the endpoint's
@@ -215,6 +245,10 @@
 
     session_request sessionRequest() { return {m_session, m_arrivedAt, now()}; }
     time_point now() { return m_env.runtime().now(); }
+    int urgency() const
+    {
+        return m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
+    }
     bool isStream() const { return m_route->form == answer_form::events; }
     milliseconds timeLeft() { return std::chrono::ceil<milliseconds>(m_deadline - now()); }
 
@@ -266,7 +300,11 @@
     std::optional<time_point> m_runNotedAt; ///< start of the run that was reported
     bool m_mayHaveRun = false; ///< the request may have run at an earlier endpoint
     bool m_hasEndpointFailure = false; ///< the last attempt ended with a complete error answer
-    bool m_streamBegun = false; ///< the head of a stream was passed to the caller
+    bool m_streamBegun = false; ///< the head of an answer in pieces was passed to the caller
+    bool m_passingOn = false; ///< the answer is not a stream, but large
+    bool m_paused = false; ///< the answer is not read, since the caller is behind
+    time_point m_pausedAt{};
+    duration m_pausedTime{0}; ///< of the current attempt
     std::string m_streamVersion; ///< software version of the endpoint that began the stream
     std::optional<std::uint64_t> m_lastEventId;
     std::string m_body;
@@ -285,6 +323,7 @@
 #include "laurelcroft/Proxy/RequestFlowAdmission.h"
 #include "laurelcroft/Proxy/RequestFlowAnswering.h"
 #include "laurelcroft/Proxy/RequestFlowAttempts.h"
+#include "laurelcroft/Proxy/RequestFlowBackpressure.h"
 #include "laurelcroft/Proxy/RequestFlowCandidates.h"
 #include "laurelcroft/Proxy/RequestFlowCascade.h"
 #include "laurelcroft/Proxy/RequestFlowChoosing.h"
--- a/include/laurelcroft/Proxy/RequestFlowAdmission.h
+++ b/include/laurelcroft/Proxy/RequestFlowAdmission.h
@@ -63,6 +63,10 @@
         refuse(http_status::tooLarge, flow_reason::tooLarge, std::nullopt);
         return false;
     }
+    if (!m_env.hasMemoryFor(urgency())) {
+        refuse(http_status::unavailable, flow_reason::noMemory, flow_bounds::defaultRetryAfter);
+        return false;
+    }
     m_deadline = m_arrivedAt + m_route->timeout;
     if (m_request->callerTimeout)
         m_deadline = std::min(m_deadline, m_arrivedAt + *m_request->callerTimeout);
@@ -99,11 +103,7 @@
     m_prefixes = prefixesOf(modelName());
     m_lastEventId = m_request->afterEvent;
 
-    m_deadlineTimer = m_env.runtime().after(m_deadline - m_arrivedAt,
-                                            [weak = weak_flow(this->weak_from_this())] {
-                                                if (const auto self = weak.lock())
-                                                    self->onDeadline(flow_reason::timedOut);
-                                            });
+    watchDeadline(m_deadline - m_arrivedAt);
     sendNext();
 }
 
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -51,13 +51,14 @@
             if (!m_done && m_attemptNumber == number)
                 onEvent(event);
         });
+        if (m_splitter->heldBytes() > flow_bounds::maxEventBytes)
+            endAttempt(attempt_end::broken);
         return;
     }
-    if (m_body.size() + data.size() > flow_bounds::maxAnswerBytes) {
-        endAttempt(attempt_end::broken);
-        return;
-    }
-    m_body.append(data);
+    if (m_passingOn)
+        passOn(data);
+    else
+        holdBack(data);
 }
 
 template <flow_environment Env>
@@ -92,6 +93,7 @@
         m_lastEventId = event.id;
     ++m_record.events;
     m_env.write(std::string(event.text));
+    pauseIfBehind();
 }
 
 template <flow_environment Env>
@@ -107,7 +109,7 @@
     }
     if (!isValidSuccess())
         endAttempt(attempt_end::failed);
-    else if (isStream() && !m_splitter->atBoundary())
+    else if (!m_passingOn && isStream() && !m_splitter->atBoundary())
         endAttempt(attempt_end::broken);
     else
         endAttempt(attempt_end::answered);
@@ -118,6 +120,11 @@
 {
     const bool served = isValidSuccess();
     const flow_reason why = served ? flow_reason::served : flow_reason::endpointFailure;
+    if (m_passingOn) {
+        m_env.end();
+        finish(why, m_answer.status);
+        return;
+    }
     if (served && isStream()) {
         if (!m_streamBegun)
             m_env.begin(m_answer.status, m_answer.headers);
@@ -163,7 +170,8 @@
         m_endpoint = nullptr;
         m_env.cancel(m_call);
     }
-    finish(flow_reason::callerLeft, m_record.status);
+    const bool wasCutOff = m_env.wasCallerCutOff();
+    finish(wasCutOff ? flow_reason::callerStalled : flow_reason::callerLeft, m_record.status);
 }
 
 template <flow_environment Env>
--- a/include/laurelcroft/Proxy/RequestFlowAttempts.h
+++ b/include/laurelcroft/Proxy/RequestFlowAttempts.h
@@ -17,8 +17,10 @@
     timing.countedSlow = m_countedSlow;
     timing.reading = std::chrono::duration_cast<duration>(
             std::chrono::duration<double, std::milli>(m_expectedPrefillMs + m_remotePrefillMs));
+    // The time in which the answer was not read says nothing about the endpoint.
+    const duration receiving = m_lastProgressAt - m_firstEventAt - m_pausedTime;
     if (m_attemptEvents > 1)
-        timing.pause = (m_lastProgressAt - m_firstEventAt) / (m_attemptEvents - 1);
+        timing.pause = std::max(duration(0), receiving) / (m_attemptEvents - 1);
     return timing;
 }
 
@@ -28,7 +30,7 @@
     attempt_facts facts;
     facts.mayRepeat = m_route->mayRepeat();
     facts.partDelivered = m_streamBegun;
-    facts.resumable = m_route->resumable && (m_record.events == 0 || m_lastEventId);
+    facts.resumable = !m_passingOn && m_route->resumable && (m_record.events == 0 || m_lastEventId);
     facts.mayHaveRun = m_mayHaveRun;
     facts.endpointsLeft
             = m_sends < m_route->maxEndpoints && m_unreached < flow_bounds::maxUnreachedEndpoints;
@@ -48,7 +50,8 @@
         deliver();
         return;
     }
-    const next_step step = decideNextStep(end);
+    const bool isWholeError = m_passingOn && end == attempt_end::failed;
+    const next_step step = isWholeError ? next_step::deliver : decideNextStep(end);
     m_env.attemptEnded(m_record, end, step);
     executeStep(step, end);
 }
--- a/include/laurelcroft/Proxy/RequestFlowProgress.h
+++ b/include/laurelcroft/Proxy/RequestFlowProgress.h
@@ -89,13 +89,18 @@
     // Check at intervals even if the limit is far away: the endpoint may become silent later, which
     // shortens the limit.
     const auto due = m_lastProgressAt + currentAttemptTimeout();
-    const duration wait = std::clamp<duration>(due - now(), milliseconds(1),
-                                               flow_bounds::progressCheckInterval);
+    const duration untilDue = std::clamp<duration>(due - now(), milliseconds(1),
+                                                   flow_bounds::progressCheckInterval);
+    const duration wait = m_paused ? duration(flow_bounds::progressCheckInterval) : untilDue;
     m_progressTimer
             = m_env.runtime().after(wait, [weak = weak_flow(this->weak_from_this()), number] {
                   const auto self = weak.lock();
                   if (!self || self->m_done || self->m_attemptNumber != number || !self->m_endpoint)
                       return;
+                  if (self->m_paused) {
+                      self->watchProgress(number);
+                      return;
+                  }
                   self->noteSlowWait();
                   const bool silent
                           = self->now() - self->m_lastProgressAt >= self->currentAttemptTimeout();
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -49,6 +49,8 @@
     m_headReceived = false;
     m_countedSlow = false;
     m_body.clear();
+    m_paused = false;
+    m_pausedTime = duration(0);
     m_splitter = isStream() ? std::make_unique<event_splitter>() : nullptr;
     m_endpoint = endpoint;
     m_endpoint->requestStarted();
@@ -86,8 +88,7 @@
     attempt.request = m_request;
     attempt.endpoint = endpoint;
     attempt.remaining = timeLeft();
-    attempt.priority
-            = m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
+    attempt.priority = urgency();
     if (m_customer)
         attempt.customer = m_customer->name;
     m_record.model = modelName();
--- a/lib/Http/Parser.cpp
+++ b/lib/Http/Parser.cpp
@@ -94,6 +94,13 @@
     return self.countHeadBytes(size) ? 0 : 1;
 }
 
+static std::optional<std::uint64_t> statedLength(const http_parser &parser)
+{
+    if (parser.content_length == std::numeric_limits<std::uint64_t>::max())
+        return std::nullopt;
+    return parser.content_length;
+}
+
 /// \returns true if the body of a response is delimited only by the end of the connection.
 static bool endsWithConnection(const http_parser &parser)
 {
@@ -103,8 +110,7 @@
     if (status < 200 || status == noContent || status == notModified)
         return false;
     const bool chunked = (parser.flags & F_CHUNKED) != 0;
-    const bool hasLength = parser.content_length != std::numeric_limits<std::uint64_t>::max();
-    return !chunked && !hasLength;
+    return !chunked && !statedLength(parser);
 }
 
 int message_parser::state::onHeadEnd(http_parser *parser)
@@ -116,6 +122,8 @@
         head.method = http_method_str(static_cast<http_method>(parser->method));
     else
         head.status = static_cast<int>(parser->status_code);
+    if (self.which == side::answers)
+        head.bodyLength = statedLength(*parser);
     head.keepAlive = http_should_keep_alive(parser) != 0;
     head.endsWithConnection
             = self.which == side::answers && !self.noBody && endsWithConnection(*parser);
--- a/lib/Proxy/CallerServer.cpp
+++ b/lib/Proxy/CallerServer.cpp
@@ -91,6 +91,36 @@
     m_state->bounds = bounds;
 }
 
+void caller_server::setMemoryBudget(std::size_t bytes)
+{
+    m_state->memory.setBudget(bytes);
+}
+
+void caller_server::setUrgency(std::function<int(const message_head &head)> urgencyOf)
+{
+    m_state->urgencyOf = std::move(urgencyOf);
+}
+
+bool caller_server::hasMemoryFor(int urgency) const
+{
+    return m_state->memory.admits(urgency);
+}
+
+void caller_server::releaseMemory()
+{
+    m_state->releaseMemory();
+}
+
+caller_memory caller_server::memory() const
+{
+    caller_memory result = m_state->counts;
+    const held_memory &held = m_state->memory;
+    result.forCallers = held.bytes(held_for::unsent) + held.bytes(held_for::answer);
+    result.forEndpoints = held.bytes(held_for::request);
+    result.budget = held.budget().total();
+    return result;
+}
+
 void caller_server::closeAfterAnswers()
 {
     m_state->closing = true;
--- a/lib/Proxy/EndpointCaller.cpp
+++ b/lib/Proxy/EndpointCaller.cpp
@@ -177,6 +177,27 @@
         node.mapped()->close();
 }
 
+void endpoint_caller::pause(call_id call)
+{
+    const auto it = m_state->calls.find(call);
+    if (it != m_state->calls.end())
+        it->second->pause();
+}
+
+void endpoint_caller::resume(call_id call)
+{
+    const auto it = m_state->calls.find(call);
+    if (it != m_state->calls.end())
+        it->second->resume();
+}
+
+std::size_t endpoint_caller::paused() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_state->calls.begin(), m_state->calls.end(),
+                          [](const auto &item) { return item.second->isPaused(); }));
+}
+
 bool endpoint_caller::hasRoom(const service_endpoint &endpoint, std::size_t maxConnections) const
 {
     const auto it = m_state->pools.find(endpoint.record().id);
--- a/lib/Proxy/EndpointConnection.cpp
+++ b/lib/Proxy/EndpointConnection.cpp
@@ -12,6 +12,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 using namespace laurelcroft;
@@ -56,9 +57,10 @@
 {
     m_request = attempt.request;
     m_events = std::make_shared<const call_events>(std::move(events));
-    m_out = m_dialect.encodeAttempt(attempt) + m_request->body;
+    m_requestHead = m_dialect.encodeAttempt(attempt);
     m_outDone = 0;
     m_busy = true;
+    m_paused = false;
     m_skippingAnswer = false;
     m_parser.reset();
     if (m_request->method == "HEAD") {
@@ -106,17 +108,29 @@
     write();
 }
 
+/// \returns the bytes of \p text after the first \p done.
+static asio::const_buffer restOf(const std::string &text, std::size_t done)
+{
+    return asio::buffer(text) + std::min(done, text.size());
+}
+
+bool endpoint_connection::isRequestWritten() const
+{
+    return m_outDone == m_requestHead.size() + m_request->body.size();
+}
+
 void endpoint_connection::write()
 {
+    const std::size_t bodyDone = m_outDone - std::min(m_outDone, m_requestHead.size());
+    const std::array<asio::const_buffer, 2> rest
+            = {restOf(m_requestHead, m_outDone), restOf(m_request->body, bodyDone)};
     asio::error_code error;
-    const auto rest
-            = [this] { return asio::buffer(m_out.data() + m_outDone, m_out.size() - m_outDone); };
-    m_outDone += m_socket.write_some(rest(), error);
+    m_outDone += m_socket.write_some(rest, error);
     if (error && error != asio::error::would_block) {
         // The read side still delivers what arrived before the error, and then ends the call.
         return;
     }
-    if (m_outDone == m_out.size())
+    if (isRequestWritten())
         return;
     m_socket.async_wait(asio::ip::tcp::socket::wait_write,
                         [self = shared_from_this()](const asio::error_code &failed) {
@@ -125,11 +139,20 @@
                         });
 }
 
+void endpoint_connection::resume()
+{
+    m_paused = false;
+    if (!m_closed && !m_reading)
+        read();
+}
+
 void endpoint_connection::read()
 {
+    m_reading = true;
     m_socket.async_read_some(
             asio::buffer(m_in),
             [self = shared_from_this()](const asio::error_code &error, std::size_t size) {
+                self->m_reading = false;
                 if (self->m_closed)
                     return;
                 if (error) {
@@ -137,7 +160,7 @@
                     return;
                 }
                 self->onBytes(std::string_view(self->m_in.data(), size));
-                if (!self->m_closed)
+                if (!self->m_closed && !self->m_paused && !self->m_reading)
                     self->read();
             });
 }
@@ -172,12 +195,14 @@
 
 void endpoint_connection::onMessageEnd(std::string_view rest)
 {
-    const bool clean = rest.empty() && m_outDone == m_out.size() && m_mayReuse;
+    // Bytes of the request that are still due can't be followed by another request's.
+    const bool clean = rest.empty() && isRequestWritten() && m_mayReuse;
     if (!clean) {
         end(call_end::complete);
         return;
     }
     m_busy = false;
+    m_paused = false;
     m_idleSince = bootNow();
     m_request.reset();
     const auto events = std::exchange(m_events, nullptr);
@@ -189,7 +214,9 @@
 void endpoint_connection::onHead(message_head &&head)
 {
     m_mayReuse = m_mayReuse && head.keepAlive && !head.endsWithConnection;
+    const std::optional<std::uint64_t> bodyLength = head.bodyLength;
     proxy_answer answer = m_dialect.decodeAnswer(std::move(head));
+    answer.bodyLength = bodyLength;
     m_skippingAnswer = !answer.requestId.empty() && answer.requestId != m_request->id;
     if (m_skippingAnswer)
         return;
--- a/lib/Proxy/EndpointConnection.h
+++ b/lib/Proxy/EndpointConnection.h
@@ -42,6 +42,12 @@
     /// Closes the connection immediately; no callback of the current call follows.
     void close();
 
+    /// Stops reading the current answer. At most one read's bytes still follow.
+    void pause() { m_paused = true; }
+    /// Continues to read.
+    void resume();
+    bool isPaused() const { return m_paused; }
+
     bool isOpen() const { return !m_closed; }
     time_point idleSince() const { return m_idleSince; }
     duration idleTimeout() const { return m_idleTimeout; }
@@ -49,6 +55,7 @@
 private:
     void prepare(const proxy_attempt &attempt, call_events events);
     void write();
+    bool isRequestWritten() const;
     void read();
     void onBytes(std::string_view bytes);
     void onMessageEnd(std::string_view rest);
@@ -65,12 +72,14 @@
     message_parser m_parser;
     std::shared_ptr<const call_events> m_events; ///< shared, since a callback may end the call
     std::shared_ptr<const proxy_request> m_request;
-    std::string m_out;
-    std::size_t m_outDone = 0; ///< bytes of m_out already written
+    std::string m_requestHead;
+    std::size_t m_outDone = 0; ///< bytes of the head and the body already written
     std::array<char, 4096> m_in{};
     duration m_idleTimeout;
     time_point m_idleSince{};
     bool m_busy = false; ///< a call is in progress
+    bool m_reading = false;
+    bool m_paused = false; ///< the answer is not read at present
     bool m_connected = false;
     bool m_closed = false;
     bool m_skippingAnswer = false; ///< the current message belongs to another request
--- a/lib/Proxy/FlowReporter.cpp
+++ b/lib/Proxy/FlowReporter.cpp
@@ -122,6 +122,28 @@
                 {"reader_too_slow", std::int64_t(lost)}});
 }
 
+void flow_reporter::memoryHeld(const caller_memory &memory, const caller_memory &before)
+{
+    m_metrics.set("held_bytes{for=\"callers\"}", static_cast<double>(memory.forCallers));
+    m_metrics.set("held_bytes{for=\"endpoints\"}", static_cast<double>(memory.forEndpoints));
+    m_metrics.set("held_bytes_budget", static_cast<double>(memory.budget));
+    const std::uint64_t stalled = memory.cutOffStalled - before.cutOffStalled;
+    const std::uint64_t idle = memory.cutOffIdle - before.cutOffIdle;
+    const std::uint64_t refused = memory.refusedBodies - before.refusedBodies;
+    m_metrics.add("callers_cut_off_total{reason=\"stalled\"}", static_cast<double>(stalled));
+    m_metrics.add("callers_cut_off_total{reason=\"idle\"}", static_cast<double>(idle));
+    m_metrics.add("bodies_refused_total", static_cast<double>(refused));
+    if (stalled + idle + refused == 0)
+        return;
+    logWarning(log_part::routing, "memory held for slow callers",
+               {{"for_callers", std::int64_t(memory.forCallers)},
+                {"for_endpoints", std::int64_t(memory.forEndpoints)},
+                {"budget", std::int64_t(memory.budget)},
+                {"cut_off_stalled", std::int64_t(stalled)},
+                {"cut_off_idle", std::int64_t(idle)},
+                {"bodies_refused", std::int64_t(refused)}});
+}
+
 void flow_reporter::setGauges(time_point now)
 {
     const auto &listed = m_routing.directory().all();
--- a/lib/Proxy/FlowReporter.h
+++ b/lib/Proxy/FlowReporter.h
@@ -7,6 +7,7 @@
 #define LAURELCROFT_LIB_PROXY_FLOWREPORTER_H
 
 #include "laurelcroft/Policy/SendBudget.h"
+#include "laurelcroft/Proxy/CallerServer.h"
 #include "laurelcroft/Proxy/FlowTypes.h"
 #include "laurelcroft/Proxy/RoutingState.h"
 #include "laurelcroft/Support/LogLimiter.h"
@@ -41,6 +42,9 @@
     /// Reports how many log lines were suppressed or lost since the last call.
     void logSuppressedLines();
 
+    /// Reports the memory held for slow callers, and what was done to bound it since \p before.
+    void memoryHeld(const caller_memory &memory, const caller_memory &before);
+
     /// Sets the gauges of the routing state.
     void setGauges(time_point now);
 
--- a/lib/Proxy/FlowTypes.cpp
+++ b/lib/Proxy/FlowTypes.cpp
@@ -12,7 +12,7 @@
 
 std::string_view laurelcroft::textOf(flow_reason reason)
 {
-    static constexpr std::array<std::pair<flow_reason, std::string_view>, 19> names = {{
+    static constexpr std::array<std::pair<flow_reason, std::string_view>, 21> names = {{
             {flow_reason::served, "served"},
             {flow_reason::endpointFailure, "endpoint_failure"},
             {flow_reason::noContract, "no_contract"},
@@ -31,6 +31,8 @@
             {flow_reason::silentEndpoint, "silent_endpoint"},
             {flow_reason::timedOut, "timed_out"},
             {flow_reason::callerLeft, "caller_left"},
+            {flow_reason::callerStalled, "caller_stalled"},
+            {flow_reason::noMemory, "no_memory"},
             {flow_reason::stopping, "stopping"},
     }};
     for (const auto &[known, name] : names) {
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -7,6 +7,7 @@
 
 #include "FlowReporter.h"
 
+#include "laurelcroft/Policy/MemoryBudget.h"
 #include "laurelcroft/Proxy/CallerServer.h"
 #include "laurelcroft/Proxy/EndpointCaller.h"
 #include "laurelcroft/Proxy/RequestFlow.h"
@@ -61,6 +62,7 @@
         bool hasRoomAt(const endpoint_ptr &endpoint) { return server->hasRoomAt(*endpoint); }
         call_id call(proxy_attempt attempt, call_events events)
         {
+            exchange.setUrgency(attempt.priority);
             return server->endpoints.call(std::move(attempt), std::move(events));
         }
         void cancel(call_id call) { server->endpoints.cancel(call); }
@@ -69,6 +71,26 @@
             exchange.reply(status, headers, body);
         }
         void begin(int status, const http_headers &headers) { exchange.begin(status, headers); }
+        void beginWhole(int status, const http_headers &headers,
+                        std::optional<std::uint64_t> length)
+        {
+            exchange.begin(status, headers, length);
+        }
+        bool holdAnswer(std::size_t bytes) { return exchange.holdAnswer(bytes); }
+        bool isCallerBehind() { return exchange.isBehind(); }
+        bool hasMemoryFor(int urgency) { return server->callers.hasMemoryFor(urgency); }
+        bool wasCallerCutOff() { return exchange.wasCutOff(); }
+        time_point callerProgressAt() { return exchange.progressAt(); }
+        void whenCallerDrained(std::function<void()> action)
+        {
+            exchange.whenDrained(std::move(action));
+        }
+        void pause(call_id call)
+        {
+            server->metrics.add("call_pauses_total");
+            server->endpoints.pause(call);
+        }
+        void resume(call_id call) { server->endpoints.resume(call); }
         void write(std::string_view piece) { exchange.write(piece); }
         void end() { exchange.end(); }
         void abort() { exchange.abort(); }
@@ -101,6 +123,8 @@
     void logReadiness();
     void housekeep();
     void setGauges();
+    void reportMemory();
+    int urgencyOf(const message_head &head) const;
     void removeFinishedFlows();
     void acceptWhenReady(time_point latest);
     void checkDrained();
@@ -118,6 +142,7 @@
     caller_server metricsServer;
     std::unordered_set<std::shared_ptr<flow>> flows;
     flow_reporter reporter;
+    caller_memory reportedMemory; ///< counters as of the last report
     bool removalPosted = false;
     bool draining = false;
     bool isPastDrainDelay = false; ///< new requests may not finish before the deadline
@@ -150,6 +175,21 @@
                     })
     , reporter(metrics, routing)
 {
+    if (this->options.memoryBudget > 0)
+        callers.setMemoryBudget(this->options.memoryBudget);
+    callers.setUrgency([this](const message_head &head) { return urgencyOf(head); });
+}
+
+int proxy_server::state::urgencyOf(const message_head &head) const
+{
+    const contract_ptr &contract = routing.contract();
+    const proxy_request request = dialect.decodeRequest(message_head(head));
+    const service_route *route
+            = contract ? contract->findRoute(request.host, request.path) : nullptr;
+    if (!route)
+        return memory_budget::leastUrgency;
+    const contract_customer *customer = contract->findCustomer(request.key);
+    return customer ? customer->priority.value_or(route->priority) : route->priority;
 }
 
 bool proxy_server::state::isReady() const
@@ -225,6 +265,7 @@
 void proxy_server::state::housekeep()
 {
     endpoints.sweep();
+    callers.releaseMemory();
     routing.runs().sweep(runtime.now());
     routing.directory().expire(runtime.now());
     routing.suspects().expire(runtime.now());
@@ -250,6 +291,15 @@
     metrics.set("caller_connections", static_cast<double>(callers.connections()));
     metrics.set("endpoint_connections_opened", static_cast<double>(endpoints.opened()));
     reporter.setGauges(runtime.now());
+    reportMemory();
+}
+
+void proxy_server::state::reportMemory()
+{
+    const caller_memory memory = callers.memory();
+    metrics.set("calls_paused", static_cast<double>(endpoints.paused()));
+    reporter.memoryHeld(memory, reportedMemory);
+    reportedMemory = memory;
 }
 
 void proxy_server::state::acceptWhenReady(time_point latest)
--- a/unittests/Proxy/ColdEndpointTests.cpp
+++ b/unittests/Proxy/ColdEndpointTests.cpp
@@ -105,7 +105,7 @@
     void request(fleet_entry &entry)
     {
         std::erase_if(flows, [](const auto &flow) { return flow->isDone(); });
-        const fleet_environment<cold_endpoint_fixture> environment{this, &entry};
+        const fleet_environment<cold_endpoint_fixture> environment{{}, this, &entry};
         flows.push_back(std::make_shared<fleet_flow>(environment, requestFor(route)));
         flows.back()->start();
     }
--- a/unittests/Proxy/CrashingRequestTests.cpp
+++ b/unittests/Proxy/CrashingRequestTests.cpp
@@ -14,6 +14,7 @@
 //===----------------------------------------------------------------------===//
 #include "EntryFleet.h"
 #include "FlowFixture.h"
+#include "ReadingCaller.h"
 
 #include "laurelcroft/Proxy/NoticeChannel.h"
 #include "laurelcroft/Support/TokenBucket.h"
@@ -44,7 +45,7 @@
 struct crash_fixture;
 
 /// Environment of a request flow at one entry of a fleet.
-struct crash_environment
+struct crash_environment : reading_caller
 {
     crash_fixture *fixture;
     fleet_entry *entry;
@@ -198,7 +199,7 @@
     {
         const auto endpoint = entry.routing.directory().all().find(id);
         if (endpoint != entry.routing.directory().all().end())
-            crash_environment{this, &entry, ""}.checkEnded(endpoint->second);
+            crash_environment{{}, this, &entry, ""}.checkEnded(endpoint->second);
     }
 
     void endCall(call_id number, call_end how)
@@ -258,7 +259,8 @@
         auto item = requestFor(route);
         item->id = std::to_string(++lastRequest);
         item->body = body;
-        flows.push_back(std::make_shared<crash_flow>(crash_environment{this, &*entry, who}, item));
+        flows.push_back(
+                std::make_shared<crash_flow>(crash_environment{{}, this, &*entry, who}, item));
         flows.back()->start();
     }
 
--- a/unittests/Proxy/FleetFlows.h
+++ b/unittests/Proxy/FleetFlows.h
@@ -7,6 +7,7 @@
 #define LAURELCROFT_UNITTESTS_PROXY_FLEETFLOWS_H
 
 #include "EntryFleet.h"
+#include "ReadingCaller.h"
 
 #include "laurelcroft/Proxy/RequestFlow.h"
 
@@ -19,7 +20,7 @@
 /// \tparam World provides runtime(), onCall() for each sent attempt and onReply() for each complete
 /// answer.
 template <class World>
-struct fleet_environment
+struct fleet_environment : reading_caller
 {
     World *fixture;
     fleet_entry *entry;
--- a/unittests/Proxy/FlowFixture.h
+++ b/unittests/Proxy/FlowFixture.h
@@ -9,6 +9,7 @@
 
 #include "laurelcroft/Proxy/RequestFlow.h"
 
+#include <functional>
 #include <initializer_list>
 #include <memory>
 #include <optional>
@@ -23,6 +24,7 @@
     proxy_attempt attempt;
     call_events events;
     bool cancelled = false;
+    bool paused = false;
 };
 
 /// Test fixture for request flows.
@@ -42,6 +44,11 @@
     bool begun = false;
     bool ended = false;
     bool aborted = false;
+    std::optional<std::uint64_t> bodyLength; ///< as stated when a large answer was begun
+    bool callerBehind = false;
+    bool memoryLeft = true;
+    time_point callerProgressAt{};
+    std::function<void()> onDrained; ///< set while a flow waits for its caller
     std::optional<flow_record> record;
     std::vector<std::string> probedEndpoints; ///< endpoints probed after a lost connection
     bool room = true; ///< whether endpoints have a free connection
@@ -113,6 +120,19 @@
     void write(std::string_view piece) { fixture->body += piece; }
     void end() { fixture->ended = true; }
     void abort() { fixture->aborted = true; }
+    void beginWhole(int status, const http_headers &headers, std::optional<std::uint64_t> length)
+    {
+        begin(status, headers);
+        fixture->bodyLength = length;
+    }
+    bool holdAnswer(std::size_t) { return fixture->memoryLeft; }
+    bool isCallerBehind() { return fixture->callerBehind; }
+    bool wasCallerCutOff() { return false; }
+    bool hasMemoryFor(int) { return fixture->memoryLeft; }
+    time_point callerProgressAt() { return fixture->callerProgressAt; }
+    void whenCallerDrained(std::function<void()> action) { fixture->onDrained = std::move(action); }
+    void pause(call_id call) { fixture->calls[call - 1].paused = true; }
+    void resume(call_id call) { fixture->calls[call - 1].paused = false; }
     void finished(const flow_record &record) { fixture->record = record; }
     void escalated(const flow_record &, const std::string &) { }
     void sentFurther(const flow_record &, further_send) { }
--- a/unittests/Proxy/RateLimitTests.cpp
+++ b/unittests/Proxy/RateLimitTests.cpp
@@ -143,7 +143,7 @@
         for (duration passed{0}; passed < time; passed += requestInterval) {
             runtime().advance(requestInterval);
             std::erase_if(flows, [](const auto &flow) { return flow->isDone(); });
-            const fleet_environment<limit_fixture> environment{this, &*entry};
+            const fleet_environment<limit_fixture> environment{{}, this, &*entry};
             flows.push_back(std::make_shared<fleet_flow>(environment, requestFor(route)));
             flows.back()->start();
             if (++entry == entries.entries.end())
--- a/unittests/Proxy/RetryFixture.cpp
+++ b/unittests/Proxy/RetryFixture.cpp
@@ -199,7 +199,7 @@
     item->id = id;
     item->key.clear();
     item->session = "s" + std::to_string(random.index(sessions));
-    const auto flow = std::make_shared<retry_flow>(retry_environment{this, &entry}, item);
+    const auto flow = std::make_shared<retry_flow>(retry_environment{{}, this, &entry}, item);
     entry.flows.push_back(flow);
     flow->start();
 }
--- a/unittests/Proxy/RetryFixture.h
+++ b/unittests/Proxy/RetryFixture.h
@@ -11,6 +11,7 @@
 
 #include "../Policy/RepeatRule.h"
 #include "FlowFixture.h"
+#include "ReadingCaller.h"
 
 #include "laurelcroft/Support/Random.h"
 
@@ -39,7 +40,7 @@
 };
 
 /// Environment of a request flow at one entry.
-struct retry_environment
+struct retry_environment : reading_caller
 {
     retry_fixture *fixture;
     retry_entry *entry;
