--- a/include/laurelcroft/Proxy/RequestFlowAttempts.h
+++ b/include/laurelcroft/Proxy/RequestFlowAttempts.h
@@ -21,8 +21,10 @@
     timing.reading = std::chrono::duration_cast<duration>(
             std::chrono::duration<double, std::milli>(m_expectedPrefillMs + m_remotePrefillMs)
             / slowdown);
+    // The time in which the answer was not read says nothing about the endpoint.
+    const duration receiving = m_lastProgressAt - m_firstEventAt - m_pausedTime;
     if (m_attemptEvents > 1)
-        timing.pause = atUsualPace((m_lastProgressAt - m_firstEventAt) / (m_attemptEvents - 1),
+        timing.pause = atUsualPace(std::max(duration(0), receiving) / (m_attemptEvents - 1),
                                    slowdown);
     return timing;
 }
@@ -33,7 +35,7 @@
     attempt_facts facts;
     facts.mayRepeat = m_route->mayRepeat();
     facts.partDelivered = m_streamBegun;
-    facts.resumable = m_route->resumable && (m_record.events == 0 || m_lastEventId);
+    facts.resumable = !m_passingOn && m_route->resumable && (m_record.events == 0 || m_lastEventId);
     facts.mayHaveRun = m_mayHaveRun;
     facts.endpointsLeft
             = m_sends < m_route->maxEndpoints && m_unreached < flow_bounds::maxUnreachedEndpoints;
@@ -53,7 +55,8 @@
         deliver();
         return;
     }
-    const next_step step = decideNextStep(end);
+    const bool isWholeError = m_passingOn && end == attempt_end::failed;
+    const next_step step = isWholeError ? next_step::deliver : decideNextStep(end);
     m_env.attemptEnded(m_record, end, step);
     executeStep(step, end);
 }
