Admission: answer time from the load between send and answer, own requests count at a start

Cause: the load at the send is known late while it rises, so that the time of an answer without a wait came out twice too long, and usual customers were refused in the first two seconds.

Change: a quarter of the load stated with the answer counts; for the first 0.4 s, an entry assumes that the others have sent as many requests as itself.

--- a/include/laurelcroft/Policy/ServiceRoom.h
+++ b/include/laurelcroft/Policy/ServiceRoom.h
@@ -16,6 +16,8 @@
 #include "laurelcroft/Policy/CustomerShares.h"
 #include "laurelcroft/Support/Runtime.h"
 
+#include <optional>
+
 namespace laurelcroft {
 
 /// Estimates for one service at one entry.
@@ -33,8 +35,8 @@
     void addQueue(double perSlot, milliseconds objective, time_point now);
 
     /// Adds the time that an answer took, from its send.
-    /// \param loadPerSlot running and waiting requests at its endpoint when it was sent, as far as
-    /// known, divided by the slots.
+    /// \param loadPerSlot running and waiting requests at its endpoint from its send to its answer,
+    /// as far as known, divided by the slots.
     void addAnswerTime(milliseconds time, double loadPerSlot, time_point now);
 
     /// Adds a wait that was observed, without the work on the request itself.
@@ -47,8 +49,12 @@
     /// \returns the same as a share of the answered requests' objectives.
     double waitShare(time_point now) const;
 
-    /// \returns true once an answer has shown how much waits.
-    bool isLoadKnown() const { return m_waitMs.weight > 0; }
+    /// \returns true once answers have shown for a while how much waits. The first ones are those
+    /// of the shortest requests, and say nothing of the requests sent since.
+    bool isLoadKnown(time_point now) const
+    {
+        return m_firstSampleAt && now - *m_firstSampleAt >= startTime;
+    }
 
     /// \returns the mean load of an endpoint, divided by its slots.
     double loadPerSlot(time_point now) const;
@@ -76,6 +82,7 @@
     /// Half-life of the admitted part of demand, from which fair shares follow: long compared with
     /// the time in which the wait settles.
     static constexpr milliseconds fractionHalfLife{700};
+    static constexpr milliseconds startTime{400}; ///< several times the usual answer time
     static constexpr double answerSamples = 32; ///< enough for a stable mean
     static constexpr double waitSamples = 3; ///< a single endpoint may have an unusual queue
     /// With fewer samples, a customer with little demand is mistaken for one with an excess.
@@ -104,6 +111,7 @@
     decaying_mean m_loadPerSlot{sampleHalfLife, waitSamples};
     decaying_mean m_fraction{fractionHalfLife, fractionSamples};
     time_point m_sampledAt{};
+    std::optional<time_point> m_firstSampleAt;
     customer_shares m_shares;
 };
 
--- a/include/laurelcroft/Proxy/RequestFlowRoom.h
+++ b/include/laurelcroft/Proxy/RequestFlowRoom.h
@@ -40,9 +40,9 @@
     const double promptsBeforeMs = std::max(0.0, pick.waitMs - readMs);
     room_view view;
     view.answerTime = hasPrompt ? milliseconds(std::llround(readMs)) : room.answerTime();
-    // This entry's own requests are known without delay. Until the first answer states a load, the
+    // This entry's own requests are known without delay. Until answers have shown the load, the
     // other entries are assumed to have as many.
-    const double alike = room.isLoadKnown() ? 1 : double(m_env.routing().entries());
+    const double alike = room.isLoadKnown(now()) ? 1 : double(m_env.routing().entries());
     const double ownQueue = std::max(0.0, alike * endpoint.running() / slots - 1);
     const milliseconds slotTime
             = std::max(view.answerTime, m_route->objective / flow_bounds::assumedAnswerDivisor);
@@ -120,7 +120,15 @@
         room.addObservedWait(time - own, m_route->objective, now());
         return;
     }
-    room.addAnswerTime(time, m_loadAtSend, now());
+    // While the load rises, it is known too late at the send, and is higher than then at the
+    // answer.
+    double load = m_loadAtSend;
+    if (m_answer.load) {
+        const double slots = std::max(1U, m_endpoint->record().slots);
+        const double stated = (double(m_answer.load->running) + m_answer.load->waiting) / slots;
+        load += (stated - load) / 4;
+    }
+    room.addAnswerTime(time, load, now());
     if (!m_answer.load)
         room.addObservedWait(time - room.answerTime(), m_route->objective, now());
 }
--- a/lib/Policy/ServiceRoom.cpp
+++ b/lib/Policy/ServiceRoom.cpp
@@ -72,6 +72,8 @@
     m_waitMs.add(double(counted.count()), now);
     m_waitShare.add(milliseconds_f(counted) / milliseconds_f(objective), now);
     m_sampledAt = now;
+    if (!m_firstSampleAt)
+        m_firstSampleAt = now;
 }
 
 milliseconds service_room::wait(time_point now) const
--- a/unittests/Policy/RoomAdmissionTests.cpp
+++ b/unittests/Policy/RoomAdmissionTests.cpp
@@ -100,7 +100,7 @@
     }
     CHECK(shares.demandUpTo(0) == doctest::Approx(0.5));
     CHECK(shares.demandUpTo(9) == 1);
-    const double wait = 0.4;
+    const double wait = 0.3;
     const admission_share first = shares.shareOf(0, "first", wait, 0.5);
     const admission_share last = shares.shareOf(9, "last", wait, 0.5);
     CHECK(first.chance > 0.9);
@@ -129,7 +129,7 @@
 {
     service_room room;
     CHECK(room.wait(start) == milliseconds(0));
-    CHECK_FALSE(room.isLoadKnown());
+    CHECK_FALSE(room.isLoadKnown(start));
     for (int i = 0; i < 20; ++i) {
         room.addAnswerTime(milliseconds(400), 4, start);
         room.addQueue(3, milliseconds(1000), start);
