--- a/unittests/Proxy/RoomFixture.cpp
+++ b/unittests/Proxy/RoomFixture.cpp
@@ -172,7 +172,7 @@
     request->id = "r" + std::to_string(outcomes.size());
     request->key = customer.name;
     request->callerTimeout = callerTimeout;
-    const room_environment environment{this, &entry, outcomes.size()};
+    const room_environment environment{{}, this, &entry, outcomes.size()};
     outcomes.push_back({customer.name, runtime.now(), 0, milliseconds(0), 0, {}});
     auto flow = std::make_shared<request_flow<room_environment>>(environment, request);
     entry.flows.push_back(flow);
--- a/unittests/Proxy/RoomFixture.h
+++ b/unittests/Proxy/RoomFixture.h
@@ -9,6 +9,8 @@
 
 #include "FlowFixture.h"
 
+#include "ReadingCaller.h"
+
 #include "laurelcroft/Support/Random.h"
 
 #include <deque>
@@ -76,7 +78,7 @@
     std::vector<std::shared_ptr<void>> flows;
 };
 
-struct room_environment
+struct room_environment : reading_caller
 {
     room_fixture *fixture;
     room_entry *entry;
--- a/unittests/Proxy/RoomTests.cpp
+++ b/unittests/Proxy/RoomTests.cpp
@@ -203,7 +203,7 @@
     full_fixture(const service_route &route, int seed)
         : flow_fixture(route, {"e1", "e2"})
     {
-        routing.notePaceStated("pool"); // so that room is managed
+        routing.notePaceStated(*routing.directory().all().at("e1"), runtime.now()); // manages room
         for (int i = 0; i < seed; ++i)
             routing.random().bits();
         for (int i = 0; i < 50; ++i)
@@ -242,7 +242,8 @@
 TEST_CASE("a request that was sent is not refused for lack of room")
 {
     flow_fixture fixture(lookupRoute(), {"e1", "e2"});
-    fixture.routing.notePaceStated("pool");
+    fixture.routing.notePaceStated(*fixture.routing.directory().all().at("e1"),
+                                   fixture.runtime.now());
     startFlow(fixture, requestFor(lookupRoute()));
     REQUIRE(fixture.calls.size() == 1);
     for (int i = 0; i < 50; ++i)
