Tell changes of a stated pace at once, log the pace used, and play endpoints of unlike pace

A machine is slow for less than a second at a time, and one of many entries meets an endpoint every few seconds. A stated slowdown that differs by half from what the others were told goes to them at once; it counts as a moment, not for what lasts. Where the latest values don't agree with each other their mean counts, since nothing lasts there. The pace used for a request has a log line of its own where pace is used; endpoints_slow, pace_changes_total and pace_notices_total.

--- a/include/laurelcroft/Fleet/EndpointPace.h
+++ b/include/laurelcroft/Fleet/EndpointPace.h
@@ -28,12 +28,12 @@
     static constexpr double minSlowdown = 0.1;
     static constexpr double maxSlowdown = 20;
 
-    /// Records the slowdown that an answer states. A value outside of the valid range is ignored.
+    /// Records the slowdown that an answer to this or another entry states. A value outside of the
+    /// valid range is ignored.
     void noteStated(double slowdown, time_point now);
 
-    /// Records the slowdown that an answer to another entry has stated. A value outside of the
-    /// valid range is ignored.
-    void noteStatedElsewhere(double slowdown, time_point now);
+    /// Records a changed slowdown that another entry has seen. It does not count for what lasts.
+    void noteMoment(double slowdown, time_point now);
 
     /// Records an observed time.
     /// \param ratio the observed time divided by the one expected at the stated slowdown.
@@ -43,7 +43,7 @@
     /// \returns true if the endpoint has ever stated a valid slowdown.
     bool isStated() const { return m_isStated; }
 
-    /// \returns the slowdown in the latest answer to this entry; 1 if none stated it.
+    /// \returns the slowdown that was stated last; 1 if none was.
     double lastStated() const { return m_lastStated; }
 
     /// \returns the lasting slowdown that the endpoint states; 1 if it is not known.
@@ -60,24 +60,22 @@
     double expectedMs(double workMs, time_point now) const;
 
 private:
-    /// Number of stated values of which the median is the lasting slowdown.
+    /// Number of stated values from which the lasting slowdown is taken.
     static constexpr std::size_t maxValues = 5;
     /// A single value may be a moment.
     static constexpr std::size_t minValues = 2;
 
-    void addValue(double slowdown, time_point now);
-    /// \returns the median of the latest stated values; 1 if there are too few.
-    double median() const;
+    /// \returns the lasting part of the latest stated values; 1 if there are too few.
+    double lasting() const;
     double observed(time_point now) const;
     /// \returns the latest stated value relative to the lasting one, when it was stated.
     double moment() const;
 
     bool m_isStated = false;
-    double m_lastStated = 1; ///< in the latest answer to this entry
+    double m_lastStated = 1;
     time_point m_statedAt{};
     std::array<double, maxValues> m_values{}; ///< latest stated values, a ring
     std::size_t m_count = 0; ///< values ever added
-    time_point m_valueAt{}; ///< when the latest value was added
     double m_logSum = 0; ///< weighted sum of the logarithms of observed ratios
     double m_weight = 0; ///< of the observations
     time_point m_observedAt{};
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -67,6 +67,8 @@
     unsigned resumes = 0;
     unsigned escalations = 0;
     std::optional<int> confidence;
+    /// Slowdown expected of the endpoint at the last send; empty where pace is not used.
+    std::optional<double> slowdown;
     /// When the first part of a larger model's answer was expected, as a share of the objective; 0
     /// if no larger model was considered. Above 1, the low-confidence answer was kept.
     double largerExpectedAt = 0;
--- a/include/laurelcroft/Proxy/NoticeChannel.h
+++ b/include/laurelcroft/Proxy/NoticeChannel.h
@@ -89,7 +89,7 @@
     static constexpr double findingBytesPerSecond = 1000;
     static constexpr double findingBurstBytes = 12000;
 
-    /// Number of entries that a pace notice is sent to, round-robin. Each second a few of them
+    /// Number of entries that a regular pace notice is sent to. Each second a few of them
     /// learn of all endpoints that answered this entry, for about 500 bytes.
     static constexpr std::size_t paceRecipients = 4;
 
@@ -127,8 +127,8 @@
     void sendRateLimitNotice(const rate_limit_notice &notice);
     void sendLeavingNotice(const leaving_notice &notice);
 
-    /// Sends \p notice to \c paceRecipients other entries, chosen round-robin, within the budget.
-    void sendPaceNotice(const pace_notice &notice);
+    /// Sends \p notice to \p recipients other entries, chosen round-robin, within the budget.
+    void sendPaceNotice(const pace_notice &notice, std::size_t recipients);
 
 private:
     struct state;
--- a/include/laurelcroft/Proxy/PaceNotice.h
+++ b/include/laurelcroft/Proxy/PaceNotice.h
@@ -36,6 +36,9 @@
     static constexpr unsigned maxSamples = 100;
 
     std::vector<pace_report> reports;
+    /// Tells of changes as they are seen. Such values say nothing about what lasts: they are sent
+    /// more often while an endpoint's pace changes.
+    bool tellsChanges = false;
 
     bool operator==(const pace_notice &) const = default;
 };
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -79,6 +79,9 @@
     m_record.choice = textOf(pick.reason);
     m_record.endpoint = endpoint->record().id;
     m_record.endpointVersion = endpoint->record().softwareVersion;
+    m_record.slowdown.reset();
+    if (state.usesPace(m_service))
+        m_record.slowdown = endpoint->pace().slowdown(m_attemptAt);
     m_record.endpointLeaving = false;
     m_record.endpointRetryAfter.reset();
     m_record.versionReason = textOf(m_versionReason);
--- a/lib/Fleet/EndpointPace.cpp
+++ b/lib/Fleet/EndpointPace.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 using namespace laurelcroft;
 
@@ -23,6 +24,9 @@
 /// answers of an endpoint to all entries, short compared with the time for which machines keep
 /// their neighbours.
 constexpr seconds lastingHalfLife{30};
+/// Values that differ by less agree with each other. Where most of the latest values don't agree,
+/// nothing lasts, and their mean is the best guess.
+constexpr double agreeingFactor = 1.25;
 /// Observations without any effect that are assumed at first, since a single one may have been
 /// delayed by other work.
 constexpr double priorWeight = 1;
@@ -49,29 +53,22 @@
     return slowdown >= endpoint_pace::minSlowdown && slowdown <= endpoint_pace::maxSlowdown;
 }
 
-void endpoint_pace::noteStated(double slowdown, time_point now)
+void endpoint_pace::noteMoment(double slowdown, time_point now)
 {
     if (!isValid(slowdown))
         return;
     m_isStated = true;
     m_lastStated = slowdown;
     m_statedAt = now;
-    addValue(slowdown, now);
 }
 
-void endpoint_pace::noteStatedElsewhere(double slowdown, time_point now)
+void endpoint_pace::noteStated(double slowdown, time_point now)
 {
     if (!isValid(slowdown))
         return;
-    m_isStated = true;
-    addValue(slowdown, now);
-}
-
-void endpoint_pace::addValue(double slowdown, time_point now)
-{
+    noteMoment(slowdown, now);
     m_values[m_count % maxValues] = slowdown;
     ++m_count;
-    m_valueAt = now;
 }
 
 void endpoint_pace::addObservation(double ratio, double weight, time_point now)
@@ -89,23 +86,30 @@
     m_observedAt = now;
 }
 
-/// \returns the lower of the two middle values for an even number, since momentary slowdowns only
-/// make values larger.
-double endpoint_pace::median() const
+double endpoint_pace::lasting() const
 {
-    if (m_count < minValues)
-        return 1;
     const std::size_t count = std::min(m_count, maxValues);
+    if (count < minValues)
+        return 1;
     std::array<double, maxValues> sorted = m_values;
     const auto end = sorted.begin() + static_cast<std::ptrdiff_t>(count);
-    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>((count - 1) / 2);
-    std::nth_element(sorted.begin(), middle, end);
-    return *middle;
+    std::sort(sorted.begin(), end);
+    // The lower of two middle values, since momentary slowdowns only make values larger.
+    const double median = sorted[(count - 1) / 2];
+    const auto agreeing = std::count_if(sorted.begin(), end, [median](double value) {
+        return value < median * agreeingFactor && median < value * agreeingFactor;
+    });
+    if (static_cast<std::size_t>(agreeing) * 2 > count)
+        return median;
+    const double logSum = std::accumulate(sorted.begin(), end, 0.0, [](double sum, double value) {
+        return sum + std::log(value);
+    });
+    return std::exp(logSum / static_cast<double>(count));
 }
 
 double endpoint_pace::statedUsual(time_point now) const
 {
-    return 1 + (median() - 1) * decayFactor(now - m_valueAt, lastingHalfLife);
+    return 1 + (lasting() - 1) * decayFactor(now - m_statedAt, lastingHalfLife);
 }
 
 double endpoint_pace::observed(time_point now) const
@@ -125,7 +129,7 @@
 
 double endpoint_pace::moment() const
 {
-    return m_statedAt == time_point() ? 1 : m_lastStated / median();
+    return m_statedAt == time_point() ? 1 : m_lastStated / lasting();
 }
 
 double endpoint_pace::slowdown(time_point now) const
--- a/lib/Proxy/FlowReporter.cpp
+++ b/lib/Proxy/FlowReporter.cpp
@@ -28,8 +28,10 @@
         m_metrics.add("versions_total{by=\"" + std::string(record.versionReason) + "\"}");
     const bool isOrdinary = record.reason == flow_reason::served && record.resumes == 0
             && record.attempts == record.escalations + 1;
-    if ((isOrdinary ? m_ordinary : m_unusual).allows(now))
+    if ((isOrdinary ? m_ordinary : m_unusual).allows(now)) {
         logFinished(record);
+        logPace(record);
+    }
 }
 
 void flow_reporter::logFinished(const flow_record &record)
@@ -62,6 +64,16 @@
              {"total_ms", std::int64_t(record.total.count())}});
 }
 
+void flow_reporter::logPace(const flow_record &record)
+{
+    if (!record.slowdown)
+        return;
+    logInfo(log_part::routing, "pace of the endpoint",
+            {{"request", record.request},
+             {"endpoint", record.endpoint},
+             {"slowdown_percent", std::lround(*record.slowdown * 100)}});
+}
+
 void flow_reporter::attemptEnded(const flow_record &record, attempt_end end, next_step step,
                                  time_point now)
 {
@@ -140,6 +152,9 @@
     });
     m_metrics.set("endpoints_in_backoff", static_cast<double>(inBackoff));
     m_metrics.set("endpoints_limited", static_cast<double>(limited));
+    m_metrics.set("endpoints_slow",
+                  static_cast<double>(pace_watch::slowEndpoints(m_routing.directory(), now)));
+    m_metrics.add("pace_changes_total", m_routing.pace().takeChanges());
     m_metrics.add("rate_limit_changes_total", m_routing.rateLimits().takeChanges());
     m_metrics.add("requests_withheld_total", m_routing.crashes().takeNewlyWithheld());
     m_metrics.set("requests_withheld", static_cast<double>(m_routing.suspects().withheld().size()));
--- a/lib/Proxy/FlowReporter.h
+++ b/lib/Proxy/FlowReporter.h
@@ -51,6 +51,8 @@
     static constexpr double unusualLinesPerSecond = 300;
 
     static void logFinished(const flow_record &record);
+    /// Logs the pace expected of the endpoint, where pace is used.
+    static void logPace(const flow_record &record);
 
     metric_registry &m_metrics;
     routing_state &m_routing;
--- a/lib/Proxy/NoticeChannel.cpp
+++ b/lib/Proxy/NoticeChannel.cpp
@@ -264,12 +264,12 @@
     m_state->sendFinding(encodeLeavingNotice(notice), false);
 }
 
-void notice_channel::sendPaceNotice(const pace_notice &notice)
+void notice_channel::sendPaceNotice(const pace_notice &notice, std::size_t recipients)
 {
     const std::string bytes = encodePaceNotice(notice);
     const double cost = static_cast<double>(bytes.size()) + headerBytes;
     const std::vector<udp::endpoint> &others = m_state->others;
-    for (std::size_t i = 0; i < std::min(paceRecipients, others.size()); ++i) {
+    for (std::size_t i = 0; i < std::min(recipients, others.size()); ++i) {
         if (!m_state->findingBytes.refillAndCheck(cost + paceReserveBytes, bootNow())) {
             m_state->metrics.add("pace_notices_total{way=\"held\"}");
             return;
--- a/lib/Proxy/PaceNotice.cpp
+++ b/lib/Proxy/PaceNotice.cpp
@@ -1,6 +1,7 @@
 //===-- PaceNotice.cpp - pace of endpoints by datagram ----------------------===//
 //
-// A MessagePack array: kind, and for each endpoint its id and three numbers.
+// A MessagePack array: kind, whether it tells of changes, and for each endpoint its id and three
+// numbers.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/PaceNotice.h"
@@ -15,13 +16,14 @@
 namespace {
 
 constexpr std::string_view kind = "pace";
+constexpr std::size_t fieldsBeforeReports = 2;
 constexpr std::size_t reportFields = 4;
 
 } // namespace
 
 std::string laurelcroft::encodePaceNotice(const pace_notice &notice)
 {
-    json item = json::array({kind});
+    json item = json::array({kind, notice.tellsChanges});
     const std::size_t count = std::min(notice.reports.size(), pace_notice::maxReports);
     for (std::size_t i = 0; i < count; ++i) {
         const pace_report &report = notice.reports[i];
@@ -44,13 +46,16 @@
 std::optional<pace_notice> laurelcroft::decodePaceNotice(std::string_view bytes)
 {
     const json item = decodeMessagePack(bytes);
-    if (!item.is_array() || item.empty() || item[0] != json(kind))
+    const bool isPaceNotice = item.is_array() && item.size() >= fieldsBeforeReports
+            && item[0] == json(kind) && item[1].is_boolean();
+    if (!isPaceNotice)
         return std::nullopt;
-    const std::size_t fields = item.size() - 1;
+    const std::size_t fields = item.size() - fieldsBeforeReports;
     if (fields % reportFields != 0 || fields / reportFields > pace_notice::maxReports)
         return std::nullopt;
     pace_notice notice;
-    for (std::size_t i = 1; i < item.size(); i += reportFields) {
+    notice.tellsChanges = item[1].get<bool>();
+    for (std::size_t i = fieldsBeforeReports; i < item.size(); i += reportFields) {
         const std::optional<unsigned> stated = numberIn(item[i + 1], pace_notice::maxPercent);
         const std::optional<unsigned> observed = numberIn(item[i + 2], pace_notice::maxPercent);
         const std::optional<unsigned> samples = numberIn(item[i + 3], pace_notice::maxSamples);
--- a/lib/Proxy/PaceWatch.cpp
+++ b/lib/Proxy/PaceWatch.cpp
@@ -5,6 +5,8 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/PaceWatch.h"
 
+#include "laurelcroft/Support/Log.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,9 +15,9 @@
 namespace {
 
 constexpr double percent = 100;
-/// A stated slowdown is told to others when it has changed by this factor, else at intervals. It
-/// hardly changes, so the bytes serve better for other notices.
-constexpr double notableChange = 1.25;
+/// A stated slowdown that differs by this factor from what the others were told is told at once,
+/// since most such moments are over within a second. The others are told at intervals.
+constexpr double notableChange = 1.5;
 constexpr seconds tellInterval{10};
 
 } // namespace
@@ -33,18 +35,36 @@
     return report;
 }
 
+void pace_watch::noteChange(std::string_view endpoint, unsigned before, unsigned after,
+                            time_point now)
+{
+    ++m_changes;
+    if (m_logLimiter.allows(now))
+        logInfo(log_part::fleet, "endpoint states another pace",
+                {{"endpoint", endpoint},
+                 {"before_percent", std::int64_t(before)},
+                 {"slowdown_percent", std::int64_t(after)}});
+}
+
 void pace_watch::noteStated(const service_endpoint &endpoint, time_point now)
 {
+    const std::string &id = endpoint.record().id;
     const unsigned stated = toPercent(endpoint.pace().lastStated());
-    told_pace &told = m_told[endpoint.record().id];
+    told_pace &told = m_told[id];
     const double change = std::abs(std::log(double(stated) / std::max(1U, told.percent)));
-    if (told.percent > 0 && change < std::log(notableChange) && now - told.at < tellInterval)
+    const bool isNotable = told.percent > 0 && change >= std::log(notableChange);
+    if (!isNotable && told.percent > 0 && now - told.at < tellInterval)
         return;
+    if (isNotable)
+        noteChange(id, told.percent, stated, now);
     told = {stated, now};
-    reportOn(endpoint).statedPercent = stated;
     // Bounds the memory when endpoints are replaced.
     if (m_told.size() > maxTold)
         m_told.clear();
+    if (isNotable && m_listener)
+        m_listener({{{id, stated, 0, 0}}, true});
+    else
+        reportOn(endpoint).statedPercent = stated;
 }
 
 void pace_watch::observe(service_endpoint &endpoint, std::string_view work, duration time,
@@ -104,8 +124,11 @@
         if (it == directory.all().end())
             continue;
         endpoint_pace &pace = it->second->pace();
-        if (report.statedPercent > 0)
-            pace.noteStatedElsewhere(report.statedPercent / percent, now);
+        if (report.statedPercent > 0) {
+            const double slowdown = report.statedPercent / percent;
+            notice.tellsChanges ? pace.noteMoment(slowdown, now) : pace.noteStated(slowdown, now);
+            m_told[report.endpoint] = {report.statedPercent, now};
+        }
         pace.addObservation(report.observedPercent / percent, remoteWeight * report.samples, now);
     }
 }
--- a/unittests/Fleet/EndpointPaceTests.cpp
+++ b/unittests/Fleet/EndpointPaceTests.cpp
@@ -53,8 +53,8 @@
 {
     endpoint_pace pace;
     const time_point now{seconds(100)};
-    pace.noteStatedElsewhere(3, now);
-    pace.noteStatedElsewhere(3, now);
+    pace.noteStated(3, now);
+    pace.noteStated(3, now);
     CHECK(pace.usual(now + seconds(10)) > 2.5);
     CHECK(pace.usual(now + seconds(300)) < 1.01);
 }
--- a/unittests/Proxy/PaceNoticeTests.cpp
+++ b/unittests/Proxy/PaceNoticeTests.cpp
@@ -29,7 +29,7 @@
 
 TEST_CASE("a pace notice is decoded as it was encoded")
 {
-    const pace_notice notice{{{"i-1", 120, 95, 3}, {"i-2", 0, 310, 1}}};
+    const pace_notice notice{{{"i-1", 120, 95, 3}, {"i-2", 0, 310, 1}}, true};
     const auto decoded = decodePaceNotice(encodePaceNotice(notice));
     REQUIRE(decoded);
     CHECK(*decoded == notice);
@@ -37,12 +37,19 @@
 
 TEST_CASE("a pace notice with a number out of range or of another shape is rejected")
 {
+    const auto with = [](const json &report) {
+        json item = json::array({"pace", false});
+        for (const json &field : report)
+            item.push_back(field);
+        return item;
+    };
+    CHECK(decodePaceNotice(encodeMessagePack(with({"i-1", 120, 95, 3}))));
     for (const json &item :
-         {json::array(), json::array({"other", "i-1", 120, 95, 3}),
-          json::array({"pace", "i-1", 120, 95}), json::array({"pace", "i-1", 120, 95, 3, 4}),
-          json::array({"pace", "i-1", 2001, 95, 3}), json::array({"pace", "i-1", -5, 95, 3}),
-          json::array({"pace", "i-1", 120, 95, 101}), json::array({"pace", "", 120, 95, 3}),
-          json::array({"pace", "i-1", 1.5, 95, 3}), json::array({"pace", 7, 120, 95, 3})})
+         {json::array(), json::array({"pace"}), json::array({"other", false, "i-1", 120, 95, 3}),
+          json::array({"pace", 0, "i-1", 120, 95, 3}), with({"i-1", 120, 95}),
+          with({"i-1", 120, 95, 3, 4}), with({"i-1", 2001, 95, 3}), with({"i-1", -5, 95, 3}),
+          with({"i-1", 120, 95, 101}), with({"", 120, 95, 3}), with({"i-1", 1.5, 95, 3}),
+          with({7, 120, 95, 3})})
         CHECK(!decodePaceNotice(encodeMessagePack(item)));
     CHECK(!decodePaceNotice("junk"));
 }
