--- a/lib/Proxy/FlowReporter.h
+++ b/lib/Proxy/FlowReporter.h
@@ -56,6 +56,8 @@
 
     void reportRoom(const flow_record &record, time_point now);
     static void logFinished(const flow_record &record);
+    /// Logs the pace expected of the endpoint, where pace is used.
+    static void logPace(const flow_record &record);
 
     metric_registry &m_metrics;
     routing_state &m_routing;
