--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -109,8 +109,8 @@
                     return;
                 }
                 self->onBytes(std::string_view(self->in.data(), size));
-                const bool wantsMore = !self->answering || self->pending.size() < maxPipelinedBytes;
-                if (wantsMore)
+                const bool handlesNext = !self->answering && !self->holdsNext;
+                if (handlesNext || self->pending.size() < maxPipelinedBytes)
                     self->read();
             });
 }
@@ -136,7 +136,7 @@
 {
     if (shuttingDown)
         return;
-    if (answering) {
+    if (answering || holdsNext) {
         pending.append(bytes);
         return;
     }
@@ -210,6 +210,7 @@
     armTimer(server->bounds.idleTimeout);
     // A caller that reads no answers must not add further ones.
     if (out.size() > memory_budget::minShare) {
+        holdsNext = true;
         drainMark = memory_budget::minShare;
         onDrained = [this] { readNext(); };
         return;
@@ -219,6 +220,7 @@
 
 void caller_exchange::state::readNext()
 {
+    holdsNext = false;
     if (pending.empty()) {
         read();
         return;
--- a/lib/Proxy/CallerConnection.h
+++ b/lib/Proxy/CallerConnection.h
@@ -68,7 +68,7 @@
     held_bytes held; ///< counted in the server's memory
     int urgency = memory_budget::leastUrgency;
     time_point progressAt{}; ///< when the peer last took or sent bytes that are counted as held
-    int unacknowledged = 0; ///< bytes in the kernel's send queue when last checked
+    int unacknowledged = 0; ///< kernelBytes() when last checked
     std::size_t drainMark = 0; ///< onDrained is called when no more bytes are unsent
     std::function<void()> onDrained;
     std::function<void()> onDisconnect;
@@ -76,8 +76,10 @@
     bool answering = false; ///< a request is complete and its answer has not ended
     bool reading = false;
     bool flushing = false;
+    bool holdsNext = false; ///< no further request is handled until more of the answer is sent
     bool closeAfter = false; ///< close the connection after the answer
     bool chunked = false; ///< the caller accepts chunked encoding
+    bool kernelLimited = false; ///< limitKernelBytes() was called
     bool sized = false; ///< the length of the current answer in pieces was stated
     bool cutOff = false; ///< closed to free memory
     bool refused = false; ///< the request is refused for lack of memory
@@ -99,6 +101,9 @@
     void flush();
     /// \param hasWritten the caller took some bytes.
     void noteBlocked(bool hasWritten);
+    void limitKernelBytes();
+    /// \returns the bytes that the kernel has not sent, or that the peer has not acknowledged.
+    int kernelBytes();
     void waitWritable();
     void noteDrained();
     void answerEnded();
--- a/lib/Proxy/CallerSending.cpp
+++ b/lib/Proxy/CallerSending.cpp
@@ -24,8 +24,9 @@
 /// A caller that is behind has sent this many bytes before more of its answer is read: small, since
 /// endpoints cut off answers that stay unread for seconds, and slow callers need long for it.
 constexpr std::size_t drainStep = 32U << 10;
-/// TCP_NOTSENT_LOWAT: bytes in the kernel that are not on their way yet. Set for callers that have
-/// to be waited for. Otherwise the kernel takes megabytes, and reports room once a third is free.
+/// TCP_NOTSENT_LOWAT: bytes in the kernel that are not on their way yet. Set for large answers and
+/// for callers that have to be waited for. Otherwise the kernel takes megabytes, and reports room
+/// only when a third of them is free.
 constexpr int maxKernelUnsentBytes = 128 << 10;
 
 std::string_view reasonPhrase(int status)
@@ -89,6 +90,8 @@
     if (closed)
         return;
     const std::size_t before = out.size();
+    if (before > memory_budget::minShare)
+        limitKernelBytes();
     asio::error_code error;
     while (!out.empty() && !error)
         out.consume(out.isSingleBlock() ? socket.write_some(out.firstBlock(), error)
@@ -114,13 +117,26 @@
     server->memory.set(*this, held_for::unsent, out.size());
     if (!wasBlocked || hasWritten)
         progressAt = bootNow();
-    if (!wasBlocked)
-        ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &maxKernelUnsentBytes,
-                     sizeof(maxKernelUnsentBytes));
+    unacknowledged = kernelBytes();
+    limitKernelBytes();
     if (shuttingDown && !wasBlocked)
         armTimer(server->bounds.idleTimeout);
 }
 
+void caller_exchange::state::limitKernelBytes()
+{
+    if (std::exchange(kernelLimited, true))
+        return;
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &maxKernelUnsentBytes,
+                 sizeof(maxKernelUnsentBytes));
+}
+
+int caller_exchange::state::kernelBytes()
+{
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
 void caller_exchange::state::waitWritable()
 {
     flushing = true;
@@ -141,12 +157,10 @@
 
 bool caller_exchange::state::hasProgressed()
 {
-    if (out.empty())
-        return false;
-    int bytes = 0;
-    if (closed || ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0)
+    if (closed || out.empty())
         return false;
-    return std::exchange(unacknowledged, bytes) > bytes;
+    const int before = std::exchange(unacknowledged, kernelBytes());
+    return unacknowledged < before;
 }
 
 void caller_exchange::state::cutOffPeer()
--- a/lib/Proxy/CallerServer.cpp
+++ b/lib/Proxy/CallerServer.cpp
@@ -111,6 +111,15 @@
     m_state->releaseMemory();
 }
 
+void caller_server::abortUnsent()
+{
+    const auto connections = m_state->connections;
+    for (caller_exchange::state *connection : connections) {
+        if (!connection->out.empty())
+            connection->close(true);
+    }
+}
+
 caller_memory caller_server::memory() const
 {
     caller_memory result = m_state->counts;
--- a/lib/Proxy/EndpointConnection.cpp
+++ b/lib/Proxy/EndpointConnection.cpp
@@ -26,6 +26,9 @@
 constexpr unsigned tcpUserTimeoutMs = 2500;
 /// Largest accepted head of an answer, in bytes. Endpoints send smaller ones.
 constexpr std::size_t maxHeadBytes = 32768;
+/// Receive buffer of a connection whose call was paused. Otherwise the kernel of this instance
+/// would take megabytes of each answer that is not read.
+constexpr int pausedReceiveBytes = 128 << 10;
 /// How long an idle connection is kept if the endpoint states no keep-alive timeout.
 constexpr milliseconds defaultIdleTimeout{4000};
 /// An idle connection expires this long before the endpoint would close it.
@@ -139,6 +142,13 @@
                         });
 }
 
+void endpoint_connection::pause()
+{
+    m_paused = true;
+    asio::error_code ignored;
+    m_socket.set_option(asio::socket_base::receive_buffer_size(pausedReceiveBytes), ignored);
+}
+
 void endpoint_connection::resume()
 {
     m_paused = false;
--- a/lib/Proxy/EndpointConnection.h
+++ b/lib/Proxy/EndpointConnection.h
@@ -43,7 +43,7 @@
     void close();
 
     /// Stops reading the current answer. At most one read's bytes still follow.
-    void pause() { m_paused = true; }
+    void pause();
     /// Continues to read.
     void resume();
     bool isPaused() const { return m_paused; }
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -339,7 +339,10 @@
         // cut off on each of four test days with restarts.
         drainDeadline = std::min(drainDeadline, runtime.now());
         // The delay lets the event loop write the last answers.
-        runtime.after(drainCheckInterval, onDrained);
+        runtime.after(drainCheckInterval, [this] {
+            callers.abortUnsent();
+            onDrained();
+        });
         return;
     }
     runtime.after(drainCheckInterval, [this] { checkDrained(); });
