Weigh second runs on a larger model against the requests that they delay

Cause: under load a second run on the largest model reads long prompts while others wait; the rule by this entry's own recent waits follows a load wave too late and treats all prompts alike. Change: Policy/PressureCascade compares the gain of the better answer with the number of requests beside it that become late; used where the service's pressure is used, else the standing rule.

--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -7,6 +7,7 @@
 #define LAURELCROFT_PROXY_FLOWTYPES_H
 
 #include "laurelcroft/Policy/AttemptOutcome.h"
+#include "laurelcroft/Policy/PressureCascade.h"
 #include "laurelcroft/Support/Runtime.h"
 
 #include <cstdint>
@@ -70,6 +71,13 @@
     /// When the first part of a larger model's answer was expected, as a share of the objective; 0
     /// if no larger model was considered. Above 1, the low-confidence answer was kept.
     double largerExpectedAt = 0;
+    /// Set where the cascade takes the pressure on the service into account: its decision, and what
+    /// it was based on.
+    std::optional<second_run> secondRun;
+    std::optional<double> servicePressure; ///< as a share of the objective
+    milliseconds secondRunReadTime{0}; ///< of the larger model at the chosen endpoint
+    double secondRunLate = 0; ///< other requests that were expected to become late by it
+    milliseconds longestPause{0}; ///< between two events passed to the caller
     double serviceWait = 0; ///< recent mean wait at the service, as a share of the objective
     int status = 0;
     flow_reason reason = flow_reason::served;
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -177,7 +177,13 @@
     /// Reverts noteRun() when the endpoint of the current attempt did not run the request.
     void noteNotRun();
     void noteWait();
+    /// Sends the request to a larger model if the confidence of the answer is low.
     void escalate();
+    /// \returns true if the request is to be sent to the larger model at \p pick.
+    bool mayEscalateTo(const endpoint_pick &pick, const cascade_view &view);
+    bool mayEscalateUnderPressure(const endpoint_pick &pick, const cascade_view &view);
+    /// \returns the index of the model that may replace the current answer.
+    std::optional<std::size_t> escalationCandidate(const cascade_view &view);
     cascade_view cascadeView();
     void onData(std::string_view data);
     void onEvent(const stream_event &event);
@@ -273,6 +279,7 @@
     std::unique_ptr<event_splitter> m_splitter;
     time_point m_attemptAt{};
     time_point m_lastProgressAt{};
+    time_point m_passedAt{}; ///< of the last event passed to the caller
     time_point m_firstEventAt{}; ///< first event of the current attempt
     std::int64_t m_attemptEvents = 0;
     bool m_hasFirstEvent = false;
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -90,6 +90,10 @@
     }
     if (event.id)
         m_lastEventId = event.id;
+    if (m_record.events > 0)
+        m_record.longestPause = std::max(m_record.longestPause,
+                                         std::chrono::round<milliseconds>(now() - m_passedAt));
+    m_passedAt = now();
     ++m_record.events;
     m_env.write(std::string(event.text));
 }
--- a/include/laurelcroft/Proxy/RequestFlowCascade.h
+++ b/include/laurelcroft/Proxy/RequestFlowCascade.h
@@ -7,6 +7,7 @@
 #ifndef LAURELCROFT_PROXY_REQUESTFLOWCASCADE_H
 #define LAURELCROFT_PROXY_REQUESTFLOWCASCADE_H
 
+#include "laurelcroft/Policy/PressureCascade.h"
 #include "laurelcroft/Support/Crypto.h"
 
 namespace laurelcroft {
@@ -92,6 +93,54 @@
     return view;
 }
 
+template <flow_environment Env>
+std::optional<std::size_t> request_flow<Env>::escalationCandidate(const cascade_view &view)
+{
+    routing_state &state = m_env.routing();
+    if (!state.usesPressureInCascade(m_service))
+        return escalationTarget(state.cascade(), view);
+    const bool isLargest = view.model + 1 >= view.models;
+    if (isLargest || !view.confidence)
+        return std::nullopt;
+    m_record.servicePressure = state.pressure(m_service).level(now());
+    m_record.secondRun = second_run::unavailable;
+    if (*view.confidence >= state.cascade().keepFrom)
+        m_record.secondRun = second_run::confident;
+    else if (view.mayRunAgain)
+        return view.models - 1;
+    return std::nullopt;
+}
+
+template <flow_environment Env>
+bool request_flow<Env>::mayEscalateTo(const endpoint_pick &pick, const cascade_view &view)
+{
+    if (m_env.routing().usesPressureInCascade(m_service))
+        return mayEscalateUnderPressure(pick, view);
+    return escalationTarget(m_env.routing().cascade(), view).has_value();
+}
+
+template <flow_environment Env>
+bool request_flow<Env>::mayEscalateUnderPressure(const endpoint_pick &pick,
+                                                 const cascade_view &view)
+{
+    const service_endpoint &endpoint = *pick.endpoint;
+    const unsigned kept = endpoint.prefixCache().cachedTokens(m_prefixes);
+    const double slowdown = endpoint.pace().slowdown(now());
+    second_run_view second;
+    second.confidence = view.confidence.value_or(0);
+    second.keepFrom = m_env.routing().cascade().keepFrom;
+    second.pressure = *m_record.servicePressure;
+    second.expectedAt = view.expectedAt;
+    second.readTime
+            = second_run_view::fractional_ms(prefillMsPerToken() * tokensToRead(kept) * slowdown);
+    second.eventGap = m_route->eventGap;
+    second.requestsBeside = endpoint.expectedLoad(now());
+    m_record.secondRun = decideSecondRun(second);
+    m_record.secondRunReadTime = std::chrono::round<milliseconds>(second.readTime);
+    m_record.secondRunLate = expectedLateRequests(second);
+    return m_record.secondRun == second_run::sent;
+}
+
 template <flow_environment Env>
 void request_flow<Env>::escalate()
 {
@@ -100,8 +149,7 @@
     if (!m_request->anyModel || ownSuspicion() != suspicion::none)
         return;
     cascade_view view = cascadeView();
-    const cascade_settings &settings = m_env.routing().cascade();
-    const std::optional<std::size_t> larger = escalationTarget(settings, view);
+    const std::optional<std::size_t> larger = escalationCandidate(view);
     if (!larger)
         return;
     // Drop the answer only if an endpoint is available for the larger model.
@@ -114,7 +162,7 @@
         view.expectedAt = shareOfObjective(now() - m_arrivedAt + wait);
     }
     m_record.largerExpectedAt = view.expectedAt;
-    if (!pick || !escalationTarget(settings, view) || !takeFurtherSend(further_send::largerModel)) {
+    if (!pick || !mayEscalateTo(*pick, view) || !takeFurtherSend(further_send::largerModel)) {
         m_tried = tried;
         m_modelIndex = smaller;
         m_prefixes = prefixesOf(modelName());
--- a/lib/Proxy/FlowReporter.cpp
+++ b/lib/Proxy/FlowReporter.cpp
@@ -26,6 +26,7 @@
         m_metrics.add("resumes_total", record.resumes);
     if (!record.versionReason.empty())
         m_metrics.add("versions_total{by=\"" + std::string(record.versionReason) + "\"}");
+    reportSecondRun(record, now);
     const bool isOrdinary = record.reason == flow_reason::served && record.resumes == 0
             && record.attempts == record.escalations + 1;
     if ((isOrdinary ? m_ordinary : m_unusual).allows(now))
@@ -62,6 +63,26 @@
              {"total_ms", std::int64_t(record.total.count())}});
 }
 
+void flow_reporter::reportSecondRun(const flow_record &record, time_point now)
+{
+    if (!record.secondRun || *record.secondRun == second_run::confident)
+        return;
+    const std::string_view decision = textOf(*record.secondRun);
+    m_metrics.add("second_runs_total{decision=\"" + std::string(decision) + "\"}");
+    if (!m_secondRuns.allows(now))
+        return;
+    logInfo(log_part::routing, "second run considered",
+            {{"request", record.request},
+             {"decision", decision},
+             {"route", record.route},
+             {"service_pressure_percent", std::lround(record.servicePressure.value_or(0) * 100)},
+             {"read_ms", std::int64_t(record.secondRunReadTime.count())},
+             {"others_late_percent", std::lround(record.secondRunLate * 100)},
+             {"larger_expected_percent", std::lround(record.largerExpectedAt * 100)},
+             {"first_ms", std::int64_t(record.firstPart.value_or(milliseconds(-1)).count())},
+             {"longest_pause_ms", std::int64_t(record.longestPause.count())}});
+}
+
 void flow_reporter::attemptEnded(const flow_record &record, attempt_end end, next_step step,
                                  time_point now)
 {
@@ -110,7 +131,8 @@
 void flow_reporter::logSuppressedLines()
 {
     const std::uint64_t ordinarySuppressed = m_ordinary.takeSuppressedCount();
-    const std::uint64_t unusualSuppressed = m_unusual.takeSuppressedCount();
+    const std::uint64_t unusualSuppressed
+            = m_unusual.takeSuppressedCount() + m_secondRuns.takeSuppressedCount();
     const std::uint64_t lost = takeDroppedLines();
     m_metrics.add("log_lines_held_total", ordinarySuppressed + unusualSuppressed);
     m_metrics.add("log_lines_lost_total", lost);
--- a/lib/Proxy/FlowReporter.h
+++ b/lib/Proxy/FlowReporter.h
@@ -49,13 +49,18 @@
     /// At about 350 bytes per line, this limits the log to 140 kB/s.
     static constexpr double ordinaryLinesPerSecond = 100;
     static constexpr double unusualLinesPerSecond = 300;
+    /// The same for decisions on second runs.
+    static constexpr double secondRunLinesPerSecond = 50;
 
+    /// Reports the decision on a second run of a request on a larger model, if there was one.
+    void reportSecondRun(const flow_record &record, time_point now);
     static void logFinished(const flow_record &record);
 
     metric_registry &m_metrics;
     routing_state &m_routing;
     log_limiter m_ordinary{ordinaryLinesPerSecond};
     log_limiter m_unusual{unusualLinesPerSecond};
+    log_limiter m_secondRuns{secondRunLinesPerSecond};
 };
 
 } // namespace laurelcroft
