Second runs by fleet-wide pressure; other entries' waits by notices

Cause: one entry of thirty sees seven answers a second, too few to follow a load wave; and the first estimate of who is delayed held back long prompts also where there was room. Change: pressure_notice tells three other entries, in turn, twice a second what an entry has observed itself (service, level, samples, answers per second; within the bytes for findings); service_pressure merges them by weight and age, service_demand knows how many requests arrive at an endpoint and how much time they have. A second run is made when its gain (confidence, size, urgency, own time left) exceeds the number of requests that it makes late, with waits taken as exponentially distributed.

--- a/include/laurelcroft/Policy/PressureCascade.h
+++ b/include/laurelcroft/Policy/PressureCascade.h
@@ -37,24 +37,33 @@
 
     int confidence = 0; ///< of the first answer, in percent
     int keepFrom = 50; ///< minimum confidence, in percent, at which an answer is kept
-    double pressure = 0; ///< recent waits for a first part, as a share of the objective
     /// Expected time until the larger model's first part, counted from the caller's request, as a
     /// share of the objective.
     double expectedAt = 0;
     /// Time in which the larger model reads the prompt at the chosen endpoint.
     fractional_ms readTime{0};
-    fractional_ms eventGap{1000}; ///< longest acceptable pause between events
-    double requestsBeside = 0; ///< running and waiting at the chosen endpoint, of all callers
+    double tokens = 0; ///< of the prompt
+    int urgency = 0; ///< priority of the request, 0 is the most urgent
+
+    /// Recent waits for the first part of one attempt's answer, as a share of the objective.
+    double pressure = 0;
+    fractional_ms usualObjective{1000}; ///< of the requests to the service
+    double usualUrgency = 0;
+    double usualTokens = 0; ///< of a prompt; 0 if unknown
+    double requestsPerSecond = 0; ///< at the chosen endpoint, from all callers
 };
 
-/// \returns the probability that a request becomes late when a part \p used of its time is used up
-/// already and the waits of the service are distributed exponentially with mean \p pressure. Both
-/// are shares of the time after which it is late.
+/// \returns the probability that a request becomes late.
+/// \param used part of the objective that has passed already.
+/// \param pressure recent waits of one attempt, as a share of the objective.
 double lateProbability(double used, double pressure);
 
 /// \returns the expected number of requests that become late because of the second run.
 double expectedLateRequests(const second_run_view &view);
 
+/// \returns the expected gain of the second run, in requests of usual size and urgency.
+double gainOf(const second_run_view &view);
+
 /// \returns whether the larger model is asked.
 second_run decideSecondRun(const second_run_view &view);
 
--- a/include/laurelcroft/Proxy/NoticeChannel.h
+++ b/include/laurelcroft/Proxy/NoticeChannel.h
@@ -18,6 +18,7 @@
 #include "laurelcroft/Proxy/CrashNotices.h"
 #include "laurelcroft/Proxy/EvidenceNotice.h"
 #include "laurelcroft/Proxy/LeavingNotice.h"
+#include "laurelcroft/Proxy/PressureNotice.h"
 #include "laurelcroft/Proxy/RateLimitNotice.h"
 #include "laurelcroft/Support/Metrics.h"
 #include "laurelcroft/Support/Runtime.h"
@@ -58,6 +59,7 @@
     std::function<void(const cleared_notice &notice)> onCleared;
     std::function<void(const rate_limit_notice &notice)> onRateLimit = nullptr;
     std::function<void(const leaving_notice &notice)> onLeaving = nullptr;
+    std::function<void(const pressure_notice &notice)> onPressure = nullptr;
     /// Handles datagrams of any other kind. \returns true if it accepts the datagram. May be empty.
     std::function<bool(std::string_view bytes)> onOther = nullptr;
 };
@@ -86,6 +88,8 @@
     /// Bytes used by findings are also charged to \c bytesPerSecond.
     static constexpr double findingBytesPerSecond = 1000;
     static constexpr double findingBurstBytes = 12000;
+    /// Number of entries that a pressure notice is sent to. Each entry gets as many as it sends.
+    static constexpr std::size_t pressureRecipients = 3;
 
     /// \param ownAddress address as "host:port" that open() binds to.
     notice_channel(asio::io_context &context, metric_registry &metrics, std::string ownAddress,
@@ -121,6 +125,9 @@
     void sendRateLimitNotice(const rate_limit_notice &notice);
     void sendLeavingNotice(const leaving_notice &notice);
 
+    /// Sends \p notice to \c pressureRecipients other entries, chosen round-robin.
+    void sendPressureNotice(const pressure_notice &notice);
+
 private:
     struct state;
     void setReaders(const entry_map &entries, const std::string &own);
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -222,6 +222,11 @@
     session_request sessionRequest() { return {m_session, m_arrivedAt, now()}; }
     time_point now() { return m_env.runtime().now(); }
     bool isStream() const { return m_route->form == answer_form::events; }
+    /// \returns the priority of the request, 0 is the most urgent.
+    int urgency() const
+    {
+        return m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
+    }
     milliseconds timeLeft() { return std::chrono::ceil<milliseconds>(m_deadline - now()); }
 
     Env m_env;
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -37,6 +37,9 @@
     if (m_streamBegun)
         return;
     noteWait();
+    if (m_env.routing().usesPressureInCascade(m_service))
+        m_env.routing().demand(m_service).addAnswer(m_route->objective, urgency(),
+                                                    m_request->promptTokens, now());
     m_record.confidence = m_answer.confidence;
     escalate();
 }
--- a/include/laurelcroft/Proxy/RequestFlowCascade.h
+++ b/include/laurelcroft/Proxy/RequestFlowCascade.h
@@ -123,18 +123,24 @@
 bool request_flow<Env>::mayEscalateUnderPressure(const endpoint_pick &pick,
                                                  const cascade_view &view)
 {
+    routing_state &state = m_env.routing();
     const service_endpoint &endpoint = *pick.endpoint;
     const unsigned kept = endpoint.prefixCache().cachedTokens(m_prefixes);
     const double slowdown = endpoint.pace().slowdown(now());
+    const service_demand &demand = state.demand(m_service);
     second_run_view second;
     second.confidence = view.confidence.value_or(0);
-    second.keepFrom = m_env.routing().cascade().keepFrom;
-    second.pressure = *m_record.servicePressure;
+    second.keepFrom = state.cascade().keepFrom;
     second.expectedAt = view.expectedAt;
     second.readTime
             = second_run_view::fractional_ms(prefillMsPerToken() * tokensToRead(kept) * slowdown);
-    second.eventGap = m_route->eventGap;
-    second.requestsBeside = endpoint.expectedLoad(now());
+    second.tokens = m_request->promptTokens;
+    second.urgency = urgency();
+    second.pressure = *m_record.servicePressure;
+    second.usualObjective = demand.objective(m_route->objective);
+    second.usualUrgency = demand.urgency(second.urgency);
+    second.usualTokens = demand.promptTokens();
+    second.requestsPerSecond = state.requestsPerEndpoint(m_service, now());
     m_record.secondRun = decideSecondRun(second);
     m_record.secondRunReadTime = std::chrono::round<milliseconds>(second.readTime);
     m_record.secondRunLate = expectedLateRequests(second);
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -86,8 +86,7 @@
     attempt.request = m_request;
     attempt.endpoint = endpoint;
     attempt.remaining = timeLeft();
-    attempt.priority
-            = m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
+    attempt.priority = urgency();
     if (m_customer)
         attempt.customer = m_customer->name;
     m_record.model = modelName();
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -15,10 +15,12 @@
 #include "laurelcroft/Policy/PrefillRate.h"
 #include "laurelcroft/Policy/RateShare.h"
 #include "laurelcroft/Policy/SendBudget.h"
+#include "laurelcroft/Policy/ServiceDemand.h"
 #include "laurelcroft/Policy/ServicePressure.h"
 #include "laurelcroft/Proxy/CrashWatch.h"
 #include "laurelcroft/Proxy/LeavingWatch.h"
 #include "laurelcroft/Proxy/LoadSettings.h"
+#include "laurelcroft/Proxy/PressureNotice.h"
 #include "laurelcroft/Proxy/RateLimitWatch.h"
 #include "laurelcroft/Proxy/RolloutTracker.h"
 #include "laurelcroft/Support/Random.h"
@@ -141,6 +143,25 @@
     /// \returns true if the cascade of \p service takes the pressure on it into account.
     bool usesPressureInCascade(std::string_view service) const;
 
+    /// \returns the recent requests to \p service, where the cascade takes the pressure into
+    /// account.
+    service_demand &demand(std::string_view service);
+
+    /// \returns the estimated requests per second at one endpoint of \p service, of all entries.
+    double requestsPerEndpoint(std::string_view service, time_point now);
+
+    /// \returns what this entry has observed of the pressure on services, for the other entries.
+    std::vector<pressure_notice> pressureNotices(time_point now) const;
+
+    /// Adds what another entry has observed. Ignored for a service that this entry sends nothing
+    /// to, and where the pressure is not used.
+    void notePressureElsewhere(const pressure_notice &notice, time_point now);
+
+    const std::map<std::string, service_pressure, std::less<>> &allPressures() const
+    {
+        return m_pressures;
+    }
+
     /// \returns the estimated prompt processing rate of \p model.
     prefill_rate &promptRate(std::string_view model);
 
@@ -223,6 +244,7 @@
     std::map<std::string, failure_streak, std::less<>> m_outlooks;
     std::map<std::string, recent_wait, std::less<>> m_waits;
     std::map<std::string, service_pressure, std::less<>> m_pressures;
+    std::map<std::string, service_demand, std::less<>> m_demands;
     std::set<std::string, std::less<>> m_statingPace; ///< services whose endpoints state their pace
     std::map<std::string, prefill_rate, std::less<>> m_promptRates;
     struct sample_list
--- a/lib/Policy/ServicePressure.cpp
+++ b/lib/Policy/ServicePressure.cpp
@@ -20,23 +20,45 @@
 
 } // namespace
 
-double service_pressure::decayUntil(time_point now) const
+service_pressure::sums service_pressure::sums::at(time_point now) const
 {
-    const double halves = std::chrono::duration<double>(now - m_updatedAt)
+    // A clock that steps back changes nothing.
+    const double halves = std::chrono::duration<double>(now - updatedAt)
             / std::chrono::duration<double>(sampleHalfLife);
-    return std::exp2(-std::max(0.0, halves));
+    const double keep = std::exp2(-std::max(0.0, halves));
+    return {weight * keep, shares * keep, now};
+}
+
+void service_pressure::sums::add(double count, double share, time_point now)
+{
+    *this = at(now);
+    weight += count;
+    shares += count * share;
 }
 
 void service_pressure::addSample(double share, time_point now)
 {
-    const double keep = decayUntil(now);
-    m_weight = m_weight * keep + 1;
-    m_sum = m_sum * keep + std::max(0.0, share);
-    m_updatedAt = now;
+    m_own.add(1, std::max(0.0, share), now);
+}
+
+void service_pressure::addReport(const pressure_report &report, time_point now)
+{
+    const double level = std::clamp(report.level, 0.0, pressure_report::maxLevel);
+    const double weight = std::clamp(report.weight, 0.0, pressure_report::maxWeight);
+    m_reported.add(weight, level, now);
 }
 
 double service_pressure::level(time_point now) const
 {
-    const double keep = decayUntil(now);
-    return m_sum * keep / (m_weight * keep + assumedWeight);
+    const sums own = m_own.at(now);
+    const sums reported = m_reported.at(now);
+    return (own.shares + reported.shares) / (own.weight + reported.weight + assumedWeight);
+}
+
+pressure_report service_pressure::own(time_point now) const
+{
+    const sums seen = m_own.at(now);
+    if (seen.weight <= 0)
+        return {};
+    return {seen.shares / seen.weight, seen.weight};
 }
--- a/lib/Proxy/FlowReporter.cpp
+++ b/lib/Proxy/FlowReporter.cpp
@@ -167,6 +167,10 @@
     m_metrics.set("requests_withheld", static_cast<double>(m_routing.suspects().withheld().size()));
     m_metrics.set("requests_suspected", static_cast<double>(m_routing.suspects().suspectCount()));
     m_metrics.set("entries_known", static_cast<double>(m_routing.entries()));
+    for (const auto &[service, pressure] : m_routing.allPressures()) {
+        if (m_routing.usesPressureInCascade(service))
+            m_metrics.set("service_pressure{service=\"" + service + "\"}", pressure.level(now));
+    }
     for (auto &[service, budget] : m_routing.allRepeats())
         m_metrics.set("further_sends_left{service=\"" + service + "\"}",
                       budget.availableSends(now, m_routing.shareOfEntries()));
--- a/lib/Proxy/NoticeChannel.cpp
+++ b/lib/Proxy/NoticeChannel.cpp
@@ -100,7 +100,8 @@
     void receive();
     void handleDatagram(std::string_view bytes);
     bool receiveFinding(std::string_view bytes);
-    void sendFinding(const std::string &bytes, bool isUrgent);
+    void sendFinding(const std::string &bytes, bool isUrgent,
+                     std::size_t recipients = maxRecipients);
 
     udp::socket socket;
     metric_registry &metrics;
@@ -206,18 +207,20 @@
             || dispatch(handlers.onWithheld, decodeWithheldNotice(bytes))
             || dispatch(handlers.onCleared, decodeClearedNotice(bytes))
             || dispatch(handlers.onRateLimit, decodeRateLimitNotice(bytes))
-            || dispatch(handlers.onLeaving, decodeLeavingNotice(bytes));
+            || dispatch(handlers.onLeaving, decodeLeavingNotice(bytes))
+            || dispatch(handlers.onPressure, decodePressureNotice(bytes));
     if (isFinding)
         metrics.add("finding_notices_total{way=\"received\"}");
     return isFinding;
 }
 
-void notice_channel::state::sendFinding(const std::string &bytes, bool isUrgent)
+void notice_channel::state::sendFinding(const std::string &bytes, bool isUrgent,
+                                        std::size_t recipients)
 {
     const double cost = static_cast<double>(bytes.size()) + headerBytes;
     const double reserve = isUrgent ? 0 : findingBurstBytes / 2;
     const time_point now = bootNow();
-    for (std::size_t i = 0; i < std::min(maxRecipients, others.size()); ++i) {
+    for (std::size_t i = 0; i < std::min(recipients, others.size()); ++i) {
         if (!findingBytes.refillAndCheck(cost + reserve, now)) {
             metrics.add("finding_notices_total{way=\"held\"}");
             return;
@@ -257,6 +260,11 @@
     m_state->sendFinding(encodeLeavingNotice(notice), false);
 }
 
+void notice_channel::sendPressureNotice(const pressure_notice &notice)
+{
+    m_state->sendFinding(encodePressureNotice(notice), false, pressureRecipients);
+}
+
 void notice_channel::send(const std::string &entry, std::string_view bytes)
 {
     const auto it = m_state->byName.find(entry);
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -9,6 +9,13 @@
 
 using namespace laurelcroft;
 
+namespace {
+
+/// Number of services whose pressure is reported to other entries.
+constexpr std::size_t maxPressureNotices = 4;
+
+} // namespace
+
 bool routing_state::setContract(contract_ptr contract)
 {
     if (m_contract && m_contract->version >= contract->version)
@@ -184,6 +191,42 @@
     return findOrCreate(m_pressures, service);
 }
 
+service_demand &routing_state::demand(std::string_view service)
+{
+    return findOrCreate(m_demands, service);
+}
+
+double routing_state::requestsPerEndpoint(std::string_view service, time_point now)
+{
+    const std::size_t endpoints = std::max<std::size_t>(1, m_directory.usable(service).size());
+    return demand(service).answersPerSecond(now) * static_cast<double>(entries())
+            / static_cast<double>(endpoints);
+}
+
+std::vector<pressure_notice> routing_state::pressureNotices(time_point now) const
+{
+    std::vector<pressure_notice> notices;
+    for (const auto &[service, demand] : m_demands) {
+        const auto pressure = m_pressures.find(service);
+        if (pressure == m_pressures.end() || notices.size() >= maxPressureNotices)
+            continue;
+        pressure_notice notice = pressure_notice::from(service, pressure->second.own(now),
+                                                       demand.ownAnswersPerSecond(now));
+        if (notice.samples > 0)
+            notices.push_back(std::move(notice));
+    }
+    return notices;
+}
+
+void routing_state::notePressureElsewhere(const pressure_notice &notice, time_point now)
+{
+    const auto own = m_demands.find(notice.service);
+    if (own == m_demands.end())
+        return;
+    pressure(notice.service).addReport(notice.report(), now);
+    own->second.addReportedRate(notice.answersPerSecond, now);
+}
+
 void routing_state::notePaceStated(std::string_view service)
 {
     if (m_statingPace.find(service) == m_statingPace.end())
