--- a/include/laurelcroft/Proxy/NoticeChannel.h
+++ b/include/laurelcroft/Proxy/NoticeChannel.h
@@ -19,6 +19,7 @@
 #include "laurelcroft/Proxy/EvidenceNotice.h"
 #include "laurelcroft/Proxy/LeavingNotice.h"
 #include "laurelcroft/Proxy/PaceNotice.h"
+#include "laurelcroft/Proxy/PressureNotice.h"
 #include "laurelcroft/Proxy/RateLimitNotice.h"
 #include "laurelcroft/Support/Metrics.h"
 #include "laurelcroft/Support/Runtime.h"
@@ -60,6 +61,7 @@
     std::function<void(const rate_limit_notice &notice)> onRateLimit = nullptr;
     std::function<void(const leaving_notice &notice)> onLeaving = nullptr;
     std::function<void(const pace_notice &notice)> onPace = nullptr;
+    std::function<void(const pressure_notice &notice)> onPressure = nullptr;
     /// Handles datagrams of any other kind. \returns true if it accepts the datagram. May be empty.
     std::function<bool(std::string_view bytes)> onOther = nullptr;
 };
@@ -88,6 +90,8 @@
     /// Bytes used by findings are also charged to \c bytesPerSecond.
     static constexpr double findingBytesPerSecond = 1000;
     static constexpr double findingBurstBytes = 12000;
+    /// Number of entries that a pressure notice is sent to. Each entry gets as many as it sends.
+    static constexpr std::size_t pressureRecipients = 3;
 
     /// Number of entries that a regular pace notice is sent to. Each second a few of them
     /// learn of all endpoints that answered this entry, for about 500 bytes.
@@ -129,6 +133,8 @@
 
     /// Sends \p notice to \p recipients other entries, chosen round-robin, within the budget.
     void sendPaceNotice(const pace_notice &notice, std::size_t recipients);
+    /// Sends \p notice to \c pressureRecipients other entries, chosen round-robin.
+    void sendPressureNotice(const pressure_notice &notice);
 
 private:
     struct state;
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -37,6 +37,9 @@
     if (m_streamBegun)
         return;
     noteWait();
+    if (m_env.routing().usesPressureInCascade(m_service))
+        m_env.routing().demand(m_service).addAnswer(m_route->objective, urgency(),
+                                                    m_request->promptTokens, now());
     m_record.confidence = m_answer.confidence;
     escalate();
 }
@@ -93,6 +96,10 @@
     }
     if (event.id)
         m_lastEventId = event.id;
+    if (m_record.events > 0)
+        m_record.longestPause = std::max(m_record.longestPause,
+                                         std::chrono::round<milliseconds>(now() - m_passedAt));
+    m_passedAt = now();
     ++m_record.events;
     m_env.write(std::string(event.text));
     pauseIfBehind();
--- a/include/laurelcroft/Proxy/RequestFlowAttempts.h
+++ b/include/laurelcroft/Proxy/RequestFlowAttempts.h
@@ -24,8 +24,8 @@
     // The time in which the answer was not read says nothing about the endpoint.
     const duration receiving = m_lastProgressAt - m_firstEventAt - m_pausedTime;
     if (m_attemptEvents > 1)
-        timing.pause = atUsualPace(std::max(duration(0), receiving) / (m_attemptEvents - 1),
-                                   slowdown);
+        timing.pause
+                = atUsualPace(std::max(duration(0), receiving) / (m_attemptEvents - 1), slowdown);
     return timing;
 }
 
--- a/lib/Proxy/FlowReporter.h
+++ b/lib/Proxy/FlowReporter.h
@@ -53,8 +53,12 @@
     /// At about 350 bytes per line, this limits the log to 140 kB/s.
     static constexpr double ordinaryLinesPerSecond = 100;
     static constexpr double unusualLinesPerSecond = 300;
+    /// The same for decisions on second runs.
+    static constexpr double secondRunLinesPerSecond = 50;
 
     void reportRoom(const flow_record &record, time_point now);
+    /// Reports the decision on a second run of a request on a larger model, if there was one.
+    void reportSecondRun(const flow_record &record, time_point now);
     static void logFinished(const flow_record &record);
     /// Logs the pace expected of the endpoint, where pace is used.
     static void logPace(const flow_record &record);
@@ -63,6 +67,7 @@
     routing_state &m_routing;
     log_limiter m_ordinary{ordinaryLinesPerSecond};
     log_limiter m_unusual{unusualLinesPerSecond};
+    log_limiter m_secondRuns{secondRunLinesPerSecond};
 };
 
 } // namespace laurelcroft
