--- a/unittests/Proxy/PaceFlowTests.cpp
+++ b/unittests/Proxy/PaceFlowTests.cpp
@@ -5,6 +5,7 @@
 //
 //===----------------------------------------------------------------------===//
 #include "FlowFixture.h"
+#include "ReadingCaller.h"
 
 #include <doctest/doctest.h>
 
@@ -45,7 +46,7 @@
 struct pace_play;
 
 /// Environment of one request in a play.
-struct pace_environment
+struct pace_environment : reading_caller
 {
     pace_play *play;
     pace_entry *entry;
@@ -237,7 +238,7 @@
             pace_entry &entry = *std::next(all.begin(), static_cast<long>(random.bits() % entries));
             entry.routing.repeats("pool").countRequest(runtime.now(), 1.0 / entries);
             flows.push_back(std::make_shared<pace_flow>(
-                    pace_environment{this, &entry, runtime.now()}, requestFor(route)));
+                    pace_environment{{}, this, &entry, runtime.now()}, requestFor(route)));
             flows.back()->start();
             ++asked;
         }
