--- a/unittests/Proxy/PaceFlowTests.cpp
+++ b/unittests/Proxy/PaceFlowTests.cpp
@@ -365,6 +365,30 @@
     CHECK_FALSE(fixture.routing.directory().all().at("e1")->pace().isStated());
 }
 
+/// \returns the number of calls that a request with a long prompt has made after \p time, when no
+/// endpoint answers and all state \p slowdown.
+static std::size_t callsAfter(milliseconds time, double slowdown)
+{
+    flow_fixture fixture(draftRoute(), {"e1", "e2"});
+    for (const auto &[id, endpoint] : fixture.routing.directory().all()) {
+        for (int i = 0; i < 2; ++i)
+            endpoint->pace().noteStated(slowdown, fixture.runtime.now());
+        fixture.routing.notePaceStated(*endpoint, fixture.runtime.now());
+    }
+    const auto request = requestFor(draftRoute());
+    request->promptTokens = 20'000;
+    startFlow(fixture, request);
+    fixture.runtime.advance(time);
+    return fixture.calls.size();
+}
+
+TEST_CASE("a long prompt at a slow endpoint is given more time before it is sent again")
+{
+    CHECK(callsAfter(milliseconds(2000), 1) == 2);
+    CHECK(callsAfter(milliseconds(2000), 3) == 1);
+    CHECK(callsAfter(milliseconds(4000), 3) == 2);
+}
+
 TEST_CASE("a queue counts as mean requests, at the pace of the endpoint")
 {
     mean_work work;
