--- a/include/laurelcroft/Proxy/CallerServer.h
+++ b/include/laurelcroft/Proxy/CallerServer.h
@@ -134,8 +134,8 @@
 
     caller_memory memory() const;
 
-    /// Resets the connections with unsent bytes, so that no caller takes a part of an answer for all
-    /// of it. To be called before the process exits.
+    /// Resets the connections with unsent bytes, so that no caller takes a part of an answer for
+    /// all of it. To be called before the process exits.
     void abortUnsent();
 
     /// Makes every later answer announce and cause the close of its connection.
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -115,8 +115,7 @@
 /// Of 1 and 0.5, 0.5 served best.
 inline constexpr double remoteReadingWeight = 0.5;
 /// Largest answer that is held back until it is complete, in bytes. A larger one is passed on as it
-/// arrives and can't be repeated elsewhere. Answers that break off do so while they are computed,
-/// or within this much of their beginning.
+/// arrives and can't be repeated elsewhere. Some tens of these fit into a small instance's budget.
 inline constexpr std::size_t maxHeldAnswerBytes = 256U << 10;
 /// Largest event of a stream, in bytes. An incomplete event is held back.
 inline constexpr std::size_t maxEventBytes = 1U << 20;
