--- a/include/laurelcroft/Policy/ServiceRoom.h
+++ b/include/laurelcroft/Policy/ServiceRoom.h
@@ -28,15 +28,15 @@
     /// \param perSlot running and waiting requests, divided by the slots.
     void addLoad(double perSlot, time_point now);
 
-    /// Adds the queue of an endpoint that an answer states, for endpoints whose requests take their
-    /// slot for the whole time.
-    /// \param perSlot waiting requests, divided by the slots.
-    /// \param objective of the answered request's route.
+    /// Adds the queue of an endpoint that an answer states.
+    /// \param perSlot waiting requests, divided by the number that is run at a time: the slots, or
+    /// 1 for an endpoint that reads prompts one after the other. \param objective of the answered
+    /// request's route.
     void addQueue(double perSlot, milliseconds objective, time_point now);
 
     /// Adds the time that an answer took, from its send.
     /// \param loadPerSlot running and waiting requests at its endpoint from its send to its answer,
-    /// as far as known, divided by the slots.
+    /// as far as known, divided in the same way.
     void addAnswerTime(milliseconds time, double loadPerSlot, time_point now);
 
     /// Adds a wait that was observed, without the work on the request itself.
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -117,6 +117,8 @@
 inline constexpr milliseconds suspectResendDelay{10};
 /// Interval at which a waiting request tries to choose an endpoint again.
 inline constexpr milliseconds roomCheckInterval{25};
+/// Prompt tokens that count as much as a request in customers' demand.
+inline constexpr double tokensPerWorkUnit = 4096;
 /// Until an answer was seen, one is assumed to take the route's objective divided by this.
 inline constexpr int assumedAnswerDivisor = 8;
 /// Shortest Retry-After sent to refused callers: about the time in which a slot becomes free.
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -113,8 +113,16 @@
     /// Refuses the request, before its first send, if the service has no room for it.
     /// \returns true if it was refused.
     bool refuseForRoom(const endpoint_pick &pick);
-    room_view roomView(const endpoint_pick &pick, service_room &room);
+    room_view roomView(const service_endpoint &endpoint, service_room &room);
+    /// \returns the load of \p endpoint divided by its slots.
     double endpointLoad(const service_endpoint &endpoint, const service_room &room);
+    /// \returns the number of prompts at \p endpoint that are not read yet, with the own one.
+    double promptsAt(const service_endpoint &endpoint, double readMs);
+    /// \returns the wait for this entry's own requests at \p endpoint, as a share of the objective.
+    double ownWaitShare(const service_endpoint &endpoint, milliseconds answerTime,
+                        const service_room &room);
+    void recordRoom(const room_view &view, room_reason reason, const service_room &room);
+    bool hasPrompt() const { return m_request->promptTokens > 0; }
     void noteStatedRoom();
     void noteAnswerTime();
     int urgency() const;
--- a/include/laurelcroft/Proxy/RequestFlowRoom.h
+++ b/include/laurelcroft/Proxy/RequestFlowRoom.h
@@ -30,30 +30,39 @@
 }
 
 template <flow_environment Env>
-room_view request_flow<Env>::roomView(const endpoint_pick &pick, service_room &room)
+double request_flow<Env>::promptsAt(const service_endpoint &endpoint, double readMs)
 {
-    const bool hasPrompt = m_request->promptTokens > 0;
-    const service_endpoint &endpoint = *pick.endpoint;
+    const double knownMs = endpoint.prefillMs() + endpoint.remotePrefillMs(now());
+    return 1 + std::max(endpoint.expectedQueue(now()), knownMs / std::max(1.0, readMs));
+}
+
+template <flow_environment Env>
+double request_flow<Env>::ownWaitShare(const service_endpoint &endpoint, milliseconds answerTime,
+                                       const service_room &room)
+{
+    // This entry's own requests are known without delay. Until answers have shown the load, the
+    // other entries are assumed to have as many.
     const double slots = std::max(1U, endpoint.record().slots);
+    const double alike = room.isLoadKnown(now()) ? 1 : double(m_env.routing().entries());
+    const double queue = std::max(0.0, alike * endpoint.running() / slots - 1);
+    const milliseconds assumed = m_route->objective / flow_bounds::assumedAnswerDivisor;
+    return shareOfObjective(
+            queue * std::chrono::duration<double, std::milli>(std::max(answerTime, assumed)));
+}
+
+template <flow_environment Env>
+room_view request_flow<Env>::roomView(const service_endpoint &endpoint, service_room &room)
+{
+    const double load = endpointLoad(endpoint, room);
     const double readMs
             = prefillMsPerToken() * tokensToRead(endpoint.prefixCache().cachedTokens(m_prefixes));
-    const double promptsBeforeMs = std::max(0.0, pick.waitMs - readMs);
+    m_loadAtSend = hasPrompt() ? promptsAt(endpoint, readMs) : load;
     room_view view;
-    view.answerTime = hasPrompt ? milliseconds(std::llround(readMs)) : room.answerTime();
-    // This entry's own requests are known without delay. Until answers have shown the load, the
-    // other entries are assumed to have as many.
-    const double alike = room.isLoadKnown(now()) ? 1 : double(m_env.routing().entries());
-    const double ownQueue = std::max(0.0, alike * endpoint.running() / slots - 1);
-    const milliseconds slotTime
-            = std::max(view.answerTime, m_route->objective / flow_bounds::assumedAnswerDivisor);
-    const std::chrono::duration<double, std::milli> ownWait = ownQueue * slotTime;
-    view.wait = std::max(room.waitShare(now()), shareOfObjective(ownWait));
+    view.answerTime = hasPrompt() ? milliseconds(std::llround(readMs)) : room.answerTime();
+    view.wait = std::max(room.waitShare(now()), ownWaitShare(endpoint, view.answerTime, room));
     const double ahead = room.shares().demandUpTo(urgency());
     view.ownWait = milliseconds(std::llround(double(room.wait(now()).count()) * ahead));
-    m_loadAtSend = endpointLoad(endpoint, room);
-    view.isFree = m_loadAtSend < 1
-            && isNegligibleWait(shareOfObjective(
-                    std::chrono::duration<double, std::milli>(hasPrompt ? promptsBeforeMs : 0)));
+    view.isFree = load < 1 && endpoint.expectedQueue(now()) < 1;
     view.timeLeft = timeLeft();
     room.noteFraction(view.isFree ? 1 : admittedFraction(view.wait), now());
     view.share
@@ -63,18 +72,9 @@
 }
 
 template <flow_environment Env>
-bool request_flow<Env>::refuseForRoom(const endpoint_pick &pick)
+void request_flow<Env>::recordRoom(const room_view &view, room_reason reason,
+                                   const service_room &room)
 {
-    // A request that was sent may have run, and the rest of a stream is worth what the caller has
-    // of it already.
-    if (m_attemptNumber > 0 || m_request->afterEvent || !m_env.routing().managesRoom(m_service))
-        return false;
-    service_room &room = m_env.routing().room(m_service);
-    constexpr double tokensPerUnit = 4096;
-    const double size = 1 + m_request->promptTokens / tokensPerUnit;
-    room.shares().addDemand(urgency(), m_record.customer, size, now());
-    const room_view view = roomView(pick, room);
-    const room_reason reason = decideRoom(view);
     room_record &record = m_record.room.emplace();
     record.reason = reason;
     record.urgency = urgency();
@@ -84,6 +84,21 @@
     record.age = std::chrono::duration_cast<milliseconds>(room.age(now()));
     record.chance = view.share.chance;
     record.demandRatio = view.share.demandRatio;
+}
+
+template <flow_environment Env>
+bool request_flow<Env>::refuseForRoom(const endpoint_pick &pick)
+{
+    // A request that was sent may have run, and the rest of a stream is worth what the caller has
+    // of it already.
+    if (m_attemptNumber > 0 || m_request->afterEvent || !m_env.routing().managesRoom(m_service))
+        return false;
+    service_room &room = m_env.routing().room(m_service);
+    const double size = 1 + m_request->promptTokens / flow_bounds::tokensPerWorkUnit;
+    room.shares().addDemand(urgency(), m_record.customer, size, now());
+    const room_view view = roomView(*pick.endpoint, room);
+    const room_reason reason = decideRoom(view);
+    recordRoom(view, reason, room);
     if (!isRefusal(reason))
         return false;
     const milliseconds back = timeUntilRoom(room.wait(now()), view.share.chance,
@@ -103,9 +118,12 @@
     const endpoint_load &load = *m_answer.load;
     service_room &room = m_env.routing().room(m_service);
     room.addLoad((double(load.running) + load.waiting) / slots, now());
-    // Model endpoints run many requests in one batch, so their queue tells no time.
-    if (m_request->promptTokens == 0)
+    if (!hasPrompt()) {
         room.addQueue(load.waiting / slots, m_route->objective, now());
+        return;
+    }
+    // Model endpoints run many requests in one batch, and read prompts one after the other.
+    room.addQueue(load.waiting, m_route->objective, now());
 }
 
 template <flow_environment Env>
@@ -115,17 +133,14 @@
         return;
     service_room &room = m_env.routing().room(m_service);
     const milliseconds time = std::chrono::duration_cast<milliseconds>(now() - m_attemptAt);
-    if (m_request->promptTokens > 0) {
-        const milliseconds own(std::llround(prefillMsPerToken() * m_readTokens));
-        room.addObservedWait(time - own, m_route->objective, now());
-        return;
-    }
     // While the load rises, it is known too late at the send, and is higher than then at the
     // answer.
     double load = m_loadAtSend;
     if (m_answer.load) {
         const double slots = std::max(1U, m_endpoint->record().slots);
-        const double stated = (double(m_answer.load->running) + m_answer.load->waiting) / slots;
+        const double stated = hasPrompt()
+                ? 1.0 + m_answer.load->waiting
+                : (double(m_answer.load->running) + m_answer.load->waiting) / slots;
         load += (stated - load) / 4;
     }
     room.addAnswerTime(time, load, now());
--- a/unittests/Proxy/RoomFixture.cpp
+++ b/unittests/Proxy/RoomFixture.cpp
@@ -114,7 +114,7 @@
         record.host = "127.0.0.1";
         record.port = static_cast<std::uint16_t>(1 + std::stoul(endpoint.id.substr(1)));
         record.softwareVersion = "v1";
-        record.slots = plan.slots;
+        record.slots = statedSlots();
         entries[entry]->routing.directory().apply(record, runtime.now());
     }
 }
@@ -172,6 +172,7 @@
     request->id = "r" + std::to_string(outcomes.size());
     request->key = customer.name;
     request->callerTimeout = callerTimeout;
+    request->promptTokens = plan.promptTokens;
     const room_environment environment{this, &entry, outcomes.size()};
     outcomes.push_back({customer.name, runtime.now(), 0, milliseconds(0), 0, {}});
     auto flow = std::make_shared<request_flow<room_environment>>(environment, request);
@@ -216,7 +217,7 @@
     answer.status = status;
     answer.signedByEndpoint = true;
     answer.notRun = status == http_status::unavailable;
-    answer.load = stated(index, {endpoint.running, unsigned(endpoint.queue.size()), plan.slots});
+    answer.load = stated(index, {endpoint.running, unsigned(endpoint.queue.size()), statedSlots()});
     runtime.after(networkDelay, [events, answer] {
         proxy_answer head = answer;
         events.onAnswer(std::move(head));
--- a/unittests/Proxy/RoomFixture.h
+++ b/unittests/Proxy/RoomFixture.h
@@ -38,6 +38,8 @@
     unsigned slots = 4;
     std::size_t queue = 24; ///< requests that wait at an endpoint; more are refused
     milliseconds workTime{100};
+    unsigned promptTokens = 0; ///< of each request
+    unsigned statedSlots = 0; ///< if not 0, stated instead of the slots
     bool storeAway = false; ///< the entries never learn of each other
     feature_mode admission = feature_mode::on;
     std::uint64_t seed = 1;
@@ -140,6 +142,7 @@
 private:
     friend room_environment;
     double roomPerSecond() const;
+    unsigned statedSlots() const { return plan.statedSlots ? plan.statedSlots : plan.slots; }
     std::size_t pickEntry();
     void scheduleRequest(const room_customer &customer, time_point until);
     void request(const room_customer &customer);
--- a/unittests/Proxy/RoomTests.cpp
+++ b/unittests/Proxy/RoomTests.cpp
@@ -75,6 +75,24 @@
     }
 }
 
+TEST_CASE("model endpoints that read prompts one after the other serve the urgent ones in time")
+{
+    for (const std::size_t entries : {1, 3, 12}) {
+        CAPTURE(entries);
+        room_plan plan = quarterUrgent(entries);
+        plan.endpoints = 24;
+        plan.slots = 1;
+        plan.statedSlots = 64;
+        plan.promptTokens = 6000;
+        room_fixture fixture(plan);
+        fixture.simulate(playTime);
+        fixture.drain();
+        CHECK(fixture.inAim({"urgent"}, settleTime) >= 0.98);
+        CHECK(fixture.inAimOfRoom(settleTime) >= 0.85);
+        CHECK(fixture.refusalTime() <= refusalBound);
+    }
+}
+
 TEST_CASE("entries that are killed and started in turn leave the others their share")
 {
     room_fixture fixture(hotCustomer(3));
