Admission: a single long queue counts less, no tolerance for shares where there is no room

Cause: a queue at one endpoint counted up to three objectives in the mean of a service, and a customer's first requests were within its share at an urgency without any room.

Change: a sample counts at most one objective; the tolerance needs a share.

--- a/lib/Policy/CustomerShares.cpp
+++ b/lib/Policy/CustomerShares.cpp
@@ -102,7 +102,8 @@
 /// \returns the part of a customer's \p demand that lies within \p fairShare.
 static double withinShare(double demand, double fairShare)
 {
-    const bool mayBeWithin = demand <= fairShare + shareTolerance * std::sqrt(demand);
+    const bool mayBeWithin
+            = fairShare > 0 && demand <= fairShare + shareTolerance * std::sqrt(demand);
     return mayBeWithin ? demand : fairShare;
 }
 
--- a/lib/Policy/ServiceRoom.cpp
+++ b/lib/Policy/ServiceRoom.cpp
@@ -16,8 +16,11 @@
 constexpr milliseconds valueHalfLife{1000};
 /// Largest stated load that counts, per slot; more of it is never seen in working order.
 constexpr double maxLoadPerSlot = 16;
-/// Longest wait that counts, as a share of the objective.
+/// Longest wait of one sample that counts, as a share of the objective.
 constexpr double maxWaitShare = 3;
+/// The same where the admitted part of demand follows from it. Nearly nothing is admitted at this
+/// wait, so a longer one at a single endpoint must not count for more.
+constexpr double maxCountedShare = 1;
 
 } // namespace
 
@@ -70,7 +73,8 @@
     const milliseconds longest(std::llround(maxWaitShare * double(objective.count())));
     const milliseconds counted = std::clamp(wait, milliseconds(0), longest);
     m_waitMs.add(double(counted.count()), now);
-    m_waitShare.add(milliseconds_f(counted) / milliseconds_f(objective), now);
+    const double share = milliseconds_f(counted) / milliseconds_f(objective);
+    m_waitShare.add(std::min(share, maxCountedShare), now);
     m_sampledAt = now;
     if (!m_firstSampleAt)
         m_firstSampleAt = now;
--- a/unittests/Policy/RoomAdmissionTests.cpp
+++ b/unittests/Policy/RoomAdmissionTests.cpp
@@ -142,5 +142,6 @@
     service_room misled;
     misled.addAnswerTime(milliseconds(100), 1, start);
     misled.addQueue(1e9, milliseconds(1000), start);
-    CHECK(misled.waitShare(start) < 2);
+    CHECK(misled.waitShare(start) <= 1);
+    CHECK(misled.wait(start) < milliseconds(2000));
 }
--- a/unittests/Proxy/RoomTests.cpp
+++ b/unittests/Proxy/RoomTests.cpp
@@ -75,6 +75,24 @@
     }
 }
 
+TEST_CASE("many customers with equal demand share the room")
+{
+    for (const std::size_t entries : {3, 12, 30}) {
+        CAPTURE(entries);
+        room_plan plan;
+        plan.entries = entries;
+        for (int i = 0; i < 24; ++i)
+            plan.customers.push_back({"c" + std::to_string(i), 5, 2.0 / 24});
+        room_fixture fixture(plan);
+        fixture.simulate(playTime);
+        fixture.drain();
+        CHECK(fixture.inAimOfRoom(settleTime) >= 0.85);
+        CHECK(fixture.refusalTime() <= refusalBound);
+        for (const room_customer &customer : plan.customers)
+            CHECK(fixture.inAim({customer.name}, settleTime) >= 0.35);
+    }
+}
+
 TEST_CASE("model endpoints that read prompts one after the other serve the urgent ones in time")
 {
     for (const std::size_t entries : {1, 3, 12}) {
