--- a/unittests/Proxy/FleetFlows.h
+++ b/unittests/Proxy/FleetFlows.h
@@ -18,11 +18,12 @@
 /// Passes the calls of a flow to a simulation.
 /// \tparam World provides runtime(), onCall() for each sent attempt and onReply() for each complete
 /// answer.
-template <class World>
+/// \tparam Entry provides the routing state of the entry.
+template <class World, class Entry = fleet_entry>
 struct fleet_environment
 {
     World *fixture;
-    fleet_entry *entry;
+    Entry *entry;
 
     manual_runtime &runtime() { return fixture->runtime(); }
     routing_state &routing() { return entry->routing; }
