--- a/unittests/Proxy/NoticeChannelTests.cpp
+++ b/unittests/Proxy/NoticeChannelTests.cpp
@@ -7,6 +7,7 @@
 
 #include <doctest/doctest.h>
 
+#include <list>
 #include <vector>
 
 using namespace laurelcroft;
@@ -21,7 +22,9 @@
                   {[this](const send_notice &notice) { heard.push_back(notice); },
                    [this](const evidence_notice &notice) { evidence.push_back(notice); },
                    [this](const crash_notice &notice) { ends.push_back(notice); },
-                   [this](const withheld_notice &notice) { withheld.push_back(notice); }})
+                   [this](const withheld_notice &notice) { withheld.push_back(notice); },
+                   [](const cleared_notice &) {}, nullptr, nullptr,
+                   [this](const pressure_notice &notice) { pressures.push_back(notice); }})
     {
     }
     metric_registry metrics;
@@ -29,6 +32,7 @@
     std::vector<evidence_notice> evidence;
     std::vector<crash_notice> ends;
     std::vector<withheld_notice> withheld;
+    std::vector<pressure_notice> pressures;
     notice_channel notices;
 };
 
@@ -124,3 +128,40 @@
     CHECK(static_cast<double>(near.heard.size()) * bytes <= allowed);
     CHECK(!near.heard.empty());
 }
+
+TEST_CASE("pressure notices reach all other entries in turn, within the bytes for findings")
+{
+    constexpr std::size_t others = 2 * notice_channel::pressureRecipients;
+    asio::io_context context;
+    recording_entry sender(context);
+    std::list<recording_entry> hearers;
+    entry_map entries;
+    REQUIRE(sender.notices.open().empty());
+    for (std::size_t i = 0; i < others; ++i) {
+        hearers.emplace_back(context);
+        REQUIRE(hearers.back().notices.open().empty());
+        entries["e" + std::to_string(i)] = placeOf(hearers.back(), "a");
+    }
+    sender.notices.setEntries(entries, "teller");
+    const pressure_notice notice{"pool", 35, 7, 9};
+    sender.notices.sendPressureNotice(notice);
+    sender.notices.sendPressureNotice(notice);
+    context.run_for(milliseconds(100));
+    for (const recording_entry &hearer : hearers) {
+        REQUIRE(hearer.pressures.size() == 1);
+        CHECK(hearer.pressures[0] == notice);
+    }
+    const time_point begun = bootNow();
+    for (int i = 0; i < 1000; ++i)
+        sender.notices.sendPressureNotice(notice);
+    const std::chrono::duration<double> took = bootNow() - begun;
+    context.run_for(milliseconds(100));
+    std::size_t heard = 0;
+    for (const recording_entry &hearer : hearers)
+        heard += hearer.pressures.size();
+    const double bytes = static_cast<double>(encodePressureNotice(notice).size() + 28);
+    // Half of the burst is left to urgent findings.
+    const double allowed = notice_channel::findingBurstBytes / 2
+            + notice_channel::findingBytesPerSecond * (1 + took.count());
+    CHECK(static_cast<double>(heard) * bytes <= allowed);
+}
