Second runs: half of an answer's value by the length of its prompt

Cause: the weights of size were not derived from what callers need. Change: half of the value for being answered at all, half by the prompt's length relative to the usual one, at most three times a usual request.

--- a/include/laurelcroft/Policy/PressureCascade.h
+++ b/include/laurelcroft/Policy/PressureCascade.h
@@ -2,7 +2,7 @@
 //
 // Decides whether a low-confidence answer is replaced by a larger model's while requests compete
 // for the endpoints' time. The larger model reads a prompt many times as slowly as the smallest,
-// and everything that runs or waits beside it is delayed by as much. The decision weighs the
+// and requests that wait behind it are delayed by as much. The decision weighs the
 // expected gain of the better answer against the expected number of other requests that become
 // late.
 //
--- a/lib/Policy/PressureCascade.cpp
+++ b/lib/Policy/PressureCascade.cpp
@@ -29,10 +29,11 @@
 constexpr double urgencyStep = 1.5;
 /// Latest expected time of a larger model's first part, as a share of the objective.
 constexpr double maxExpectedAt = 1;
-/// Part of the value of an answer that doesn't depend on the length of its prompt.
-constexpr double fixedWeight = 0.3;
-/// Largest weight of a request relative to a usual one.
-constexpr double maxWeight = 4;
+/// Part of the value of an answer that doesn't depend on the length of its prompt: half, so that
+/// neither many short requests nor a few long ones decide alone.
+constexpr double fixedWeight = 0.5;
+/// Largest weight of a request relative to a usual one, so that no prompt outweighs all others.
+constexpr double maxWeight = 3;
 /// Longest delay of another request by one prompt, as a share of its objective: with a longer one,
 /// the request is sent to another endpoint.
 constexpr double maxDelay = 0.75;
