--- a/unittests/Proxy/CascadeLoadTests.cpp
+++ b/unittests/Proxy/CascadeLoadTests.cpp
@@ -224,7 +224,7 @@
         const double length = -std::log(1 - random.uniform());
         request->promptTokens
                 = static_cast<unsigned>(kinds[kind].meanTokens * std::min(length, 4.5));
-        flows.push_back(std::make_shared<wave_flow>(recording_environment{{this, &entry}, kind},
+        flows.push_back(std::make_shared<wave_flow>(recording_environment{{{}, this, &entry}, kind},
                                                     std::move(request)));
         flows.back()->start();
     }
--- a/unittests/Proxy/NoticeChannelTests.cpp
+++ b/unittests/Proxy/NoticeChannelTests.cpp
@@ -23,7 +23,7 @@
                    [this](const evidence_notice &notice) { evidence.push_back(notice); },
                    [this](const crash_notice &notice) { ends.push_back(notice); },
                    [this](const withheld_notice &notice) { withheld.push_back(notice); },
-                   [](const cleared_notice &) {}, nullptr, nullptr,
+                   [](const cleared_notice &) {}, nullptr, nullptr, nullptr,
                    [this](const pressure_notice &notice) { pressures.push_back(notice); }})
     {
     }
