--- a/include/laurelcroft/Fleet/EndpointPace.h
+++ b/include/laurelcroft/Fleet/EndpointPace.h
@@ -66,7 +66,7 @@
     static constexpr std::size_t minValues = 2;
 
     /// \returns the lasting part of the latest stated values; 1 if there are too few.
-    double lasting() const;
+    double computeLasting() const;
     double observed(time_point now) const;
     /// \returns the latest stated value relative to the lasting one, when it was stated.
     double moment() const;
@@ -76,6 +76,7 @@
     time_point m_statedAt{};
     std::array<double, maxValues> m_values{}; ///< latest stated values, a ring
     std::size_t m_count = 0; ///< values ever added
+    double m_lasting = 1; ///< of the values; kept, since each choice reads it for each endpoint
     double m_logSum = 0; ///< weighted sum of the logarithms of observed ratios
     double m_weight = 0; ///< of the observations
     time_point m_observedAt{};
--- a/lib/Fleet/EndpointPace.cpp
+++ b/lib/Fleet/EndpointPace.cpp
@@ -69,6 +69,7 @@
     noteMoment(slowdown, now);
     m_values[m_count % maxValues] = slowdown;
     ++m_count;
+    m_lasting = computeLasting();
 }
 
 void endpoint_pace::addObservation(double ratio, double weight, time_point now)
@@ -86,7 +87,7 @@
     m_observedAt = now;
 }
 
-double endpoint_pace::lasting() const
+double endpoint_pace::computeLasting() const
 {
     const std::size_t count = std::min(m_count, maxValues);
     if (count < minValues)
@@ -109,11 +110,13 @@
 
 double endpoint_pace::statedUsual(time_point now) const
 {
-    return 1 + (lasting() - 1) * decayFactor(now - m_statedAt, lastingHalfLife);
+    return 1 + (m_lasting - 1) * decayFactor(now - m_statedAt, lastingHalfLife);
 }
 
 double endpoint_pace::observed(time_point now) const
 {
+    if (m_weight == 0)
+        return 1;
     const double keep = decayFactor(now - m_observedAt, lastingHalfLife);
     const double effect = m_logSum * keep / (m_weight * keep + priorWeight);
     if (!m_isStated)
@@ -129,7 +132,7 @@
 
 double endpoint_pace::moment() const
 {
-    return m_statedAt == time_point() ? 1 : m_lastStated / lasting();
+    return m_statedAt == time_point() ? 1 : m_lastStated / m_lasting;
 }
 
 double endpoint_pace::slowdown(time_point now) const
--- a/lib/Proxy/NoticeChannel.cpp
+++ b/lib/Proxy/NoticeChannel.cpp
@@ -193,12 +193,12 @@
         handlers.onEvidence(*evidence);
         return;
     }
-    if (receiveFinding(bytes))
-        return;
     if (dispatch(handlers.onPace, decodePaceNotice(bytes))) {
         metrics.add("pace_notices_total{way=\"received\"}");
         return;
     }
+    if (receiveFinding(bytes))
+        return;
     if (handlers.onOther && handlers.onOther(bytes))
         return;
     metrics.add("send_notices_total{way=\"refused\"}");
