--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -143,7 +143,8 @@
     if (m_done)
         return;
     if (m_endpoint) {
-        const bool silent = now() - m_lastProgressAt >= m_route->objective;
+        // An endpoint whose answer is not read can't make progress.
+        const bool silent = !m_paused && now() - m_lastProgressAt >= m_route->objective;
         closeAttempt(silent ? attempt_end::silent : attempt_end::answered);
         m_env.cancel(m_call);
         m_mayHaveRun = true;
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -31,7 +31,10 @@
     , socket(std::move(accepted))
     , timer(server->context)
     , parser(message_parser::side::requests,
-             {[this](message_head &&parsed) { head = std::move(parsed); },
+             {[this](message_head &&parsed) {
+                  head = std::move(parsed);
+                  wantsBody = head.method != "HEAD";
+              },
               [this](std::string_view data) { onBody(data); }},
              server->bounds.maxHeaderBytes)
 {
--- a/lib/Proxy/CallerConnection.h
+++ b/lib/Proxy/CallerConnection.h
@@ -72,6 +72,7 @@
     std::size_t drainMark = 0; ///< onDrained is called when no more bytes are unsent
     std::function<void()> onDrained;
     std::function<void()> onDisconnect;
+    bool wantsBody = true; ///< the request is no HEAD request
     bool bodyTooLarge = false;
     bool answering = false; ///< a request is complete and its answer has not ended
     bool reading = false;
--- a/lib/Proxy/CallerSending.cpp
+++ b/lib/Proxy/CallerSending.cpp
@@ -183,8 +183,7 @@
         return;
     m_state->appendHead(status, headers);
     m_state->out += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-    const bool wantsBody = m_state->head.method != "HEAD";
-    if (wantsBody)
+    if (m_state->wantsBody)
         m_state->out += body;
     m_state->answerEnded();
 }
--- a/unittests/Proxy/CallerServerTests.cpp
+++ b/unittests/Proxy/CallerServerTests.cpp
@@ -112,6 +112,15 @@
     CHECK(fixture.body == "abcde");
 }
 
+TEST_CASE("the answer to a HEAD request has no body, although its head was taken")
+{
+    caller_server_fixture fixture;
+    fixture.send("HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    fixture.settle();
+    fixture.exchange->reply(404, {}, "no_route");
+    CHECK(fixture.received().ends_with("Content-Length: 8\r\n\r\n"));
+}
+
 TEST_CASE("a stream is sent in chunks, and an aborted one has no final chunk")
 {
     caller_server_fixture fixture;
