--- a/utils/check.sh
+++ b/utils/check.sh
@@ -69,7 +69,7 @@
 countSummaryLine stated-rate-limits python3 platform/soak/limits.py --plays half,half_many,all,killed --seconds 14 --jobs 4
 countSummaryLine leaving-endpoints python3 platform/soak/leaving.py --plays two,refusing,all,store_there --seconds 10 --jobs 4
 countSummaryLine endpoints-in-backoff python3 platform/soak/rest.py --plays half,short,all,malformed --jobs 4
-countSummaryLine slow-readers python3 platform/soak/slow_readers.py --plays unread,slow,slow_chunked,broken,leave --seconds 8 --jobs 2
+countSummaryLine slow-readers python3 platform/soak/slow_readers.py --plays unread,slow,slow_chunked,broken,leave --seconds 8 --jobs 4
 countSummaryLine usage-told-once python3 platform/soak/duty.py --plays calm,holder_killed,holder_suspended,raced --seconds 14 --jobs 4
 seeds=$(sed -nE 's/^([0-9]+) .*/\1/p' platform/soak/seeds.txt | paste -sd,)
 countSummaryLine soak python3 platform/soak/soak.py --seeds "$seeds" --seconds 8 --jobs 4
