Use the cascade under pressure only when it is switched on

Cause: joined with the pace of endpoints and the weighed moves, it answers in time a little more often but keeps too many poor answers of long prompts. Conclusion: the standing rule serves callers as well; the part stays for deployments whose endpoints are short of time.

--- a/include/laurelcroft/Proxy/LoadSettings.h
+++ b/include/laurelcroft/Proxy/LoadSettings.h
@@ -38,7 +38,8 @@
     bool competesForRoom = false;
     feature_mode admission = feature_mode::automatic;
     feature_mode pace = feature_mode::automatic;
-    feature_mode cascade = feature_mode::automatic;
+    /// The standing rule serves callers as well where the pace of endpoints is used.
+    feature_mode cascade = feature_mode::off;
 
     /// \returns whether a feature with \p mode is in use.
     /// \param isCalledFor the settings or the endpoints' answers call for it.
