--- a/include/laurelcroft/Policy/MemoryBudget.h
+++ b/include/laurelcroft/Policy/MemoryBudget.h
@@ -44,7 +44,7 @@
     /// Longest wait for a peer that takes or sends nothing, once the budget is pressed. On a fast
     /// link, a peer's acknowledgements may be this far apart if it reads some 10 kB a second.
     static constexpr milliseconds stallTimeout{5000};
-    static constexpr int leastUrgency = 9;
+    static constexpr int minUrgency = 9;
 
     /// \param total bytes that may be held.
     explicit memory_budget(std::size_t total)
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -97,7 +97,7 @@
     std::optional<double> servicePressure; ///< as a share of the objective
     milliseconds secondRunReadTime{0}; ///< of the larger model at the chosen endpoint
     double secondRunLate = 0; ///< other requests that were expected to become late by it
-    milliseconds longestPause{0}; ///< between two events passed to the caller
+    milliseconds maxPause{0}; ///< between two events passed to the caller
     double serviceWait = 0; ///< recent mean wait at the service, as a share of the objective
     std::optional<room_record> room; ///< empty if room was not asked about
     int status = 0;
--- a/lib/Policy/MemoryBudget.cpp
+++ b/lib/Policy/MemoryBudget.cpp
@@ -28,14 +28,14 @@
 
 bool memory_budget::admits(int urgency, std::size_t held) const
 {
-    const double ahead = std::clamp(leastUrgency - urgency, 0, leastUrgency);
-    const double part = pressedPart + (1 - pressedPart) * ahead / leastUrgency;
+    const double ahead = std::clamp(minUrgency - urgency, 0, minUrgency);
+    const double part = pressedPart + (1 - pressedPart) * ahead / minUrgency;
     return static_cast<double>(held) <= part * static_cast<double>(m_total);
 }
 
 bool memory_budget::isPressed(std::size_t held) const
 {
-    return !admits(leastUrgency, held);
+    return !admits(minUrgency, held);
 }
 
 std::optional<std::size_t> memory_budget::nextToRelease(std::span<const memory_holder> holders,
--- a/lib/Policy/ServiceRoom.cpp
+++ b/lib/Policy/ServiceRoom.cpp
@@ -70,8 +70,8 @@
 
 void service_room::addObservedWait(milliseconds wait, milliseconds objective, time_point now)
 {
-    const milliseconds longest(std::llround(maxWaitShare * double(objective.count())));
-    const milliseconds counted = std::clamp(wait, milliseconds(0), longest);
+    const milliseconds maxWait(std::llround(maxWaitShare * double(objective.count())));
+    const milliseconds counted = std::clamp(wait, milliseconds(0), maxWait);
     m_waitMs.add(double(counted.count()), now);
     const double share = milliseconds_f(counted) / milliseconds_f(objective);
     m_waitShare.add(std::min(share, maxCountedShare), now);
--- a/lib/Proxy/CallerConnection.h
+++ b/lib/Proxy/CallerConnection.h
@@ -66,7 +66,7 @@
     std::array<char, 4096> in{};
     byte_queue out; ///< bytes of the answer that are not written yet
     held_bytes held; ///< counted in the server's memory
-    int urgency = memory_budget::leastUrgency;
+    int urgency = memory_budget::minUrgency;
     time_point progressAt{}; ///< when the peer last took or sent bytes that are counted as held
     int unacknowledged = 0; ///< kernelBytes() when last checked
     std::size_t drainMark = 0; ///< onDrained is called when no more bytes are unsent
--- a/lib/Proxy/FlowReporter.cpp
+++ b/lib/Proxy/FlowReporter.cpp
@@ -115,7 +115,7 @@
              {"others_late_percent", std::lround(record.secondRunLate * 100)},
              {"larger_expected_percent", std::lround(record.largerExpectedAt * 100)},
              {"first_ms", std::int64_t(record.firstPart.value_or(milliseconds(-1)).count())},
-             {"longest_pause_ms", std::int64_t(record.longestPause.count())}});
+             {"max_pause_ms", std::int64_t(record.maxPause.count())}});
 }
 
 void flow_reporter::attemptEnded(const flow_record &record, attempt_end end, next_step step,
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -187,7 +187,7 @@
     const service_route *route
             = contract ? contract->findRoute(request.host, request.path) : nullptr;
     if (!route)
-        return memory_budget::leastUrgency;
+        return memory_budget::minUrgency;
     const contract_customer *customer = contract->findCustomer(request.key);
     return customer ? customer->priority.value_or(route->priority) : route->priority;
 }
--- a/unittests/Policy/MemoryBudgetTests.cpp
+++ b/unittests/Policy/MemoryBudgetTests.cpp
@@ -73,7 +73,7 @@
 TEST_CASE("the least urgent requests are refused first, and the most urgent at the whole budget")
 {
     const memory_budget budget(total);
-    for (int urgency = 0; urgency <= memory_budget::leastUrgency; ++urgency) {
+    for (int urgency = 0; urgency <= memory_budget::minUrgency; ++urgency) {
         CHECK(budget.admits(urgency, total * 3 / 4));
         CHECK(!budget.admits(urgency, total + 1));
     }
--- a/unittests/Policy/ServicePressureTests.cpp
+++ b/unittests/Policy/ServicePressureTests.cpp
@@ -33,7 +33,8 @@
     CHECK(pressure.level(now) > 0.4);
     CHECK(pressure.own(now).level == doctest::Approx(0.1)); // nothing of others is passed on
     CHECK(pressure.own(now).weight < 1);
-    CHECK(pressure.level(now + seconds(5)) < 0.5 / 4); // lost notices: it falls back to its own view
+    CHECK(pressure.level(now + seconds(5))
+          < 0.5 / 4); // lost notices: it falls back to its own view
 }
 
 TEST_CASE("a false report is outweighed by those of the other entries")
