--- a/unittests/Policy/RoomAdmissionTests.cpp
+++ b/unittests/Policy/RoomAdmissionTests.cpp
@@ -3,6 +3,7 @@
 // The decision on one request, and the shares of customers.
 //
 //===----------------------------------------------------------------------===//
+#include "laurelcroft/Policy/CustomerShares.h"
 #include "laurelcroft/Policy/RoomAdmission.h"
 #include "laurelcroft/Policy/ServiceRoom.h"
 
--- a/unittests/Proxy/CrashingRequestTests.cpp
+++ b/unittests/Proxy/CrashingRequestTests.cpp
@@ -12,9 +12,9 @@
 // the same for each arrival and was among the recent requests of each crashed endpoint.
 //
 //===----------------------------------------------------------------------===//
+#include "DefaultEnvironment.h"
 #include "EntryFleet.h"
 #include "FlowFixture.h"
-#include "ReadingCaller.h"
 
 #include "laurelcroft/Proxy/NoticeChannel.h"
 #include "laurelcroft/Support/TokenBucket.h"
@@ -45,7 +45,7 @@
 struct crash_fixture;
 
 /// Environment of a request flow at one entry of a fleet.
-struct crash_environment : reading_caller
+struct crash_environment : default_environment
 {
     crash_fixture *fixture;
     fleet_entry *entry;
@@ -53,19 +53,13 @@
 
     manual_runtime &runtime();
     routing_state &routing() { return entry->routing; }
-    bool hasRoomAt(const endpoint_ptr &) { return true; }
     call_id call(proxy_attempt attempt, call_events events);
     void cancel(call_id call);
     void reply(int status, const http_headers &, std::string_view) { ended(status); }
-    void begin(int, const http_headers &) { }
-    void write(std::string_view) { }
     void end() { ended(http_status::ok); }
     void abort() { ended(0); }
     void ended(int status);
     void finished(const flow_record &record);
-    void escalated(const flow_record &, const std::string &) { }
-    void sentFurther(const flow_record &, further_send) { }
-    void attemptEnded(const flow_record &, attempt_end, next_step) { }
     void checkEnded(const endpoint_ptr &endpoint);
 };
 
--- a/unittests/Proxy/FleetFlows.h
+++ b/unittests/Proxy/FleetFlows.h
@@ -6,8 +6,8 @@
 #ifndef LAURELCROFT_UNITTESTS_PROXY_FLEETFLOWS_H
 #define LAURELCROFT_UNITTESTS_PROXY_FLEETFLOWS_H
 
+#include "DefaultEnvironment.h"
 #include "EntryFleet.h"
-#include "ReadingCaller.h"
 
 #include "laurelcroft/Proxy/RequestFlow.h"
 
@@ -21,33 +21,22 @@
 /// answer.
 /// \tparam Entry provides the routing state of the entry.
 template <class World, class Entry = fleet_entry>
-struct fleet_environment : reading_caller
+struct fleet_environment : default_environment
 {
     World *fixture;
     Entry *entry;
 
     manual_runtime &runtime() { return fixture->runtime(); }
     routing_state &routing() { return entry->routing; }
-    bool hasRoomAt(const endpoint_ptr &) { return true; }
     call_id call(const proxy_attempt &attempt, call_events events)
     {
         fixture->onCall(*entry, attempt, std::move(events));
         return 1;
     }
-    void cancel(call_id) { }
     void reply(int status, const http_headers &headers, std::string_view)
     {
         fixture->onReply(status, headers);
     }
-    void begin(int, const http_headers &) { }
-    void write(std::string_view) { }
-    void end() { }
-    void abort() { }
-    void finished(const flow_record &) { }
-    void escalated(const flow_record &, const std::string &) { }
-    void sentFurther(const flow_record &, further_send) { }
-    void attemptEnded(const flow_record &, attempt_end, next_step) { }
-    void checkEnded(const endpoint_ptr &) { }
 };
 
 } // namespace laurelcroft
--- a/unittests/Proxy/PaceFlowTests.cpp
+++ b/unittests/Proxy/PaceFlowTests.cpp
@@ -4,8 +4,8 @@
 // what a flow does with the pace of an endpoint.
 //
 //===----------------------------------------------------------------------===//
+#include "DefaultEnvironment.h"
 #include "FlowFixture.h"
-#include "ReadingCaller.h"
 
 #include <doctest/doctest.h>
 
@@ -46,7 +46,7 @@
 struct pace_play;
 
 /// Environment of one request in a play.
-struct pace_environment : reading_caller
+struct pace_environment : default_environment
 {
     pace_play *play;
     pace_entry *entry;
@@ -55,19 +55,10 @@
 
     manual_runtime &runtime();
     routing_state &routing() { return entry->routing; }
-    bool hasRoomAt(const endpoint_ptr &) { return true; }
     call_id call(const proxy_attempt &attempt, call_events events);
     void cancel(call_id call);
-    void reply(int, const http_headers &, std::string_view) { }
     void begin(int, const http_headers &) { firstAt = runtime().now(); }
-    void write(std::string_view) { }
     void end();
-    void abort() { }
-    void finished(const flow_record &) { }
-    void escalated(const flow_record &, const std::string &) { }
-    void sentFurther(const flow_record &, further_send) { }
-    void attemptEnded(const flow_record &, attempt_end, next_step) { }
-    void checkEnded(const endpoint_ptr &) { }
 };
 
 using pace_flow = request_flow<pace_environment>;
@@ -391,14 +382,3 @@
     CHECK(callsAfter(milliseconds(6900), 3) == 1);
     CHECK(callsAfter(milliseconds(7100), 3) == 2);
 }
-
-TEST_CASE("a queue counts as mean requests, at the pace of the endpoint")
-{
-    mean_work work;
-    work.readingMs.add(100);
-    work.runMs.add(400);
-    CHECK(queueTimeMs({3, 4, 0, 0}, work) == 0);
-    CHECK(queueTimeMs({7, 4, 0, 0}, work) == doctest::Approx(400));
-    CHECK(queueTimeMs({7, 64, 5, 120}, work) == doctest::Approx(500));
-    CHECK(queueTimeMs({7, 64, 1, 900}, work) == doctest::Approx(900));
-}
--- a/unittests/Proxy/RetryFixture.h
+++ b/unittests/Proxy/RetryFixture.h
@@ -10,8 +10,8 @@
 #define LAURELCROFT_UNITTESTS_PROXY_RETRYFIXTURE_H
 
 #include "../Policy/RepeatRule.h"
+#include "DefaultEnvironment.h"
 #include "FlowFixture.h"
-#include "ReadingCaller.h"
 
 #include "laurelcroft/Support/Random.h"
 
@@ -40,26 +40,17 @@
 };
 
 /// Environment of a request flow at one entry.
-struct retry_environment : reading_caller
+struct retry_environment : default_environment
 {
     retry_fixture *fixture;
     retry_entry *entry;
 
     manual_runtime &runtime();
     routing_state &routing() { return entry->routing; }
-    bool hasRoomAt(const endpoint_ptr &) { return true; }
     call_id call(proxy_attempt attempt, call_events events);
-    void cancel(call_id) { }
     void reply(int status, const http_headers &headers, std::string_view);
-    void begin(int, const http_headers &) { }
-    void write(std::string_view) { }
     void end();
     void abort();
-    void finished(const flow_record &) { }
-    void escalated(const flow_record &, const std::string &) { }
-    void sentFurther(const flow_record &, further_send) { }
-    void attemptEnded(const flow_record &, attempt_end, next_step) { }
-    void checkEnded(const endpoint_ptr &) { }
 };
 
 /// Parameters of a simulation.
--- a/unittests/Proxy/RoomFixture.h
+++ b/unittests/Proxy/RoomFixture.h
@@ -9,7 +9,7 @@
 
 #include "FlowFixture.h"
 
-#include "ReadingCaller.h"
+#include "DefaultEnvironment.h"
 
 #include "laurelcroft/Support/Random.h"
 
@@ -80,7 +80,7 @@
     std::vector<std::shared_ptr<void>> flows;
 };
 
-struct room_environment : reading_caller
+struct room_environment : default_environment
 {
     room_fixture *fixture;
     room_entry *entry;
@@ -88,19 +88,9 @@
 
     manual_runtime &runtime();
     routing_state &routing() { return entry->routing; }
-    bool hasRoomAt(const endpoint_ptr &) { return true; }
     call_id call(const proxy_attempt &attempt, call_events events);
-    void cancel(call_id) { }
     void reply(int status, const http_headers &headers, std::string_view);
-    void begin(int, const http_headers &) { }
-    void write(std::string_view) { }
-    void end() { }
-    void abort() { }
     void finished(const flow_record &record);
-    void escalated(const flow_record &, const std::string &) { }
-    void sentFurther(const flow_record &, further_send) { }
-    void attemptEnded(const flow_record &, attempt_end, next_step) { }
-    void checkEnded(const endpoint_ptr &) { }
 };
 
 /// The simulated entries, endpoints and callers.
