One decay, one name check and one number check; one rotation for notices

Cause: the part of a weight that is left after some time was written in six files, the check of a non-empty name in five decoders, that of a bounded number in two, the sending of notices to others in turn twice, a request's priority twice, and what calls for the load features twice. Change: Support/Decay.h; isNonEmptyName and unsignedUpTo in Support/MessagePack.h; notice_channel's sendInTurn; priorityOf in ServiceContract.h; routing_state::hasHardLoad. Counters get their integers without a detour through double. Conclusion: the same decisions and messages.

--- a/include/laurelcroft/Contract/ServiceContract.h
+++ b/include/laurelcroft/Contract/ServiceContract.h
@@ -93,6 +93,13 @@
     std::vector<std::string> homeRegions; ///< regions whose endpoints may serve it; empty: any
 };
 
+/// \param customer null if the caller is unknown.
+/// \returns the priority of a request, 0 is the most urgent: the customer's own, else the route's.
+inline int priorityOf(const service_route &route, const contract_customer *customer)
+{
+    return customer ? customer->priority.value_or(route.priority) : route.priority;
+}
+
 /// The routes, services, customers and limits of one contract version.
 struct service_contract
 {
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -240,6 +240,12 @@
                     std::map<std::string, std::string> dataCentres = {});
 
 private:
+    /// \returns true if what \p service has room for is limited or changes without notice.
+    bool hasHardLoad(std::string_view service) const
+    {
+        return m_bounds.load.competesForRoom || m_statingPace.count(service) != 0;
+    }
+
     routing_bounds m_bounds;
     cascade_settings m_cascade;
     random_source m_random;
--- a/include/laurelcroft/Support/MessagePack.h
+++ b/include/laurelcroft/Support/MessagePack.h
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -41,6 +43,20 @@
     return item.is_string() && item.get_ref<const std::string &>().size() <= maxNameBytes;
 }
 
+/// \returns true if \p item is a name that is not empty.
+inline bool isNonEmptyName(const nlohmann::json &item)
+{
+    return isName(item) && !item.get_ref<const std::string &>().empty();
+}
+
+/// \returns the non-negative integer in \p item; nothing if it is none or above \p max.
+inline std::optional<unsigned> unsignedUpTo(const nlohmann::json &item, unsigned max)
+{
+    if (!item.is_number_unsigned() || item.get<std::uint64_t>() > max)
+        return std::nullopt;
+    return item.get<unsigned>();
+}
+
 } // namespace laurelcroft
 
 #endif
--- a/lib/Fleet/EndpointPace.cpp
+++ b/lib/Fleet/EndpointPace.cpp
@@ -6,6 +6,8 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Fleet/EndpointPace.h"
 
+#include "laurelcroft/Support/Decay.h"
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -40,13 +42,6 @@
 
 } // namespace
 
-static double decayFactor(duration age, duration halfLife)
-{
-    const double halves
-            = std::chrono::duration<double>(age) / std::chrono::duration<double>(halfLife);
-    return std::exp2(-std::max(0.0, halves));
-}
-
 /// \returns false also for a value that is not a number.
 static bool isValid(double slowdown)
 {
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -6,6 +6,7 @@
 #include "laurelcroft/Fleet/ServiceDirectory.h"
 
 #include "laurelcroft/Support/Crypto.h"
+#include "laurelcroft/Support/Decay.h"
 
 #include <algorithm>
 #include <cmath>
@@ -32,13 +33,6 @@
 
 } // namespace
 
-static double decayFactor(duration age, duration halfLife)
-{
-    const double halves
-            = std::chrono::duration<double>(age) / std::chrono::duration<double>(halfLife);
-    return std::exp2(-std::max(0.0, halves));
-}
-
 service_endpoint::service_endpoint(endpoint_record record)
     : m_record(std::move(record))
     , m_idHash(stableHash(m_record.id))
@@ -57,7 +51,7 @@
 
 double service_endpoint::expectedQueue(time_point now) const
 {
-    return m_reportedQueue * decayFactor(now - m_reportedAt, reportHalfLife);
+    return m_reportedQueue * reportWeight(now);
 }
 
 double service_endpoint::expectedLoad(time_point now) const
--- a/lib/Policy/CustomerShares.cpp
+++ b/lib/Policy/CustomerShares.cpp
@@ -6,6 +6,7 @@
 #include "laurelcroft/Policy/CustomerShares.h"
 
 #include "laurelcroft/Policy/RoomAdmission.h"
+#include "laurelcroft/Support/Decay.h"
 
 #include <algorithm>
 #include <cmath>
@@ -50,10 +51,9 @@
 {
     if (now - m_decayedAt < decayStep)
         return;
-    const std::chrono::duration<double> age = now - m_decayedAt;
     const double total = totalDemand();
-    const double slow = std::exp2(-age / std::chrono::duration<double>(keptDemandHalfLife));
-    const double usual = std::exp2(-age / std::chrono::duration<double>(demandHalfLife));
+    const double slow = decayFactor(now - m_decayedAt, keptDemandHalfLife);
+    const double usual = decayFactor(now - m_decayedAt, demandHalfLife);
     const double keep = total > keptDemand ? std::clamp(keptDemand / total, usual, slow) : slow;
     m_decayedAt = now;
     for (urgency_demand &demand : m_demand) {
--- a/lib/Policy/ServiceDemand.cpp
+++ b/lib/Policy/ServiceDemand.cpp
@@ -5,6 +5,8 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Policy/ServiceDemand.h"
 
+#include "laurelcroft/Support/Decay.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,9 +15,9 @@
 namespace {
 
 /// Half-life of a sample. Demand changes over seconds.
-constexpr std::chrono::duration<double> halfLife{1.5};
+constexpr milliseconds halfLife{1500};
 /// Mean time for which a sample counts, in seconds.
-const double meanAge = halfLife.count() / std::log(2.0);
+const double meanAge = std::chrono::duration<double>(halfLife).count() / std::log(2.0);
 /// Largest rate of one entry that is believed, in answers per second.
 constexpr double maxReportedRate = 1000;
 
@@ -23,8 +25,7 @@
 
 double service_demand::decayed_sum::at(time_point now) const
 {
-    const double halves = std::chrono::duration<double>(now - updatedAt) / halfLife;
-    return value * std::exp2(-std::max(0.0, halves));
+    return value * decayFactor(now - updatedAt, halfLife);
 }
 
 void service_demand::decayed_sum::add(double amount, time_point now)
--- a/lib/Policy/ServicePressure.cpp
+++ b/lib/Policy/ServicePressure.cpp
@@ -5,8 +5,9 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Policy/ServicePressure.h"
 
+#include "laurelcroft/Support/Decay.h"
+
 #include <algorithm>
-#include <cmath>
 
 using namespace laurelcroft;
 
@@ -22,10 +23,7 @@
 
 service_pressure::sums service_pressure::sums::at(time_point now) const
 {
-    // A clock that steps back changes nothing.
-    const double halves = std::chrono::duration<double>(now - updatedAt)
-            / std::chrono::duration<double>(sampleHalfLife);
-    const double keep = std::exp2(-std::max(0.0, halves));
+    const double keep = decayFactor(now - updatedAt, sampleHalfLife);
     return {weight * keep, shares * keep, now};
 }
 
--- a/lib/Policy/ServiceRoom.cpp
+++ b/lib/Policy/ServiceRoom.cpp
@@ -5,6 +5,8 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Policy/ServiceRoom.h"
 
+#include "laurelcroft/Support/Decay.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -24,13 +26,6 @@
 
 } // namespace
 
-static double decayFactor(duration age, duration halfLife)
-{
-    const double halves
-            = std::chrono::duration<double>(age) / std::chrono::duration<double>(halfLife);
-    return std::exp2(-std::max(0.0, halves));
-}
-
 void service_room::decaying_mean::add(double value, time_point now)
 {
     const double keep = std::max(decayFactor(now - updatedAt, halfLife), 1 - 1 / minSamples);
--- a/lib/Proxy/EvidenceNotice.cpp
+++ b/lib/Proxy/EvidenceNotice.cpp
@@ -42,11 +42,6 @@
     return encodeMessagePack(item);
 }
 
-static bool isNamed(const json &item)
-{
-    return isName(item) && !item.get_ref<const std::string &>().empty();
-}
-
 static bool isWellFormed(const json &item)
 {
     if (!item.is_array() || item.size() < fieldsBeforeRoutes)
@@ -55,7 +50,7 @@
         return false;
     for (std::size_t i = 0; i < item.size(); ++i) {
         const bool isRoute = i >= fieldsBeforeRoutes && (i - fieldsBeforeRoutes) % routeFields == 0;
-        const bool fits = i < 2 || isRoute ? isNamed(item[i]) : item[i].is_number_unsigned();
+        const bool fits = i < 2 || isRoute ? isNonEmptyName(item[i]) : item[i].is_number_unsigned();
         if (!fits)
             return false;
     }
--- a/lib/Proxy/FlowReporter.cpp
+++ b/lib/Proxy/FlowReporter.cpp
@@ -187,9 +187,9 @@
     const std::uint64_t stalled = memory.cutOffStalled - before.cutOffStalled;
     const std::uint64_t idle = memory.cutOffIdle - before.cutOffIdle;
     const std::uint64_t refused = memory.refusedBodies - before.refusedBodies;
-    m_metrics.add("callers_cut_off_total{reason=\"stalled\"}", static_cast<double>(stalled));
-    m_metrics.add("callers_cut_off_total{reason=\"idle\"}", static_cast<double>(idle));
-    m_metrics.add("bodies_refused_total", static_cast<double>(refused));
+    m_metrics.add("callers_cut_off_total{reason=\"stalled\"}", stalled);
+    m_metrics.add("callers_cut_off_total{reason=\"idle\"}", idle);
+    m_metrics.add("bodies_refused_total", refused);
     if (stalled + idle + refused == 0)
         return;
     logWarning(log_part::routing, "memory held for slow callers",
--- a/lib/Proxy/LeavingNotice.cpp
+++ b/lib/Proxy/LeavingNotice.cpp
@@ -26,8 +26,9 @@
 {
     const json item = decodeMessagePack(bytes);
     const bool isWellFormed = item.is_array() && item.size() == fields && item[0] == json(kind)
-            && isName(item[1]) && item[2].is_number_unsigned() && item[3].is_number_unsigned();
-    if (!isWellFormed || item[1].get_ref<const std::string &>().empty())
+            && isNonEmptyName(item[1]) && item[2].is_number_unsigned()
+            && item[3].is_number_unsigned();
+    if (!isWellFormed)
         return std::nullopt;
     const auto hops = item[3].get<std::uint64_t>();
     if (hops > leaving_notice::maxHops)
--- a/lib/Proxy/NoticeChannel.cpp
+++ b/lib/Proxy/NoticeChannel.cpp
@@ -102,6 +102,16 @@
     void receive();
     void handleDatagram(std::string_view bytes);
     bool receiveFinding(std::string_view bytes);
+    /// Whose turn it is among the others, for one kind of notice.
+    struct rotation
+    {
+        std::string metric; ///< counter of the kind
+        std::size_t next = 0;
+    };
+    /// Sends \p bytes to \p recipients others in turn, while the budget of findings keeps \p
+    /// reserve bytes.
+    void sendInTurn(const std::string &bytes, std::size_t recipients, double reserve,
+                    rotation &turn);
     void sendFinding(const std::string &bytes, bool isUrgent,
                      std::size_t recipients = maxRecipients);
 
@@ -112,8 +122,8 @@
     std::vector<udp::endpoint> readers; ///< entries that read the store
     std::vector<udp::endpoint> others; ///< all other entries, in an order specific to this entry
     std::map<std::string, udp::endpoint> byName; ///< the same entries by name
-    std::size_t nextRecipient = 0;
-    std::size_t nextPaceRecipient = 0;
+    rotation findingTurn{"finding_notices_total"};
+    rotation paceTurn{"pace_notices_total"};
     token_bucket findingBytes{findingBytesPerSecond, findingBurstBytes};
     std::map<std::string, std::vector<udp::endpoint>> recipients; ///< by data centre
     token_bucket bytes{bytesPerSecond, bytesPerSecond *burstSeconds};
@@ -221,27 +231,31 @@
     return isFinding;
 }
 
-void notice_channel::state::sendFinding(const std::string &bytes, bool isUrgent,
-                                        std::size_t recipients)
+void notice_channel::state::sendInTurn(const std::string &bytes, std::size_t recipients,
+                                       double reserve, rotation &turn)
 {
     const double cost = static_cast<double>(bytes.size()) + headerBytes;
-    const double reserve = isUrgent ? 0 : findingBurstBytes / 2;
     const time_point now = bootNow();
     for (std::size_t i = 0; i < std::min(recipients, others.size()); ++i) {
         if (!findingBytes.refillAndCheck(cost + reserve, now)) {
-            metrics.add("finding_notices_total{way=\"held\"}");
+            metrics.add(turn.metric + "{way=\"held\"}");
             return;
         }
         findingBytes.consume(cost);
         this->bytes.consume(cost);
-        nextRecipient = (nextRecipient + 1) % others.size();
+        turn.next = (turn.next + 1) % others.size();
         asio::error_code error;
-        socket.send_to(asio::buffer(bytes), others[nextRecipient], 0, error);
-        metrics.add(error ? "finding_notices_total{way=\"failed\"}"
-                          : "finding_notices_total{way=\"sent\"}");
+        socket.send_to(asio::buffer(bytes), others[turn.next], 0, error);
+        metrics.add(turn.metric + (error ? "{way=\"failed\"}" : "{way=\"sent\"}"));
     }
 }
 
+void notice_channel::state::sendFinding(const std::string &bytes, bool isUrgent,
+                                        std::size_t recipients)
+{
+    sendInTurn(bytes, recipients, isUrgent ? 0 : findingBurstBytes / 2, findingTurn);
+}
+
 void notice_channel::sendCrashNotice(const crash_notice &notice)
 {
     m_state->sendFinding(encodeCrashNotice(notice), notice.isUrgent());
@@ -269,22 +283,7 @@
 
 void notice_channel::sendPaceNotice(const pace_notice &notice, std::size_t recipients)
 {
-    const std::string bytes = encodePaceNotice(notice);
-    const double cost = static_cast<double>(bytes.size()) + headerBytes;
-    const std::vector<udp::endpoint> &others = m_state->others;
-    for (std::size_t i = 0; i < std::min(recipients, others.size()); ++i) {
-        if (!m_state->findingBytes.refillAndCheck(cost + paceReserveBytes, bootNow())) {
-            m_state->metrics.add("pace_notices_total{way=\"held\"}");
-            return;
-        }
-        m_state->findingBytes.consume(cost);
-        m_state->bytes.consume(cost);
-        m_state->nextPaceRecipient = (m_state->nextPaceRecipient + 1) % others.size();
-        asio::error_code error;
-        m_state->socket.send_to(asio::buffer(bytes), others[m_state->nextPaceRecipient], 0, error);
-        m_state->metrics.add(error ? "pace_notices_total{way=\"failed\"}"
-                                   : "pace_notices_total{way=\"sent\"}");
-    }
+    m_state->sendInTurn(encodePaceNotice(notice), recipients, paceReserveBytes, m_state->paceTurn);
 }
 
 void notice_channel::sendPressureNotice(const pressure_notice &notice)
--- a/lib/Proxy/PaceNotice.cpp
+++ b/lib/Proxy/PaceNotice.cpp
@@ -35,14 +35,6 @@
     return encodeMessagePack(item);
 }
 
-/// \returns the number in \p item, or nothing if it is none or above \p max.
-static std::optional<unsigned> numberIn(const json &item, unsigned max)
-{
-    if (!item.is_number_unsigned() || item.get<std::uint64_t>() > max)
-        return std::nullopt;
-    return item.get<unsigned>();
-}
-
 std::optional<pace_notice> laurelcroft::decodePaceNotice(std::string_view bytes)
 {
     const json item = decodeMessagePack(bytes);
@@ -56,11 +48,10 @@
     pace_notice notice;
     notice.tellsChanges = item[1].get<bool>();
     for (std::size_t i = fieldsBeforeReports; i < item.size(); i += reportFields) {
-        const std::optional<unsigned> stated = numberIn(item[i + 1], pace_notice::maxPercent);
-        const std::optional<unsigned> observed = numberIn(item[i + 2], pace_notice::maxPercent);
-        const std::optional<unsigned> samples = numberIn(item[i + 3], pace_notice::maxSamples);
-        const bool isNamed = isName(item[i]) && !item[i].get_ref<const std::string &>().empty();
-        if (!isNamed || !stated || !observed || !samples)
+        const std::optional<unsigned> stated = unsignedUpTo(item[i + 1], pace_notice::maxPercent);
+        const std::optional<unsigned> observed = unsignedUpTo(item[i + 2], pace_notice::maxPercent);
+        const std::optional<unsigned> samples = unsignedUpTo(item[i + 3], pace_notice::maxSamples);
+        if (!isNonEmptyName(item[i]) || !stated || !observed || !samples)
             return std::nullopt;
         notice.reports.push_back({item[i].get<std::string>(), *stated, *observed, *samples});
     }
--- a/lib/Proxy/PressureNotice.cpp
+++ b/lib/Proxy/PressureNotice.cpp
@@ -51,24 +51,16 @@
             {kind, notice.service, notice.levelPercent, notice.samples, notice.answersPerSecond}));
 }
 
-/// \returns \p item as a number up to \p max, or nothing.
-static std::optional<unsigned> numberIn(const json &item, unsigned max)
-{
-    if (!item.is_number_unsigned() || item.get<std::uint64_t>() > max)
-        return std::nullopt;
-    return item.get<unsigned>();
-}
-
 std::optional<pressure_notice> laurelcroft::decodePressureNotice(std::string_view bytes)
 {
     const json item = decodeMessagePack(bytes);
     const bool isWellFormed = item.is_array() && item.size() == fields && item[0] == json(kind)
-            && isName(item[1]) && !item[1].get_ref<const std::string &>().empty();
+            && isNonEmptyName(item[1]);
     if (!isWellFormed)
         return std::nullopt;
-    const auto level = numberIn(item[fieldsBeforeNumbers], maxPercent);
-    const auto samples = numberIn(item[fieldsBeforeNumbers + 1], maxSamples);
-    const auto rate = numberIn(item[fieldsBeforeNumbers + 2], maxRate);
+    const auto level = unsignedUpTo(item[fieldsBeforeNumbers], maxPercent);
+    const auto samples = unsignedUpTo(item[fieldsBeforeNumbers + 1], maxSamples);
+    const auto rate = unsignedUpTo(item[fieldsBeforeNumbers + 2], maxRate);
     if (!level || !samples || !rate)
         return std::nullopt;
     return pressure_notice{item[1].get<std::string>(), *level, *samples, *rate};
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -186,10 +186,8 @@
     const proxy_request request = dialect.decodeRequest(message_head(head));
     const service_route *route
             = contract ? contract->findRoute(request.host, request.path) : nullptr;
-    if (!route)
-        return memory_budget::minUrgency;
-    const contract_customer *customer = contract->findCustomer(request.key);
-    return customer ? customer->priority.value_or(route->priority) : route->priority;
+    return route ? priorityOf(*route, contract->findCustomer(request.key))
+                 : memory_budget::minUrgency;
 }
 
 bool proxy_server::state::isReady() const
--- a/lib/Proxy/RateLimitNotice.cpp
+++ b/lib/Proxy/RateLimitNotice.cpp
@@ -39,9 +39,9 @@
 
 static bool isWellFormed(const json &item)
 {
-    return item.is_array() && item.size() == fields && item[0] == json(kind) && isName(item[1])
-            && item[2].is_number_unsigned() && isLimit(item[3]) && item[4].is_number_unsigned()
-            && item[5].is_number_unsigned();
+    return item.is_array() && item.size() == fields && item[0] == json(kind)
+            && isNonEmptyName(item[1]) && item[2].is_number_unsigned() && isLimit(item[3])
+            && item[4].is_number_unsigned() && item[5].is_number_unsigned();
 }
 
 std::optional<rate_limit_notice> laurelcroft::decodeRateLimitNotice(std::string_view bytes)
@@ -53,7 +53,7 @@
     const auto hops = item[5].get<std::uint64_t>();
     const bool isInRange = age <= static_cast<std::uint64_t>(rate_limit_notice::maxAge.count())
             && hops <= rate_limit_notice::maxHops;
-    if (!isInRange || item[1].get_ref<const std::string &>().empty())
+    if (!isInRange)
         return std::nullopt;
     rate_limit_notice notice;
     notice.endpoint = item[1].get<std::string>();
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -255,14 +255,12 @@
 
 bool routing_state::managesRoom(std::string_view service) const
 {
-    const bool isCalledFor = m_bounds.load.competesForRoom || m_statingPace.count(service) != 0;
-    return load_settings::isInUse(m_bounds.load.admission, isCalledFor);
+    return load_settings::isInUse(m_bounds.load.admission, hasHardLoad(service));
 }
 
 bool routing_state::usesPressureInCascade(std::string_view service) const
 {
-    const bool isCalledFor = m_bounds.load.competesForRoom || m_statingPace.count(service) != 0;
-    return load_settings::isInUse(m_bounds.load.cascade, isCalledFor);
+    return load_settings::isInUse(m_bounds.load.cascade, hasHardLoad(service));
 }
 
 prefill_rate &routing_state::promptRate(std::string_view model)
