--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -49,7 +49,7 @@
     env.cancel(call);
     env.reply(status, headers, body);
     env.begin(status, headers);
-    env.write(body);
+    env.write(std::string_view(body));
     env.end();
     env.abort();
     env.beginWhole(status, headers, std::optional<std::uint64_t>());
@@ -91,6 +91,7 @@
 {
     unsigned sharedTokens = 0; ///< tokens of its shared prefixes
     double msPerToken = 0;
+    const mean_work *work = nullptr; ///< of the service; null where pace is not used
 };
 
 /// Handles one request. The owner must keep it alive until \c isDone returns true.
@@ -145,7 +146,6 @@
     bool hasPrompt() const { return m_request->promptTokens > 0; }
     void noteStatedRoom();
     void noteAnswerTime();
-    int urgency() const;
     bool waitForRoom();
     /// Schedules another attempt to choose an endpoint.
     /// \returns false when the request has already waited for \p longest.
@@ -203,10 +203,10 @@
     double usualSlowdown(const service_endpoint &endpoint);
     /// \returns the expected time at \p endpoint of work that usually takes \p workMs.
     double expectedMs(const service_endpoint &endpoint, double workMs);
-    /// \returns the expected time at \p endpoint until a prompt that usually takes \p readingMs is
-    /// read, after those queued before it.
+    /// \returns the expected time at \p endpoint until \p tokens of \p prompt are read, after the
+    /// prompts queued before it.
     double waitMs(const service_endpoint &endpoint, const direct_candidate &candidate,
-                  double readingMs);
+                  const prompt_cost &prompt, unsigned tokens);
     /// \returns the lasting slowdown that the endpoint of the current attempt states.
     double statedSlowdown();
     /// Reports how fast the endpoint of the current attempt has answered.
@@ -281,7 +281,7 @@
     session_request sessionRequest() { return {m_session, m_arrivedAt, now()}; }
     time_point now() { return m_env.runtime().now(); }
     bool isStream() const { return m_route->form == answer_form::events; }
-    /// \returns the priority of the request, 0 is the most urgent.
+    int urgency() const { return priorityOf(*m_route, m_customer); }
     milliseconds timeLeft() { return std::chrono::ceil<milliseconds>(m_deadline - now()); }
 
     Env m_env;
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -97,11 +97,11 @@
     if (event.id)
         m_lastEventId = event.id;
     if (m_record.events > 0)
-        m_record.maxPause
-                = std::max(m_record.maxPause, std::chrono::round<milliseconds>(now() - m_passedAt));
-    m_passedAt = now();
+        m_record.maxPause = std::max(
+                m_record.maxPause, std::chrono::round<milliseconds>(m_lastProgressAt - m_passedAt));
+    m_passedAt = m_lastProgressAt;
     ++m_record.events;
-    m_env.write(std::string(event.text));
+    m_env.write(event.text);
     pauseIfBehind();
 }
 
--- a/include/laurelcroft/Proxy/RequestFlowBackpressure.h
+++ b/include/laurelcroft/Proxy/RequestFlowBackpressure.h
@@ -49,7 +49,7 @@
 {
     m_lastProgressAt = now();
     m_endpoint->recordProgress(m_lastProgressAt);
-    m_env.write(std::string(data));
+    m_env.write(data);
     pauseIfBehind();
 }
 
--- a/include/laurelcroft/Proxy/RequestFlowCandidates.h
+++ b/include/laurelcroft/Proxy/RequestFlowCandidates.h
@@ -19,8 +19,8 @@
     candidate.idHash = endpoint->idHash();
     candidate.load = endpoint->expectedLoad(at);
     candidate.slots = std::max(1U, endpoint->record().slots);
-    candidate.waitMs = waitMs(*endpoint, candidate, prompt.msPerToken * tokensToRead(kept));
-    candidate.slowdown = usualSlowdown(*endpoint);
+    candidate.slowdown = prompt.work ? endpoint->pace().usual(at) : 1;
+    candidate.waitMs = waitMs(*endpoint, candidate, prompt, tokensToRead(kept));
     candidate.uncachedMs = candidate.slowdown * prompt.msPerToken * (prompt.sharedTokens - kept);
     candidate.failureRate = endpoint->failureRate(at);
     candidate.sameDataCentre = endpoint->record().dataCentre == m_env.routing().dataCentre();
--- a/include/laurelcroft/Proxy/RequestFlowCascade.h
+++ b/include/laurelcroft/Proxy/RequestFlowCascade.h
@@ -70,7 +70,8 @@
 {
     const std::chrono::duration<double, std::milli> wait = now() - m_attemptAt;
     m_env.routing().waits(m_service).addSample(shareOfObjective(wait));
-    m_env.routing().pressure(m_service).addSample(shareOfObjective(wait), now());
+    if (m_env.routing().usesPressureInCascade(m_service))
+        m_env.routing().pressure(m_service).addSample(shareOfObjective(wait), now());
     if (m_headReceived)
         m_env.routing()
                 .promptRate(m_record.model)
--- a/include/laurelcroft/Proxy/RequestFlowChoosing.h
+++ b/include/laurelcroft/Proxy/RequestFlowChoosing.h
@@ -102,14 +102,16 @@
 request_flow<Env>::pickAmong(const std::vector<endpoint_ptr> &endpoints,
                              std::span<const sampled_endpoint> items)
 {
-    const prompt_cost prompt{totalTokens(m_prefixes), prefillMsPerToken()};
+    routing_state &state = m_env.routing();
+    const mean_work *work = state.usesPace(m_service) ? &state.pace().workOf(m_service) : nullptr;
+    const prompt_cost prompt{totalTokens(m_prefixes), prefillMsPerToken(), work};
     std::optional<shared_prompt> shared;
     if (!m_prefixes.empty())
         shared = {m_prefixes.back().hash, prompt.msPerToken * prompt.sharedTokens};
     std::optional<std::uint64_t> promptHash;
     if (shared)
         promptHash = shared->hash;
-    const std::uint64_t draw = m_env.routing().random().bits();
+    const std::uint64_t draw = state.random().bits();
     const auto pickFrom
             = [&](const std::vector<std::size_t> &sample) -> std::optional<endpoint_pick> {
         std::vector<direct_candidate> candidates;
--- a/include/laurelcroft/Proxy/RequestFlowPace.h
+++ b/include/laurelcroft/Proxy/RequestFlowPace.h
@@ -24,20 +24,21 @@
 
 template <flow_environment Env>
 double request_flow<Env>::waitMs(const service_endpoint &endpoint,
-                                 const direct_candidate &candidate, double readingMs)
+                                 const direct_candidate &candidate, const prompt_cost &prompt,
+                                 unsigned tokens)
 {
-    const double remoteMs = flow_bounds::remoteReadingWeight * endpoint.remotePrefillMs(now());
-    if (!m_env.routing().usesPace(m_service))
+    const time_point at = now();
+    const double readingMs = prompt.msPerToken * tokens;
+    const double remoteMs = flow_bounds::remoteReadingWeight * endpoint.remotePrefillMs(at);
+    if (!prompt.work)
         return endpoint.prefillMs() + remoteMs + readingMs;
-    const endpoint_pace &pace = endpoint.pace();
     endpoint_queue queue;
     queue.load = candidate.load;
     queue.slots = candidate.slots;
-    queue.waiting = endpoint.expectedQueue(now());
+    queue.waiting = endpoint.expectedQueue(at);
     // The prompts of other entries are known by the time that they take there.
-    queue.knownReadingMs = endpoint.prefillMs() + remoteMs / pace.usual(now());
-    const mean_work &work = m_env.routing().pace().workOf(m_service);
-    return pace.expectedMs(queueTimeMs(queue, work) + readingMs, now());
+    queue.knownReadingMs = endpoint.prefillMs() + remoteMs / candidate.slowdown;
+    return endpoint.pace().expectedMs(queueTimeMs(queue, *prompt.work) + readingMs, at);
 }
 
 template <flow_environment Env>
--- a/include/laurelcroft/Proxy/RequestFlowRoom.h
+++ b/include/laurelcroft/Proxy/RequestFlowRoom.h
@@ -13,12 +13,6 @@
 
 namespace laurelcroft {
 
-template <flow_environment Env>
-int request_flow<Env>::urgency() const
-{
-    return m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
-}
-
 template <flow_environment Env>
 double request_flow<Env>::endpointLoad(const service_endpoint &endpoint, const service_room &room)
 {
