Count endpoints as possibly cold while their rows are outdated

Cause: what an endpoint's row doesn't say counted as warm, also when the row could not be known.

Why the fix works: the directory knows at which version of the store its records are known and how long they count as current. Endpoints taken back count as cold until records as new as the return are known. While records are outdated, or an endpoint's record lapsed, all entries together send an endpoint 1.5 times what a cold one bears, in whole shares, below the bound of 1.5 times and 5. Ruled out: a limit at the plain rate of cold endpoints (callers would notice it on the users' deployments).

--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -60,6 +60,13 @@
     std::optional<double> slowdown = std::nullopt;
 };
 
+/// What is known of an endpoint's warm-up.
+enum class cold_state {
+    warm,
+    possible, ///< it may have become cold, since its record in the store is not known
+    cold, ///< its record says so, or its data centre was taken back later than the known records
+};
+
 /// One endpoint with the state that this process infers for it.
 class service_endpoint
 {
@@ -259,8 +266,21 @@
 
     /// Sets the data centres whose endpoints must get no requests. Endpoints in a data centre that
     /// is taken back may have become cold. They count as cold until their rows say otherwise, or
-    /// for \c assumedColdTime.
-    void setEvacuated(std::set<std::string> dataCentres, time_point now);
+    /// for \c assumedColdTime; and while the known records are older than \p version, for up to \c
+    /// maxAssumedColdTime.
+    /// \param version of the store at which \p dataCentres were read; 0 if unknown.
+    void setEvacuated(std::set<std::string> dataCentres, time_point now, std::uint64_t version = 0);
+
+    /// Notes that all records of the store at \p version are known, and that they count as current
+    /// until \p currentUntil. An endpoint may become cold at any moment, and only its record tells.
+    void setRecordsCurrent(std::uint64_t version, time_point currentUntil);
+
+    /// \returns false when endpoints may have become cold unnoticed.
+    bool areRecordsCurrent(time_point now) const { return now <= m_recordsCurrentUntil; }
+
+    /// \returns what is known of the warm-up of \p endpoint, which must be listed.
+    cold_state coldStateOf(const service_endpoint &endpoint, time_point now) const;
+
     const std::set<std::string> &evacuated() const { return m_evacuated; }
 
     /// \returns the endpoints of \p service that may get new requests. Cached; valid until the list
@@ -289,6 +309,9 @@
     /// entry, and one read from that entry.
     static constexpr milliseconds assumedColdTime{1500};
 
+    /// The same while the store can't be read: longer than endpoints stay cold.
+    static constexpr milliseconds maxAssumedColdTime{10'000};
+
     /// Limit on remembered endpoints that have left; covers weeks of replacements.
     static constexpr std::size_t maxDeparted = 4096;
 
@@ -320,6 +343,15 @@
     /// Start times of endpoints that were dropped while leaving, by id.
     std::map<std::string, std::uint64_t, std::less<>> m_departed;
     std::set<std::string> m_evacuated; ///< data centres
+    /// A data centre that was taken back.
+    struct taken_back
+    {
+        std::uint64_t version = 0; ///< of the store, which no longer had the evacuation
+        time_point until{}; ///< its endpoints count as cold no longer than this
+    };
+    std::map<std::string, taken_back, std::less<>> m_takenBack; ///< by data centre
+    std::uint64_t m_recordsVersion = 0; ///< of the store; all its records are known
+    time_point m_recordsCurrentUntil = time_point::max();
     bool m_isStoreUnavailable = false;
     time_point m_removalsTrustedFrom{};
 };
--- a/include/laurelcroft/Policy/RateShare.h
+++ b/include/laurelcroft/Policy/RateShare.h
@@ -29,6 +29,10 @@
 /// second, as against 1.4 with one (40 entries, simulated clock).
 inline constexpr double coldShareOfOwner = 1;
 
+/// What all entries together may send to an endpoint that may be cold, relative to the rate that it
+/// accepts while it is cold. Warm endpoints usually get less, so callers seldom notice the limit.
+inline constexpr double possiblyColdRatio = 1.5;
+
 /// Number of owners of an endpoint with a rate limit, in addition to one for each request per
 /// second, so that most of the limit is still used when an owner fails.
 inline constexpr std::size_t spareOwners = 2;
@@ -45,6 +49,13 @@
 double coldShareOf(std::string_view endpoint, double perSecond,
                    std::span<const std::string> entries, std::string_view own);
 
+/// \returns \p own's share of an endpoint that accepts \p perSecond while it is cold, and for which
+/// it is unknown whether it is. Whole requests per second unless one entry has all of it, so that
+/// the entries together never send more than \c possiblyColdRatio * \p perSecond within a second.
+/// An entry that is not in \p entries gets one request per second: other entries count without it.
+double possiblyColdShareOf(std::string_view endpoint, double perSecond,
+                           std::span<const std::string> entries, std::string_view own);
+
 /// \returns \p own's share of an endpoint that states \p perSecond as its rate limit. In any T
 /// seconds, all owners together send at most \p perSecond * (T + 2) + \c spareOwners requests.
 double limitShareOf(std::string_view endpoint, double perSecond,
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -210,8 +210,8 @@
     /// \returns the data for sampling among \p endpoints.
     std::vector<sampled_endpoint> sampledOf(std::span<const endpoint_ptr> endpoints) const;
 
-    /// \returns requests per second that this entry may send to \p endpoint while it is cold;
-    /// nothing when no such bound applies now.
+    /// \returns requests per second that this entry may send to \p endpoint while it is cold or may
+    /// be; nothing when no such bound applies now.
     std::optional<double> coldShare(const service_endpoint &endpoint, time_point now);
 
     /// \returns requests per second that this entry may send to \p endpoint, which states a rate
@@ -276,8 +276,14 @@
     std::map<std::string, std::string> m_dataCentres; ///< keyed by entry
     std::string m_own;
     double m_share = 0; ///< fraction of what all entries share
+    /// Requests per second that this entry may send to an endpoint.
+    struct cold_share
+    {
+        double ifCold = 0;
+        double ifPossible = 0; ///< while it is unknown whether the endpoint is cold
+    };
     /// Keyed by endpoint; valid for m_entries.
-    std::map<std::string, double, std::less<>> m_coldShares;
+    std::map<std::string, cold_share, std::less<>> m_coldShares;
     struct limit_share
     {
         double limit = 0; ///< requests per second from all entries
--- a/include/laurelcroft/Proxy/RowMirror.h
+++ b/include/laurelcroft/Proxy/RowMirror.h
@@ -75,6 +75,9 @@
     /// \returns the result of readForStart() without the rows.
     std::optional<aged_update> headForStart(const std::string &table, time_point now) const;
 
+    /// \returns the store's version at which \p table is known; \c unknownVersion if it is not.
+    std::uint64_t versionOf(const std::string &table) const;
+
     /// \returns what read() would find, without the rows.
     update_state stateOf(const std::string &table, std::uint64_t since, time_point now) const;
 
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -171,6 +171,9 @@
     /// \returns true when the contract in force names \p service, or no services are known.
     bool isNamed(const std::string &service) const;
     void logEndpoint(const char *what, const endpoint_record &record);
+    /// Tells the directory how recent the known endpoint rows are, and logs when they become
+    /// outdated or current again.
+    void noteEndpointRowsAge();
     /// Logs how many log lines about endpoints were omitted.
     void logOmittedEndpointLines();
     /// \returns true when an endpoint has become cold or is no longer cold, and logs it.
@@ -245,6 +248,7 @@
     time_point m_nextNoticeAt{};
     bool m_internalTableRead = false;
     bool m_endpointsRead = false;
+    bool m_areEndpointRowsCurrent = true;
     log_limiter m_endpointLines{maxEndpointLinesPerSecond};
     time_point m_nextOmittedLineAt{};
     bool m_isWriting = false;
--- a/include/laurelcroft/Proxy/StoreSyncEndpoints.h
+++ b/include/laurelcroft/Proxy/StoreSyncEndpoints.h
@@ -47,7 +47,7 @@
             log(place, "data centre is taken back");
     }
     m_metrics.set("data_centres_evacuated", static_cast<double>(dataCentres.size()));
-    m_state.directory().setEvacuated(std::move(dataCentres), m_runtime.now());
+    m_state.directory().setEvacuated(std::move(dataCentres), m_runtime.now(), version);
 }
 
 template <row_store_like Store, runtime_like Runtime>
@@ -192,6 +192,26 @@
              {"endpoints", std::int64_t(m_state.directory().all().size())}});
 }
 
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::noteEndpointRowsAge()
+{
+    const std::string &table = m_codec.endpointTable;
+    const time_point now = m_runtime.now();
+    const update_state known = m_mirror.stateOf(table, unknownVersion, now);
+    if (!known.isKnown)
+        return;
+    service_directory &directory = m_state.directory();
+    directory.setRecordsCurrent(m_mirror.versionOf(table),
+                                now - known.age + m_links.timings.maxRowAge);
+    const bool areCurrent = directory.areRecordsCurrent(now);
+    if (std::exchange(m_areEndpointRowsCurrent, areCurrent) == areCurrent)
+        return;
+    logInfo(log_part::fleet,
+            areCurrent ? "rows of endpoints are current again"
+                       : "rows of endpoints are outdated, any may have become cold",
+            {{"age_ms", std::int64_t(known.age.count())}});
+}
+
 template <row_store_like Store, runtime_like Runtime>
 bool store_sync<Store, Runtime>::isNamed(const std::string &service) const
 {
--- a/include/laurelcroft/Proxy/StoreSyncRollouts.h
+++ b/include/laurelcroft/Proxy/StoreSyncRollouts.h
@@ -98,6 +98,7 @@
 {
     m_runtime.after(stepInterval, [this] { runChecks(); });
     maintainEntryRows();
+    noteEndpointRowsAge();
     logOmittedEndpointLines();
     const bool isNoticeDue = m_runtime.now() >= m_nextNoticeAt;
     if (isNoticeDue)
--- a/include/laurelcroft/Proxy/StoreSyncTables.h
+++ b/include/laurelcroft/Proxy/StoreSyncTables.h
@@ -68,13 +68,15 @@
     const bool listsEndpoints = table == m_codec.endpointTable;
     follow_events events;
     // The rows left in the batch by apply are those that other entries need.
-    const auto take = [this, table, apply](row_update update) {
+    const auto take = [this, table, apply, listsEndpoints](row_update update) {
         noteTime(update.batch);
         (this->*apply)(update);
         // A relay's changes are in the mirror already, with the age that the relay reported.
         const follower &reader = *m_followers.at(table);
         if (!reader.isUpdateRelayed())
             m_mirror.take(table, update.batch, update.whole, reader.confirmedAt());
+        if (listsEndpoints)
+            noteEndpointRowsAge();
     };
     events.onTable = [take](row_batch &&batch) { take({std::move(batch), true}); };
     events.onChanges = [take](row_batch &&batch) { take({std::move(batch), false}); };
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -322,8 +322,15 @@
         drop(id);
 }
 
-void service_directory::setEvacuated(std::set<std::string> dataCentres, time_point now)
+void service_directory::setEvacuated(std::set<std::string> dataCentres, time_point now,
+                                     std::uint64_t version)
 {
+    for (const std::string &place : m_evacuated) {
+        if (dataCentres.count(place) == 0 && version > m_recordsVersion)
+            m_takenBack[place] = {version, now + maxAssumedColdTime};
+    }
+    for (const std::string &place : dataCentres)
+        m_takenBack.erase(place);
     for (const auto &[id, endpoint] : m_endpoints) {
         const std::string &place = endpoint->record().dataCentre;
         const bool isTakenBack = m_evacuated.count(place) != 0 && dataCentres.count(place) == 0;
@@ -334,6 +341,25 @@
     invalidateUsable();
 }
 
+void service_directory::setRecordsCurrent(std::uint64_t version, time_point currentUntil)
+{
+    m_recordsVersion = std::max(m_recordsVersion, version);
+    m_recordsCurrentUntil = currentUntil;
+    std::erase_if(m_takenBack,
+                  [&](const auto &item) { return item.second.version <= m_recordsVersion; });
+}
+
+cold_state service_directory::coldStateOf(const service_endpoint &endpoint, time_point now) const
+{
+    if (endpoint.isCold(now))
+        return cold_state::cold;
+    const auto back = m_takenBack.find(endpoint.record().dataCentre);
+    if (back != m_takenBack.end() && now < back->second.until)
+        return cold_state::cold;
+    const bool isKnown = areRecordsCurrent(now) && !isLapsed(endpoint.record().id);
+    return isKnown ? cold_state::warm : cold_state::possible;
+}
+
 static bool serves(const service_endpoint &endpoint, std::string_view service)
 {
     return endpoint.record().service == service && !endpoint.isLeaving();
--- a/lib/Policy/RateShare.cpp
+++ b/lib/Policy/RateShare.cpp
@@ -52,6 +52,17 @@
     return rateShareOf(endpoint, perSecond, owners, entries, own);
 }
 
+double laurelcroft::possiblyColdShareOf(std::string_view endpoint, double perSecond,
+                                        std::span<const std::string> entries, std::string_view own)
+{
+    if (std::find(entries.begin(), entries.end(), own) == entries.end())
+        return 1;
+    const double total = possiblyColdRatio * perSecond;
+    const std::size_t owners = wholeOwners(std::max(0.0, total), entries.size());
+    const double share = rateShareOf(endpoint, total, owners, entries, own);
+    return owners > 1 ? std::floor(share) : share;
+}
+
 double laurelcroft::limitShareOf(std::string_view endpoint, double perSecond,
                                  std::span<const std::string> entries, std::string_view own)
 {
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -113,18 +113,21 @@
 
 std::optional<double> routing_state::coldShare(const service_endpoint &endpoint, time_point now)
 {
-    if (!endpoint.isCold(now) || !m_contract)
+    const cold_state state = m_directory.coldStateOf(endpoint, now);
+    if (state == cold_state::warm || !m_contract)
         return std::nullopt;
     const service_description *service = m_contract->findService(endpoint.record().service);
     if (!service || service->coldRequestsPerSecond <= 0)
         return std::nullopt;
     const std::string &id = endpoint.record().id;
+    const double limit = service->coldRequestsPerSecond;
     auto share = m_coldShares.find(id);
     if (share == m_coldShares.end()) {
-        const double own = coldShareOf(id, service->coldRequestsPerSecond, m_entries, m_own);
+        const cold_share own{coldShareOf(id, limit, m_entries, m_own),
+                             possiblyColdShareOf(id, limit, m_entries, m_own)};
         share = m_coldShares.emplace(id, own).first;
     }
-    return share->second;
+    return state == cold_state::cold ? share->second.ifCold : share->second.ifPossible;
 }
 
 /// \returns the \p entries in \p dataCentre, or all of them if none is there.
--- a/lib/Proxy/RowMirror.cpp
+++ b/lib/Proxy/RowMirror.cpp
@@ -91,6 +91,12 @@
         m_onChange();
 }
 
+std::uint64_t row_mirror::versionOf(const std::string &table) const
+{
+    const auto it = m_tables.find(table);
+    return it == m_tables.end() ? unknownVersion : it->second.version;
+}
+
 update_state row_mirror::stateOf(const std::string &table, std::uint64_t since,
                                  time_point now) const
 {
--- a/unittests/Policy/RateShareTests.cpp
+++ b/unittests/Policy/RateShareTests.cpp
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,23 @@
     }
 }
 
+TEST_CASE("all entries together send an endpoint that may be cold no more than half above its rate")
+{
+    // Guards against FAILBACK in a store outage: each share is whole, so no second gets more.
+    for (const std::size_t count : {1, 2, 3, 21, 103}) {
+        const std::vector<std::string> entries = namesOf(count);
+        for (const double perSecond : {1.0, 4.0, 9.1, 18.0}) {
+            CAPTURE(count);
+            CAPTURE(perSecond);
+            double sum = 0;
+            for (const std::string &name : entries)
+                sum += std::ceil(possiblyColdShareOf("p1", perSecond, entries, name));
+            CHECK(sum >= std::floor(perSecond));
+            CHECK(sum <= std::ceil(1.5 * perSecond));
+        }
+    }
+}
+
 TEST_CASE("while entries start, the sum of the shares exceeds the rate by few shares only")
 {
     constexpr double perSecond = 18;
--- a/unittests/Proxy/ColdEndpointTests.cpp
+++ b/unittests/Proxy/ColdEndpointTests.cpp
@@ -11,6 +11,7 @@
 #include <doctest/doctest.h>
 
 #include <deque>
+#include <set>
 
 using namespace laurelcroft;
 
@@ -35,6 +36,7 @@
     fleet entries;
     service_route route = lookupRoute();
     std::map<std::string, time_point> coldUntil; ///< by endpoint, as reported in its row
+    std::set<std::string> ended; ///< endpoints that ended for good
     std::map<std::string, std::deque<time_point>> arrivals; ///< by endpoint, in the last second
     std::map<std::string, unsigned> running; ///< requests in progress, by endpoint
     std::size_t maxPerSecondWhileCold = 0; ///< most requests to a cold endpoint in a second
@@ -90,6 +92,13 @@
         entries.store.remove("endpoints", id);
     }
 
+    /// The same for an endpoint that doesn't come back, even if a request still reaches it.
+    void endForGood(const std::string &id)
+    {
+        ended.insert(id);
+        endEndpoint(id);
+    }
+
     /// Sends requests to the entries in round-robin order for \p time.
     void play(duration time)
     {
@@ -102,6 +111,13 @@
         }
     }
 
+    /// The endpoints \p prefix \p from to \p to become cold; only their rows tell.
+    void turnCold(const std::string &prefix, unsigned from, unsigned to, milliseconds coldFor)
+    {
+        for (unsigned i = from; i < to; ++i)
+            coldUntil[prefix + std::to_string(i)] = entries.runtime.now() + coldFor;
+    }
+
     void request(fleet_entry &entry)
     {
         std::erase_if(flows, [](const auto &flow) { return flow->isDone(); });
@@ -136,7 +152,7 @@
         times.push_back(now);
         while (now - times.front() >= seconds(1))
             times.pop_front();
-        if (now >= coldUntil[id])
+        if (ended.count(id) != 0 || now >= coldUntil[id])
             return;
         ++sentWhileCold;
         maxPerSecondWhileCold = std::max(maxPerSecondWhileCold, times.size());
@@ -221,6 +237,78 @@
     CHECK(!endpoint->isCold(start + milliseconds(9100)));
 }
 
+TEST_CASE("endpoints that turn cold while no entry can read the store stay within their bound")
+{
+    // Guards against FAILBACK: an endpoint turned cold in a store outage and got the usual load.
+    constexpr unsigned left = 25;
+    constexpr std::size_t bound = 14; // 1.5 times the limit, and 5
+    cold_endpoint_fixture fixture(coldLimitPerSecond);
+    for (unsigned i = left; i < endpointCount; ++i)
+        fixture.endForGood("p" + std::to_string(i));
+    fixture.play(seconds(2));
+    fixture.entries.store.away = true;
+    fixture.play(seconds(3));
+    fixture.turnCold("p", 0, left, seconds(5));
+    fixture.served = 0;
+    fixture.play(seconds(3));
+    CHECK(fixture.maxPerSecondWhileCold <= bound);
+    CHECK(fixture.served >= 3 * left * coldLimitPerSecond);
+}
+
+TEST_CASE("a store outage refuses no caller while endpoints get less than cold ones accept")
+{
+    // Guards the callers against the limit that applies while the endpoints' rows are outdated.
+    cold_endpoint_fixture fixture(18);
+    fixture.entries.store.away = true;
+    fixture.play(seconds(5));
+    CHECK(fixture.refused == 0);
+}
+
+TEST_CASE("endpoints taken back just before a store outage stay within their limit while cold")
+{
+    // Guards against FAILBACK: the assumption that they are cold ended before their rows came.
+    constexpr unsigned back = 20;
+    constexpr unsigned left = 5;
+    cold_endpoint_fixture fixture(coldLimitPerSecond);
+    for (unsigned i = 0; i < back; ++i)
+        fixture.startEndpoint("q" + std::to_string(i) + "@east", milliseconds(0));
+    for (unsigned i = left; i < endpointCount; ++i)
+        fixture.endForGood("p" + std::to_string(i));
+    fixture.entries.store.put("orders", "evacuate east", "{}");
+    fixture.play(seconds(3));
+    for (unsigned i = 0; i < back; ++i)
+        fixture.startEndpoint("q" + std::to_string(i) + "@east", milliseconds(4500));
+    fixture.entries.store.awayTable = "endpoints";
+    fixture.entries.store.remove("orders", "evacuate east");
+    fixture.play(seconds(4));
+    CHECK(fixture.maxPerSecondWhileCold <= coldLimitPerSecond);
+}
+
+TEST_CASE("a row from before a data centre was taken back does not end its suspicion")
+{
+    // Guards against FAILBACK: a late row of the time before the return counted as news of it.
+    service_directory directory;
+    const time_point start{seconds(1000)};
+    endpoint_record record;
+    record.id = "a";
+    record.service = "pool";
+    record.dataCentre = "east";
+    record.rowVersion = 7;
+    directory.apply(record, start);
+    directory.setRecordsCurrent(7, start + seconds(60));
+    directory.setEvacuated({"east"}, start, 8);
+    directory.setEvacuated({}, start + seconds(1), 12);
+    record.rowVersion = 11;
+    directory.apply(record, start + seconds(2));
+    directory.setRecordsCurrent(11, start + seconds(60));
+    const endpoint_ptr endpoint = directory.usable("pool").at(0);
+    CHECK(directory.coldStateOf(*endpoint, start + seconds(3)) == cold_state::cold);
+    const time_point last = start + seconds(1) + service_directory::maxAssumedColdTime;
+    CHECK(directory.coldStateOf(*endpoint, last) == cold_state::warm);
+    directory.setRecordsCurrent(12, start + seconds(60));
+    CHECK(directory.coldStateOf(*endpoint, start + seconds(3)) == cold_state::warm);
+}
+
 TEST_CASE("a request waits for the only endpoint, which is cold, and is refused after a time limit")
 {
     flow_fixture fixture(lookupRoute(), {});
--- a/unittests/Proxy/FakeStore.h
+++ b/unittests/Proxy/FakeStore.h
@@ -28,6 +28,10 @@
     void list(const std::string &table, row_callback<row_batch> done)
     {
         ++lists;
+        if (table == awayTable) {
+            m_runtime.after(callDelay, [done] { done(failure(row_failure::unknown)); });
+            return;
+        }
         answer(std::move(done), [this, table] { return rowsOf(table, 0, false); });
     }
 
@@ -43,7 +47,7 @@
         const milliseconds delay
                 = away ? awayDelay : (hasChanged || wait.count() == 0 ? callDelay : wait);
         m_runtime.after(delay, [this, table, since, done] {
-            if (away)
+            if (away || table == awayTable)
                 done(failure(row_failure::unknown));
             else
                 done(rowsOf(table, since, true));
@@ -75,6 +79,7 @@
     static constexpr milliseconds callDelay{1};
 
     bool away = false;
+    std::string awayTable; ///< reads of this table fail
     milliseconds awayDelay = callDelay; ///< time until a call fails while the store is unavailable
     bool hasLostHistory = false;
     unsigned lists = 0;
