Don't take leaving notices for evidence

What callers saw: entries went on sending to an endpoint that another entry knew to be leaving, until an answer or the store's row told them as well.

Cause: notices are told apart by trying decoders in turn. A leaving notice has the fields of an evidence notice without routes, and evidence is tried first. No entry has ever applied a leaving notice of another one.

Evidence: a new kind of the same shape was received (traced system calls) and not applied. "a leaving notice reaches the handler of its kind" and "no notice decodes as another kind" failed before: 0 notices heard, kind 6 accepted by the decoder of evidence.

Why the fix works: evidence of no route, which is never sent, is rejected. All nine kinds are checked against all nine decoders; no other pair.

--- a/lib/Proxy/EvidenceNotice.cpp
+++ b/lib/Proxy/EvidenceNotice.cpp
@@ -44,7 +44,8 @@
 
 static bool isWellFormed(const json &item)
 {
-    if (!item.is_array() || item.size() < fieldsBeforeRoutes)
+    // Evidence of no route is never sent. A leaving notice has as many fields.
+    if (!item.is_array() || item.size() <= fieldsBeforeRoutes)
         return false;
     if ((item.size() - fieldsBeforeRoutes) % routeFields != 0)
         return false;
--- a/unittests/Proxy/NoticeChannelTests.cpp
+++ b/unittests/Proxy/NoticeChannelTests.cpp
@@ -23,7 +23,8 @@
                    [this](const evidence_notice &notice) { evidence.push_back(notice); },
                    [this](const crash_notice &notice) { ends.push_back(notice); },
                    [this](const withheld_notice &notice) { withheld.push_back(notice); },
-                   [](const cleared_notice &) {}, nullptr, nullptr, nullptr,
+                   [](const cleared_notice &) {}, nullptr,
+                   [this](const leaving_notice &notice) { leaving.push_back(notice); }, nullptr,
                    [this](const pressure_notice &notice) { pressures.push_back(notice); }})
     {
     }
@@ -32,6 +33,7 @@
     std::vector<evidence_notice> evidence;
     std::vector<crash_notice> ends;
     std::vector<withheld_notice> withheld;
+    std::vector<leaving_notice> leaving;
     std::vector<pressure_notice> pressures;
     notice_channel notices;
 };
@@ -129,6 +131,51 @@
     CHECK(!near.heard.empty());
 }
 
+TEST_CASE("a leaving notice reaches the handler of its kind")
+{
+    // Guards against DRAIN: it was decoded as evidence of no route and never applied.
+    asio::io_context context;
+    recording_entry sender(context);
+    recording_entry near(context);
+    REQUIRE(sender.notices.open().empty());
+    REQUIRE(near.notices.open().empty());
+    sender.notices.setEntries({{"near", placeOf(near, "a")}}, "teller");
+    sender.notices.sendLeavingNotice({"i-1", 7, 2});
+    context.run_for(milliseconds(100));
+    REQUIRE(near.leaving.size() == 1);
+    CHECK(near.leaving[0] == leaving_notice{"i-1", 7, 2});
+    CHECK(near.evidence.empty());
+}
+
+TEST_CASE("no notice decodes as another kind")
+{
+    // Guards against notices that are taken for others and lost.
+    rollout_evidence evidence{7, {}, 11};
+    evidence.byRoute["draft"] = {5, 1, 0};
+    const std::vector<std::string> notices
+            = {encodeSendNotice({"i-1", milliseconds(42), {{7, 250}}}),
+               encodeEvidenceNotice({"edge-1", "pool", evidence}),
+               encodeCrashNotice({7, "pool", "v1", {{1, milliseconds(5), milliseconds(9)}}}),
+               encodeWithheldNotice({7, "pool", {"v1"}, {9}, seconds(3)}),
+               encodeClearedNotice({7, "v1"}),
+               encodeRateLimitNotice({"i-1", 7, 2.5, milliseconds(3), 1}),
+               encodeLeavingNotice({"i-1", 7, 1}),
+               encodePaceNotice({{{"i-1", 120, 110, 3}}, false}),
+               encodePressureNotice({"pool", 35, 7, 9})};
+    for (std::size_t i = 0; i < notices.size(); ++i) {
+        CAPTURE(i);
+        const std::string &bytes = notices[i];
+        const std::vector<bool> decoded
+                = {decodeSendNotice(bytes).has_value(),    decodeEvidenceNotice(bytes).has_value(),
+                   decodeCrashNotice(bytes).has_value(),   decodeWithheldNotice(bytes).has_value(),
+                   decodeClearedNotice(bytes).has_value(), decodeRateLimitNotice(bytes).has_value(),
+                   decodeLeavingNotice(bytes).has_value(), decodePaceNotice(bytes).has_value(),
+                   decodePressureNotice(bytes).has_value()};
+        for (std::size_t kind = 0; kind < decoded.size(); ++kind)
+            CHECK(decoded[kind] == (kind == i));
+    }
+}
+
 TEST_CASE("pressure notices reach all other entries in turn, within the bytes for findings")
 {
     constexpr std::size_t others = 2 * notice_channel::pressureRecipients;
