Learn how long the stated pace of an endpoint holds

Cause: a stated value that differs from what lasts counted with a half-life of 0.3 s, which fits machines that change several times a second. An entry hears of an endpoint each 0.6 s here, so most of what it knew was forgotten.

Why the fix works: the half-life is learned for each endpoint from the values that follow such a one. Where it exceeds 0.6 s, the value counts for the requests that run there as well.

Ruled out: a fixed half-life of 1 s (docs/design/PACE.md).

--- a/include/laurelcroft/Fleet/EndpointPace.h
+++ b/include/laurelcroft/Fleet/EndpointPace.h
@@ -6,7 +6,7 @@
 // Two sources: what the endpoint states in its answers, and times that entries observe. Each has a
 // lasting part, which is forgotten over tens of seconds, so that an endpoint that nobody has used
 // for a while is tried again. A stated value that differs from the lasting one is a moment that
-// passes within a second. Not thread-safe.
+// passes within a second, unless the endpoint's values have shown to hold longer. Not thread-safe.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_FLEET_ENDPOINTPACE_H
@@ -55,6 +55,14 @@
     /// \returns the slowdown of work that starts now.
     double slowdown(time_point now) const;
 
+    /// \returns the slowdown of the requests that run there now: the lasting one, or that of the
+    /// moment if moments have shown to hold longer than such a request.
+    double batchSlowdown(time_point now) const;
+
+    /// \returns the half-life of a stated value that differs from the lasting one, as learned from
+    /// the values that followed such ones.
+    duration momentHalfLife() const;
+
     /// \returns the expected time, in milliseconds, of work that starts now and usually takes
     /// \p workMs at the service's endpoints.
     double expectedMs(double workMs, time_point now) const;
@@ -70,6 +78,8 @@
     double observed(time_point now) const;
     /// \returns the latest stated value relative to the lasting one, when it was stated.
     double moment() const;
+    /// Learns whether the latest stated value has held until \p now, when \p next is stated.
+    void noteHold(double next, time_point now);
 
     bool m_isStated = false;
     double m_lastStated = 1;
@@ -77,6 +87,8 @@
     std::array<double, maxValues> m_values{}; ///< latest stated values, a ring
     std::size_t m_count = 0; ///< values ever added
     double m_lasting = 1; ///< of the values; kept, since each choice reads it for each endpoint
+    double m_heldSeconds = 0; ///< for which stated moments have held, decayed
+    double m_momentEnds = 0; ///< of stated moments, decayed like m_heldSeconds
     double m_logSum = 0; ///< weighted sum of the logarithms of observed ratios
     double m_weight = 0; ///< of the observations
     time_point m_observedAt{};
--- a/include/laurelcroft/Proxy/RequestFlowCandidates.h
+++ b/include/laurelcroft/Proxy/RequestFlowCandidates.h
@@ -19,7 +19,7 @@
     candidate.idHash = endpoint->idHash();
     candidate.load = endpoint->expectedLoad(at);
     candidate.slots = std::max(1U, endpoint->record().slots);
-    candidate.slowdown = prompt.work ? endpoint->pace().usual(at) : 1;
+    candidate.slowdown = prompt.work ? endpoint->pace().batchSlowdown(at) : 1;
     candidate.waitMs = waitMs(*endpoint, candidate, prompt, tokensToRead(kept));
     candidate.uncachedMs = candidate.slowdown * prompt.msPerToken * (prompt.sharedTokens - kept);
     candidate.failureRate = endpoint->failureRate(at);
--- a/lib/Fleet/EndpointPace.cpp
+++ b/lib/Fleet/EndpointPace.cpp
@@ -10,18 +10,25 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 #include <numeric>
 
 using namespace laurelcroft;
 
 namespace {
 
-/// Half-life of a momentary slowdown. Machines change several times per second: after 50 ms a value
-/// still holds at most machines, after 200 ms at two of three, after 1,000 ms at one of ten.
-constexpr milliseconds momentHalfLife{300};
-/// Expected remaining time of a momentary slowdown, in milliseconds; longer work is slowed down for
-/// this part only.
-constexpr double momentLeftMs = 300;
+/// Half-life of a momentary slowdown before anything is learned, in seconds. Machines that are
+/// shared change several times per second: after 50 ms a value still holds at most of them, after
+/// 200 ms at two of three, after 1,000 ms at one of ten.
+constexpr double priorHalfLife = 0.3;
+/// Weight of the prior, in ends of moments.
+constexpr double priorEnds = 2;
+/// Ends of moments that are remembered, so that other habits are learned in a few.
+constexpr double maxEnds = 10;
+/// Greatest half-life of a moment, in seconds.
+constexpr double maxHalfLife = 3;
+/// Half-life, in seconds, from which a moment outlasts the requests that run at an endpoint.
+constexpr double longHalfLife = 0.6;
 /// Half-life of the lasting slowdown without new samples. Long compared with the time between two
 /// answers of an endpoint to all entries, short compared with the time for which machines keep
 /// their neighbours.
@@ -48,10 +55,42 @@
     return slowdown >= endpoint_pace::minSlowdown && slowdown <= endpoint_pace::maxSlowdown;
 }
 
+static bool agree(double a, double b)
+{
+    return a < b * agreeingFactor && b < a * agreeingFactor;
+}
+
+void endpoint_pace::noteHold(double next, time_point now)
+{
+    const bool wasMoment = m_isStated && !agree(m_lastStated, m_lasting);
+    if (!wasMoment)
+        return;
+    const std::chrono::duration<double> passed = now - m_statedAt;
+    const bool holds = agree(m_lastStated, next);
+    // A value that has changed held for half of the time on average.
+    m_heldSeconds += std::clamp(passed.count(), 0.0, maxHalfLife) * (holds ? 1 : 0.5);
+    m_momentEnds += holds ? 0 : 1;
+    const double total = m_momentEnds + m_heldSeconds;
+    if (total > maxEnds) {
+        m_heldSeconds *= maxEnds / total;
+        m_momentEnds *= maxEnds / total;
+    }
+}
+
+duration endpoint_pace::momentHalfLife() const
+{
+    const double ends = priorEnds + m_momentEnds;
+    const double held = priorEnds * priorHalfLife / std::numbers::ln2 + m_heldSeconds;
+    const std::chrono::duration<double> halfLife(
+            std::min(maxHalfLife, std::numbers::ln2 * held / ends));
+    return std::chrono::duration_cast<duration>(halfLife);
+}
+
 void endpoint_pace::noteMoment(double slowdown, time_point now)
 {
     if (!isValid(slowdown))
         return;
+    noteHold(slowdown, now);
     m_isStated = true;
     m_lastStated = slowdown;
     m_statedAt = now;
@@ -92,9 +131,8 @@
     std::sort(sorted.begin(), end);
     // The lower of two middle values, since momentary slowdowns only make values larger.
     const double median = sorted[(count - 1) / 2];
-    const auto agreeing = std::count_if(sorted.begin(), end, [median](double value) {
-        return value < median * agreeingFactor && median < value * agreeingFactor;
-    });
+    const auto agreeing = std::count_if(sorted.begin(), end,
+                                        [median](double value) { return agree(value, median); });
     if (static_cast<std::size_t>(agreeing) * 2 > count)
         return median;
     const double logSum = std::accumulate(sorted.begin(), end, 0.0, [](double sum, double value) {
@@ -134,7 +172,13 @@
 {
     const double lasting = usual(now);
     const double moment = this->moment();
-    return lasting * (1 + (moment - 1) * decayFactor(now - m_statedAt, momentHalfLife));
+    return lasting * (1 + (moment - 1) * decayFactor(now - m_statedAt, momentHalfLife()));
+}
+
+double endpoint_pace::batchSlowdown(time_point now) const
+{
+    const bool isLong = momentHalfLife() >= std::chrono::duration<double>(longHalfLife);
+    return isLong ? slowdown(now) : usual(now);
 }
 
 double endpoint_pace::expectedMs(double workMs, time_point now) const
@@ -143,6 +187,7 @@
     const double moment = this->moment();
     if (moment <= 1)
         return lastingMs;
-    const double addedMs = std::min((moment - 1) * lastingMs, momentLeftMs * (1 - 1 / moment));
-    return lastingMs + addedMs * decayFactor(now - m_statedAt, momentHalfLife);
+    const std::chrono::duration<double, std::milli> left = momentHalfLife();
+    const double addedMs = std::min((moment - 1) * lastingMs, left.count() * (1 - 1 / moment));
+    return lastingMs + addedMs * decayFactor(now - m_statedAt, momentHalfLife());
 }
--- a/unittests/Fleet/EndpointPaceTests.cpp
+++ b/unittests/Fleet/EndpointPaceTests.cpp
@@ -49,6 +49,27 @@
     CHECK(pace.slowdown(now + milliseconds(1000)) < 1.5);
 }
 
+TEST_CASE("a stated pace that has held for long counts longer than one that passes")
+{
+    // Guards against callers who are late: a pace that turns each 1.5 s was forgotten in 0.3 s.
+    for (const bool turns : {false, true}) {
+        CAPTURE(turns);
+        endpoint_pace pace;
+        time_point now{seconds(100)};
+        for (int i = 0; i < 40; ++i) {
+            now += milliseconds(300);
+            const bool isSlow = turns ? i / 5 % 2 == 0 : i % 5 == 0;
+            pace.noteStated(isSlow ? 3 : 1, now);
+        }
+        pace.noteStated(3, now + milliseconds(300));
+        now += milliseconds(300);
+        const bool isLong = pace.momentHalfLife() > milliseconds(700);
+        CHECK(isLong == turns);
+        CHECK((pace.slowdown(now + milliseconds(500)) > 1.9) == turns);
+        CHECK((pace.batchSlowdown(now) > 2.5) == turns);
+    }
+}
+
 TEST_CASE("a lasting slowdown is kept for tens of seconds and then forgotten")
 {
     endpoint_pace pace;
