Tell other entries of refusing endpoints, and keep a repeat for them

Cause: each entry met the six endpoints by itself, at the cost of a send of its small budget each time; a larger model took the last send while endpoints refused, so that a ready answer was dropped for a 502; after the wait a request met three of the six again.

Evidence: of 42 failed callers nearly all had lacks=budget, 24 of 32 refused ones in the first two seconds, all ten 502 had escalations=1.

Why the fix works: one entry tells the others, who use the endpoint only if there is no other. An answer is dropped only if a repeat is left, while endpoints refuse or before ten answers are known. Further sends avoid endpoints that have accepted nothing since they refused another entry.

--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -165,6 +165,14 @@
     /// Records that it refused a request because it is full. It is avoided briefly.
     void recordFull(time_point now);
 
+    /// Records that it refuses requests of another entry for \p time: until then it gets requests
+    /// only if there is no other endpoint.
+    void recordRefusalElsewhere(duration time, time_point now)
+    {
+        m_avoidedUntil = std::max(m_avoidedUntil, now + time);
+        m_isRecoveryUnconfirmed = true;
+    }
+
     /// Starts a backoff of \p time, or extends the current one; never shortens it.
     void startBackoff(duration time, time_point now)
     {
@@ -173,7 +181,8 @@
     }
     void acceptedRequest() { m_isRecoveryUnconfirmed = false; }
 
-    /// \returns true when it has accepted no request since its last backoff started.
+    /// \returns true when it has accepted no request since its last backoff started, or since it
+    /// was last known to refuse requests of another entry.
     bool isRecoveryUnconfirmed() const { return m_isRecoveryUnconfirmed; }
     time_point backoffUntil() const { return m_backoffUntil; }
     bool isInBackoff(time_point now) const { return now < m_backoffUntil; }
--- a/include/laurelcroft/Policy/ConfidenceCascade.h
+++ b/include/laurelcroft/Policy/ConfidenceCascade.h
@@ -9,6 +9,7 @@
 #define LAURELCROFT_POLICY_CONFIDENCECASCADE_H
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 
 namespace laurelcroft {
@@ -48,13 +49,22 @@
 {
 public:
     /// \param share wait for a first part divided by the route's objective.
-    void addSample(double share) { m_mean += weight * (share - m_mean); }
+    void addSample(double share)
+    {
+        m_mean += weight * (share - m_mean);
+        ++m_samples;
+    }
     double mean() const { return m_mean; }
 
+    /// \returns true after some answers; before that nothing is known of the service's endpoints.
+    bool isKnown() const { return m_samples >= minSamples; }
+
 private:
     /// At some tens of answers per second, the mean follows a change within about a second.
     static constexpr double weight = 0.03;
+    static constexpr std::uint64_t minSamples = 10;
     double m_mean = 0;
+    std::uint64_t m_samples = 0;
 };
 
 /// \returns the minimum confidence, in percent, at which an answer is kept at this mean wait.
--- a/include/laurelcroft/Proxy/NoticeChannel.h
+++ b/include/laurelcroft/Proxy/NoticeChannel.h
@@ -15,6 +15,7 @@
 #define LAURELCROFT_PROXY_NOTICECHANNEL_H
 
 #include "laurelcroft/Fleet/PrefixCacheEstimate.h"
+#include "laurelcroft/Proxy/BackoffNotice.h"
 #include "laurelcroft/Proxy/CrashNotices.h"
 #include "laurelcroft/Proxy/EvidenceNotice.h"
 #include "laurelcroft/Proxy/LeavingNotice.h"
@@ -64,6 +65,7 @@
     std::function<void(const pressure_notice &notice)> onPressure = nullptr;
     /// Handles datagrams of any other kind. \returns true if it accepts the datagram. May be empty.
     std::function<bool(std::string_view bytes)> onOther = nullptr;
+    std::function<void(const backoff_notice &notice)> onBackoff = nullptr;
 };
 
 /// Sends and receives notices between entries. Not thread-safe.
@@ -131,6 +133,8 @@
     void sendRateLimitNotice(const rate_limit_notice &notice);
     void sendLeavingNotice(const leaving_notice &notice);
 
+    /// Sends \p notice to \c maxRecipients other entries, chosen round-robin, within the budget.
+    void sendBackoffNotice(const backoff_notice &notice);
     /// Sends \p notice to \p recipients other entries, chosen round-robin, within the budget.
     void sendPaceNotice(const pace_notice &notice, std::size_t recipients);
     /// Sends \p notice to \c pressureRecipients other entries, chosen round-robin.
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -233,6 +233,10 @@
     /// \returns the index of the model that may replace the current answer.
     std::optional<std::size_t> escalationCandidate(const cascade_view &view);
     cascade_view cascadeView();
+    /// \returns true if an answer may be dropped for a larger model's. While endpoints refuse
+    /// requests, or little is known of them, a repeat must be left too: the caller gets nothing if
+    /// the larger model's endpoint refuses.
+    bool mayDropAnswer();
     void onData(std::string_view data);
     void onEvent(const stream_event &event);
     /// Keeps a part of an answer that is delivered when it is complete, unless it grows too large.
--- a/include/laurelcroft/Proxy/RequestFlowCascade.h
+++ b/include/laurelcroft/Proxy/RequestFlowCascade.h
@@ -91,11 +91,22 @@
     view.confidence = m_answer.confidence;
     view.wait = m_env.routing().waits(m_service).mean();
     view.draw = m_env.routing().random().uniform();
-    view.mayRunAgain = m_route->mayRepeat() && now.endpointsLeft && now.timeLeft
-            && mayTakeFurtherSend(further_send::largerModel);
+    view.mayRunAgain = m_route->mayRepeat() && now.endpointsLeft && now.timeLeft && mayDropAnswer();
     return view;
 }
 
+template <flow_environment Env>
+bool request_flow<Env>::mayDropAnswer()
+{
+    constexpr double sendsOfEscalationAndRepeat = 2;
+    routing_state &state = m_env.routing();
+    const bool needsRepeat
+            = state.hasRefusingEndpoint(m_service, now()) || !state.waits(m_service).isKnown();
+    const bool hasRepeat
+            = budget().availableSends(now(), allowanceShare()) >= sendsOfEscalationAndRepeat;
+    return mayTakeFurtherSend(further_send::largerModel) && (!needsRepeat || hasRepeat);
+}
+
 template <flow_environment Env>
 std::optional<std::size_t> request_flow<Env>::escalationCandidate(const cascade_view &view)
 {
--- a/include/laurelcroft/Proxy/RequestFlowEndpointState.h
+++ b/include/laurelcroft/Proxy/RequestFlowEndpointState.h
@@ -34,7 +34,7 @@
     if (!m_answer.notRun)
         m_endpoint->acceptedRequest();
     if (m_answer.retryAfter)
-        m_endpoint->startBackoff(*m_answer.retryAfter, now());
+        m_env.routing().noteBackoff(*m_endpoint, *m_answer.retryAfter, now());
     m_record.endpointRetryAfter = m_answer.retryAfter;
 }
 
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -18,6 +18,7 @@
 #include "laurelcroft/Policy/ServiceDemand.h"
 #include "laurelcroft/Policy/ServicePressure.h"
 #include "laurelcroft/Policy/ServiceRoom.h"
+#include "laurelcroft/Proxy/BackoffWatch.h"
 #include "laurelcroft/Proxy/CrashWatch.h"
 #include "laurelcroft/Proxy/LeavingWatch.h"
 #include "laurelcroft/Proxy/LoadSettings.h"
@@ -94,6 +95,18 @@
     /// unless all of them are in backoff.
     std::optional<time_point> earliestBackoffEnd(std::string_view service, time_point now) const;
 
+    backoff_watch &backoffs() { return m_backoffs; }
+
+    /// Records that an answer of \p endpoint states a Retry-After of \p time.
+    void noteBackoff(service_endpoint &endpoint, milliseconds time, time_point now);
+
+    /// Applies a Retry-After that was stated to another entry. Ignored for an unlisted endpoint.
+    void noteBackoffElsewhere(const backoff_notice &notice, time_point now);
+
+    /// \returns true while the Retry-After of an endpoint of \p service, stated to this or another
+    /// entry, has not elapsed.
+    bool hasRefusingEndpoint(std::string_view service, time_point now) const;
+
     /// Applies a leaving state that was stated to another entry. Ignored for an unlisted endpoint.
     void noteLeavingElsewhere(const leaving_notice &notice, time_point now)
     {
@@ -256,6 +269,9 @@
     crash_watch m_crashes;
     rate_limit_watch m_rateLimits;
     leaving_watch m_leaving;
+    backoff_watch m_backoffs;
+    /// Latest end of a Retry-After, keyed by service.
+    std::map<std::string, time_point, std::less<>> m_refusedUntil;
     pace_watch m_pace;
     std::map<std::string, rollout_tracker, std::less<>> m_rollouts;
     std::map<std::string, send_budget, std::less<>> m_repeats;
--- a/lib/Proxy/NoticeChannel.cpp
+++ b/lib/Proxy/NoticeChannel.cpp
@@ -34,8 +34,9 @@
 constexpr std::size_t fieldsBeforePrefixes = 2;
 /// Burst size of the byte budget, as seconds of its rate.
 constexpr double burstSeconds = 1;
-/// Part of the burst for findings that pace notices leave to them, since a late finding costs more.
-constexpr double paceReserveBytes = 0.75 * notice_channel::findingBurstBytes;
+/// Part of the burst for findings that pace and backoff notices leave to them, since a late finding
+/// costs more.
+constexpr double hintReserveBytes = 0.75 * notice_channel::findingBurstBytes;
 
 } // namespace
 
@@ -124,6 +125,7 @@
     std::map<std::string, udp::endpoint> byName; ///< the same entries by name
     rotation findingTurn{"finding_notices_total"};
     rotation paceTurn{"pace_notices_total"};
+    rotation backoffTurn{"backoff_notices_total"};
     token_bucket findingBytes{findingBytesPerSecond, findingBurstBytes};
     std::map<std::string, std::vector<udp::endpoint>> recipients; ///< by data centre
     token_bucket bytes{bytesPerSecond, bytesPerSecond *burstSeconds};
@@ -225,6 +227,7 @@
             || dispatch(handlers.onCleared, decodeClearedNotice(bytes))
             || dispatch(handlers.onRateLimit, decodeRateLimitNotice(bytes))
             || dispatch(handlers.onLeaving, decodeLeavingNotice(bytes))
+            || dispatch(handlers.onBackoff, decodeBackoffNotice(bytes))
             || dispatch(handlers.onPressure, decodePressureNotice(bytes));
     if (isFinding)
         metrics.add("finding_notices_total{way=\"received\"}");
@@ -281,9 +284,15 @@
     m_state->sendFinding(encodeLeavingNotice(notice), false);
 }
 
+void notice_channel::sendBackoffNotice(const backoff_notice &notice)
+{
+    m_state->sendInTurn(encodeBackoffNotice(notice), maxRecipients, hintReserveBytes,
+                        m_state->backoffTurn);
+}
+
 void notice_channel::sendPaceNotice(const pace_notice &notice, std::size_t recipients)
 {
-    m_state->sendInTurn(encodePaceNotice(notice), recipients, paceReserveBytes, m_state->paceTurn);
+    m_state->sendInTurn(encodePaceNotice(notice), recipients, hintReserveBytes, m_state->paceTurn);
 }
 
 void notice_channel::sendPressureNotice(const pressure_notice &notice)
--- a/unittests/Proxy/RetryAfterTests.cpp
+++ b/unittests/Proxy/RetryAfterTests.cpp
@@ -137,6 +137,44 @@
     }
 }
 
+TEST_CASE(
+        "while an endpoint refuses requests, an answer is dropped only if a repeat is left as well")
+{
+    // Guards against answers that are lost: the larger model's endpoint refused, and the caller got
+    // a 502 because no send was left.
+    for (const bool refuses : {false, true}) {
+        CAPTURE(refuses);
+        flow_fixture fixture(draftRoute(), {"e1", "e2", "e3"});
+        routing_bounds bounds;
+        bounds.repeats = {0.5, 0, seconds(10)};
+        routing_state charged(bounds, {0, 50}, 1);
+        charged.setContract(fixture.routing.contract());
+        const time_point now = fixture.runtime.now();
+        for (const auto &[id, endpoint] : fixture.routing.directory().all())
+            charged.directory().apply(endpoint->record(), now);
+        for (int i = 0; i < 10; ++i)
+            charged.waits("pool").addSample(0.1);
+        while (charged.repeats("pool").availableSends(now, 0) < 1)
+            charged.repeats("pool").countRequest(now, 0);
+        if (refuses)
+            charged.noteBackoffElsewhere({"e3", 0, seconds(3)}, now);
+        fixture.routing = std::move(charged);
+        startFlow(fixture, requestFor(draftRoute()));
+        fixture.answer(0, 200, 5);
+        CHECK(fixture.calls.size() == (refuses ? 1 : 2));
+    }
+}
+
+TEST_CASE("an endpoint that refuses requests of another entry gets none while there are others")
+{
+    // Guards against callers who are refused because each entry meets refusing endpoints by itself.
+    backoff_fixture fixture(lookupRoute(), {"e1", "e2"});
+    fixture.routing.noteBackoffElsewhere({"e1", 0, seconds(3)}, fixture.runtime.now());
+    CHECK(fixture.sentTo("e1", 59) == 0);
+    fixture.runtime.advance(milliseconds(100));
+    CHECK(fixture.sentTo("e1", 40) > 0);
+}
+
 TEST_CASE("the only endpoint out of backoff is found among many")
 {
     backoff_fixture fixture(lookupRoute(), {});
