--- a/include/laurelcroft/Policy/CrashSuspects.h
+++ b/include/laurelcroft/Policy/CrashSuspects.h
@@ -4,10 +4,9 @@
 // endpoint terminates unexpectedly (an "end"), any request that it had recently started may be the
 // cause. The cause is identified over several ends, and by requests that other endpoints complete.
 //
-// The cases that it must handle: a crashing request every 0.4 s, at any entry, to endpoints that
-// each run about ten other recent requests; endpoints that also terminate for other reasons, eight
-// per second out of 24, while all callers send the same harmless request; and a flood of requests
-// of which none is repeated.
+// The cases that it must handle: crashing requests that come often, at any entry, to endpoints that
+// each run many other recent requests; endpoints that also terminate for other reasons while all
+// callers send the same harmless request; and a flood of requests of which none is repeated.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_POLICY_CRASHSUSPECTS_H
@@ -71,8 +70,7 @@
     /// ended endpoints had recently started is sent alone to a third.
     static constexpr unsigned endsToWithhold = 3;
     /// The same while endpoints also terminate for unknown reasons: \c minUnexplainedEnds or more
-    /// times within \c unexplainedEndsWindow. If each endpoint terminates every three seconds, 3 of
-    /// 1,000 harmless requests meet three ends.
+    /// times within \c unexplainedEndsWindow: harmless requests then meet three ends by chance.
     static constexpr unsigned endsToWithholdUnstable = 5;
     static constexpr std::size_t minUnexplainedEnds = 5;
     static constexpr seconds unexplainedEndsWindow{10};
@@ -89,9 +87,8 @@
     static constexpr std::chrono::hours withheldFor{1};
     /// Delay after which a finding is confirmed. By then, any runs of a harmless request that were
     /// in progress at any entry have been completed or have lasted long enough to clear it; its
-    /// sends have only been delayed. Without the delay, a harmless request that all callers had
-    /// just begun to send, while eight of 24 endpoints ended per second, was withheld in 2 of 12
-    /// test runs, and 960 requests were refused in each.
+    /// sends have only been delayed. Without the delay, a harmless request that all callers have
+    /// just begun to send is withheld while endpoints also terminate for other reasons.
     static constexpr milliseconds confirmationDelay{1100};
     /// Memory bounds, at about 200 bytes per entry, against a flood of requests that are sent only
     /// once.
--- a/include/laurelcroft/Proxy/RequestFlowChoosing.h
+++ b/include/laurelcroft/Proxy/RequestFlowChoosing.h
@@ -60,9 +60,7 @@
 request_flow<Env>::pickSameVersion(const std::vector<endpoint_ptr> &usable)
 {
     // A session on trial keeps its version while any endpoint of the version may answer, not only
-    // the few of the trial. Without this, when a third of the endpoints crashed, failed attempts at
-    // the few moved 1 to 3 requests per day back to the old version on 5 of 7 days. A version that
-    // was found bad is not tried again.
+    // the few of the trial, which may have crashed. A version that was found bad is not tried again.
     rollout_tracker &rollouts = m_env.routing().rollouts(m_service);
     if (m_request->session.empty() || rollouts.evaluator().isFoundBad())
         return std::nullopt;
@@ -80,8 +78,7 @@
 {
     // Resume a stream at the version that began it: a trial started in the meantime may fail a
     // stream that the caller has half received. The last attempt avoids a suspected version on
-    // trial: such a version failed the last attempt of one of 106,000 streams, which then had to be
-    // aborted.
+    // trial: if it fails, the stream must be aborted.
     const bool isLast = m_sends + 1 >= m_route->maxEndpoints;
     if (isLast && m_env.routing().rollouts(m_service).evaluator().isSuspected()) {
         std::optional<endpoint_pick> settled
--- a/include/laurelcroft/Proxy/RowTimings.h
+++ b/include/laurelcroft/Proxy/RowTimings.h
@@ -15,9 +15,8 @@
 ///
 /// An entry that the others read from may lose the store at any time, and its standbys with it. The
 /// others then trust their rows for \c maxRowAge, wait for a standby for \c staleWait, and read the
-/// store themselves well within the bound. With 0.7 and 0.75 of the bound, and both readers and
-/// their standbys cut off together, entries used contracts older than the bound on 3 of 100 days of
-/// 34 s with faults (21 entries); with 0.55 and 0.2 on none of the same days.
+/// store themselves well within the bound, also when both readers and their standbys are cut off
+/// together.
 struct row_timings
 {
     /// \param bound time within which a change must be in force.
--- a/include/laurelcroft/Proxy/VersionEvaluator.h
+++ b/include/laurelcroft/Proxy/VersionEvaluator.h
@@ -58,9 +58,8 @@
                  std::optional<answer_timing> timing, time_point now);
 
     /// Records that an attempt is still waiting for its first part. A slow answer ends long after
-    /// it is known to be slow: when it was counted only at its end, versions with half of the
-    /// answers eight times as slow were completed on 2 of 6 days, because the fast answers had
-    /// ended first.
+    /// it is known to be slow; counted only at its end, it would come after the fast answers that
+    /// complete a slow version.
     /// \param soFar how long it has waited until now.
     /// \returns true when it counts as slow from now on.
     bool observeWait(bool onTarget, std::string_view route, std::string_view model,
--- a/lib/Policy/ServiceRollout.cpp
+++ b/lib/Policy/ServiceRollout.cpp
@@ -22,25 +22,20 @@
 namespace {
 
 /// Requests per second, over all entries, that a trial gets: a version that fails a third of its
-/// requests is detected within some seconds, before fifty of its answers were bad. With 6, and no
-/// requests in the first half of the window, a version that answers half of its requests eight
-/// times as slowly was reverted 18.0 to 22.4 s after the start of the test day. With 9, and
-/// slow answers counted as soon as they are late, it was reverted after 16.8 to 20.4 s (12 days
-/// each, window from 5 to 23 s, 32 entries).
+/// requests is detected within some seconds, before fifty of its answers were bad. A version that is
+/// only slow takes longer, and must be reverted before the deadline too.
 constexpr double trialRequestsPerSecond = 9;
 /// Largest fraction of the tolerated exposure that a trial uses.
 constexpr double trialExposureFraction = 0.5;
 /// Fraction of the tolerated exposure that trial and full share use together if no fault is found;
 /// the rest is reserved for a request rate that rises towards the end.
 constexpr double plannedExposureFraction = 0.88;
-/// Start of the trial, as a fraction of the window: just after its first half. When the trial
-/// started with the order, at a share sized for 1.5 requests per second, 1 or 2 requests of
-/// sessions in progress changed their version in the first half on 23 of 72 days with a good
-/// version (32 entries, 128 requests per second).
+/// Start of the trial, as a fraction of the window: just after its first half, in which no session
+/// may change its version. Even a small trial moves requests of sessions in progress.
 constexpr double trialStartFraction = 0.51;
 /// How long before its start a stage is written: entries that are cut off from some others read it
-/// up to 1.0 s late. When stages started as soon as they were read, 20 requests went back to the
-/// old version in ten roll-outs in which half of 32 entries read 0.7 s late.
+/// up to 1.0 s late. If stages started as soon as they are read, requests of one session would go
+/// back and forth between versions.
 constexpr std::chrono::duration<double> stageLead{1.0};
 /// Minimum of that time when the deadline is close: entries read the row within 0.05 s in normal
 /// operation, and within 0.44 s when the store rejects half of their calls.
