--- a/include/laurelcroft/Proxy/RequestFlowChoosing.h
+++ b/include/laurelcroft/Proxy/RequestFlowChoosing.h
@@ -60,7 +60,8 @@
 request_flow<Env>::pickSameVersion(const std::vector<endpoint_ptr> &usable)
 {
     // A session on trial keeps its version while any endpoint of the version may answer, not only
-    // the few of the trial, which may have crashed. A version that was found bad is not tried again.
+    // the few of the trial, which may have crashed. A version that was found bad is not tried
+    // again.
     rollout_tracker &rollouts = m_env.routing().rollouts(m_service);
     if (m_request->session.empty() || rollouts.evaluator().isFoundBad())
         return std::nullopt;
--- a/lib/Policy/ServiceRollout.cpp
+++ b/lib/Policy/ServiceRollout.cpp
@@ -22,8 +22,8 @@
 namespace {
 
 /// Requests per second, over all entries, that a trial gets: a version that fails a third of its
-/// requests is detected within some seconds, before fifty of its answers were bad. A version that is
-/// only slow takes longer, and must be reverted before the deadline too.
+/// requests is detected within some seconds, before fifty of its answers were bad. A version that
+/// is only slow takes longer, and must be reverted before the deadline too.
 constexpr double trialRequestsPerSecond = 9;
 /// Largest fraction of the tolerated exposure that a trial uses.
 constexpr double trialExposureFraction = 0.5;
