Let an endpoint that may be cold take what the users allow, less one

Cause: the limit for endpoints that may be cold was set without the five more that the users allow at a cold one.

Why the fix works: 1.5 times and four more is one below what is allowed; shares stay whole.

--- a/include/laurelcroft/Policy/RateShare.h
+++ b/include/laurelcroft/Policy/RateShare.h
@@ -29,9 +29,12 @@
 /// second, as against 1.4 with one (40 entries, simulated clock).
 inline constexpr double coldShareOfOwner = 1;
 
-/// What all entries together may send to an endpoint that may be cold, relative to the rate that it
-/// accepts while it is cold. Warm endpoints usually get less, so callers seldom notice the limit.
+/// What all entries together may send to an endpoint that may be cold: this multiple of the rate
+/// that it accepts while it is cold, and some requests per second more. One request below what the
+/// users allow at a cold endpoint; less would refuse callers of warm endpoints in each store
+/// outage.
 inline constexpr double possiblyColdRatio = 1.5;
+inline constexpr double possiblyColdExtra = 4;
 
 /// Number of owners of an endpoint with a rate limit, in addition to one for each request per
 /// second, so that most of the limit is still used when an owner fails.
@@ -51,7 +54,8 @@
 
 /// \returns \p own's share of an endpoint that accepts \p perSecond while it is cold, and for which
 /// it is unknown whether it is. Whole requests per second unless one entry has all of it, so that
-/// the entries together never send more than \c possiblyColdRatio * \p perSecond within a second.
+/// the entries together never send more than \c possiblyColdRatio * \p perSecond + \c
+/// possiblyColdExtra within a second.
 /// An entry that is not in \p entries gets one request per second: other entries count without it.
 double possiblyColdShareOf(std::string_view endpoint, double perSecond,
                            std::span<const std::string> entries, std::string_view own);
--- a/lib/Policy/RateShare.cpp
+++ b/lib/Policy/RateShare.cpp
@@ -57,7 +57,7 @@
 {
     if (std::find(entries.begin(), entries.end(), own) == entries.end())
         return 1;
-    const double total = possiblyColdRatio * perSecond;
+    const double total = possiblyColdRatio * perSecond + possiblyColdExtra;
     const std::size_t owners = wholeOwners(std::max(0.0, total), entries.size());
     const double share = rateShareOf(endpoint, total, owners, entries, own);
     return owners > 1 ? std::floor(share) : share;
