One check for notices about an endpoint, one owner for refusals

The end of refusals by service stood in routing_state and was updated twice, after a second look-up of the endpoint; backoff_watch, which knows each refusal, keeps it. A notice about an earlier start of an endpoint, which is ignored, no longer counts as a refusal of its service either.

The test of all kinds of notices lacked the newest one; it checks ten now. Tests share the pair of entries and the record that they wrote twice. No assertion is changed.

--- a/include/laurelcroft/Proxy/BackoffWatch.h
+++ b/include/laurelcroft/Proxy/BackoffWatch.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace laurelcroft {
@@ -27,14 +28,18 @@
     using listener = std::function<void(const backoff_notice &notice)>;
     void setListener(listener onRefusal) { m_listener = std::move(onRefusal); }
 
-    /// Records that \p endpoint refused a request of this entry for \p time.
-    void update(const service_endpoint &endpoint, milliseconds time, time_point now);
+    /// Records that \p endpoint refused a request of this entry for \p time, and starts its
+    /// backoff.
+    void update(service_endpoint &endpoint, milliseconds time, time_point now);
 
     /// Applies a notice from another entry: the endpoint is avoided while there are others. Ignored
     /// for an unlisted endpoint and for an earlier start of it.
     void applyNotice(const service_directory &directory, const backoff_notice &notice,
                      time_point now);
 
+    /// \returns true while an endpoint of \p service refuses requests of this or another entry.
+    bool hasRefusingEndpoint(std::string_view service, time_point now) const;
+
 private:
     /// A refusal is told again if it ends this much later than the others know.
     static constexpr milliseconds tellInterval{500};
@@ -44,11 +49,14 @@
     static constexpr double logLinesPerSecond = 5;
 
     void noteTold(const std::string &endpoint, time_point until);
+    void noteRefusal(const std::string &service, time_point until);
 
     listener m_listener;
     log_limiter m_logLimiter{logLinesPerSecond};
     /// Ends of the refusals that others know of, keyed by endpoint.
     std::map<std::string, time_point, std::less<>> m_told;
+    /// Latest end of a refusal, keyed by service.
+    std::map<std::string, time_point, std::less<>> m_refusedUntil;
 };
 
 } // namespace laurelcroft
--- a/include/laurelcroft/Proxy/RequestFlowCascade.h
+++ b/include/laurelcroft/Proxy/RequestFlowCascade.h
@@ -100,8 +100,8 @@
 {
     constexpr double sendsOfEscalationAndRepeat = 2;
     routing_state &state = m_env.routing();
-    const bool needsRepeat
-            = state.hasRefusingEndpoint(m_service, now()) || !state.waits(m_service).isKnown();
+    const bool needsRepeat = state.backoffs().hasRefusingEndpoint(m_service, now())
+            || !state.waits(m_service).isKnown();
     const bool hasRepeat
             = budget().availableSends(now(), allowanceShare()) >= sendsOfEscalationAndRepeat;
     return mayTakeFurtherSend(further_send::largerModel) && (!needsRepeat || hasRepeat);
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -98,14 +98,16 @@
     backoff_watch &backoffs() { return m_backoffs; }
 
     /// Records that an answer of \p endpoint states a Retry-After of \p time.
-    void noteBackoff(service_endpoint &endpoint, milliseconds time, time_point now);
+    void noteBackoff(service_endpoint &endpoint, milliseconds time, time_point now)
+    {
+        m_backoffs.update(endpoint, time, now);
+    }
 
     /// Applies a Retry-After that was stated to another entry. Ignored for an unlisted endpoint.
-    void noteBackoffElsewhere(const backoff_notice &notice, time_point now);
-
-    /// \returns true while the Retry-After of an endpoint of \p service, stated to this or another
-    /// entry, has not elapsed.
-    bool hasRefusingEndpoint(std::string_view service, time_point now) const;
+    void noteBackoffElsewhere(const backoff_notice &notice, time_point now)
+    {
+        m_backoffs.applyNotice(m_directory, notice, now);
+    }
 
     /// Applies a leaving state that was stated to another entry. Ignored for an unlisted endpoint.
     void noteLeavingElsewhere(const leaving_notice &notice, time_point now)
@@ -270,8 +272,6 @@
     rate_limit_watch m_rateLimits;
     leaving_watch m_leaving;
     backoff_watch m_backoffs;
-    /// Latest end of a Retry-After, keyed by service.
-    std::map<std::string, time_point, std::less<>> m_refusedUntil;
     pace_watch m_pace;
     std::map<std::string, rollout_tracker, std::less<>> m_rollouts;
     std::map<std::string, send_budget, std::less<>> m_repeats;
--- a/lib/Proxy/BackoffNotice.cpp
+++ b/lib/Proxy/BackoffNotice.cpp
@@ -5,7 +5,7 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/BackoffNotice.h"
 
-#include "laurelcroft/Support/MessagePack.h"
+#include "EndpointNotice.h"
 
 using namespace laurelcroft;
 using nlohmann::json;
@@ -26,9 +26,7 @@
 std::optional<backoff_notice> laurelcroft::decodeBackoffNotice(std::string_view bytes)
 {
     const json item = decodeMessagePack(bytes);
-    const bool isWellFormed = item.is_array() && item.size() == fields && item[0] == json(kind)
-            && isNonEmptyName(item[1]) && item[2].is_number_unsigned()
-            && item[3].is_number_unsigned();
+    const bool isWellFormed = isEndpointNotice(item, kind, fields) && item[3].is_number_unsigned();
     if (!isWellFormed)
         return std::nullopt;
     const auto time = item[3].get<std::uint64_t>();
--- a/lib/Proxy/BackoffWatch.cpp
+++ b/lib/Proxy/BackoffWatch.cpp
@@ -19,9 +19,23 @@
     told = std::max(told, until);
 }
 
-void backoff_watch::update(const service_endpoint &endpoint, milliseconds time, time_point now)
+void backoff_watch::noteRefusal(const std::string &service, time_point until)
+{
+    time_point &latest = m_refusedUntil[service];
+    latest = std::max(latest, until);
+}
+
+bool backoff_watch::hasRefusingEndpoint(std::string_view service, time_point now) const
+{
+    const auto until = m_refusedUntil.find(service);
+    return until != m_refusedUntil.end() && now < until->second;
+}
+
+void backoff_watch::update(service_endpoint &endpoint, milliseconds time, time_point now)
 {
     const endpoint_record &record = endpoint.record();
+    endpoint.startBackoff(time, now);
+    noteRefusal(record.service, now + time);
     const milliseconds told = std::min(time, backoff_notice::maxTime);
     const auto known = m_told.find(record.id);
     if (known != m_told.end() && now + told < known->second + tellInterval)
@@ -38,6 +52,7 @@
     if (it == directory.all().end() || it->second->record().startedAt != notice.startedAt)
         return;
     noteTold(notice.endpoint, now + notice.time);
+    noteRefusal(it->second->record().service, now + notice.time);
     it->second->recordRefusalElsewhere(notice.time, now);
     if (m_logLimiter.allows(now))
         logInfo(log_part::fleet, "endpoint refuses requests of another entry",
--- a/lib/Proxy/RateLimitNotice.cpp
+++ b/lib/Proxy/RateLimitNotice.cpp
@@ -6,7 +6,7 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/RateLimitNotice.h"
 
-#include "laurelcroft/Support/MessagePack.h"
+#include "EndpointNotice.h"
 
 #include <algorithm>
 #include <cmath>
@@ -39,9 +39,8 @@
 
 static bool isWellFormed(const json &item)
 {
-    return item.is_array() && item.size() == fields && item[0] == json(kind)
-            && isNonEmptyName(item[1]) && item[2].is_number_unsigned() && isLimit(item[3])
-            && item[4].is_number_unsigned() && item[5].is_number_unsigned();
+    return isEndpointNotice(item, kind, fields) && isLimit(item[3]) && item[4].is_number_unsigned()
+            && item[5].is_number_unsigned();
 }
 
 std::optional<rate_limit_notice> laurelcroft::decodeRateLimitNotice(std::string_view bytes)
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -181,30 +181,6 @@
     return earliest;
 }
 
-void routing_state::noteBackoff(service_endpoint &endpoint, milliseconds time, time_point now)
-{
-    endpoint.startBackoff(time, now);
-    m_backoffs.update(endpoint, time, now);
-    time_point &until = findOrCreate(m_refusedUntil, endpoint.record().service);
-    until = std::max(until, now + time);
-}
-
-void routing_state::noteBackoffElsewhere(const backoff_notice &notice, time_point now)
-{
-    const auto it = m_directory.all().find(notice.endpoint);
-    if (it == m_directory.all().end())
-        return;
-    m_backoffs.applyNotice(m_directory, notice, now);
-    time_point &until = findOrCreate(m_refusedUntil, it->second->record().service);
-    until = std::max(until, now + notice.time);
-}
-
-bool routing_state::hasRefusingEndpoint(std::string_view service, time_point now) const
-{
-    const auto until = m_refusedUntil.find(service);
-    return until != m_refusedUntil.end() && now < until->second;
-}
-
 bool routing_state::isLimitCheckDue(const service_endpoint &endpoint, time_point now)
 {
     // The interval depends on the number of entries, which does not include an unlisted one.
--- a/unittests/Proxy/ColdEndpointTests.cpp
+++ b/unittests/Proxy/ColdEndpointTests.cpp
@@ -170,6 +170,15 @@
     }
 };
 
+endpoint_record recordInEast()
+{
+    endpoint_record record;
+    record.id = "a";
+    record.service = "pool";
+    record.dataCentre = "east";
+    return record;
+}
+
 } // namespace
 
 TEST_CASE("endpoints that return cold together receive requests, but no more than their limit")
@@ -223,10 +232,7 @@
 {
     service_directory directory;
     const time_point start{seconds(1000)};
-    endpoint_record record;
-    record.id = "a";
-    record.service = "pool";
-    record.dataCentre = "east";
+    endpoint_record record = recordInEast();
     directory.apply(record, start);
     directory.setEvacuated({"east"}, start);
     directory.setEvacuated({}, start + seconds(9));
@@ -289,10 +295,7 @@
     // Guards against FAILBACK: a late row of the time before the return counted as news of it.
     service_directory directory;
     const time_point start{seconds(1000)};
-    endpoint_record record;
-    record.id = "a";
-    record.service = "pool";
-    record.dataCentre = "east";
+    endpoint_record record = recordInEast();
     record.rowVersion = 7;
     directory.apply(record, start);
     directory.setRecordsCurrent(7, start + seconds(60));
--- a/unittests/Proxy/NoticeChannelTests.cpp
+++ b/unittests/Proxy/NoticeChannelTests.cpp
@@ -43,6 +43,21 @@
     return {"127.0.0.1:" + std::to_string(entry.notices.port()), dataCentre};
 }
 
+/// A sender and the only other entry that it knows.
+struct entry_pair
+{
+    asio::io_context context;
+    recording_entry sender{context};
+    recording_entry near{context};
+
+    entry_pair()
+    {
+        REQUIRE(sender.notices.open().empty());
+        REQUIRE(near.notices.open().empty());
+        sender.notices.setEntries({{"near", placeOf(near, "a")}}, "teller");
+    }
+};
+
 } // namespace
 
 TEST_CASE("a send notice is unchanged by encoding and decoding; other bytes are rejected")
@@ -111,18 +126,15 @@
 
 TEST_CASE("send notices stay within their byte rate")
 {
-    asio::io_context context;
-    recording_entry sender(context);
-    recording_entry near(context);
-    REQUIRE(sender.notices.open().empty());
-    REQUIRE(near.notices.open().empty());
-    sender.notices.setEntries({{"near", placeOf(near, "a")}}, "teller");
+    entry_pair entries;
+    recording_entry &sender = entries.sender;
+    recording_entry &near = entries.near;
     constexpr unsigned tries = 500;
     const time_point begun = bootNow();
     for (unsigned i = 0; i < tries; ++i)
         sender.notices.sendToDataCentre({"i-7f3a91c2", milliseconds(400), {}}, "a");
     const std::chrono::duration<double> took = bootNow() - begun;
-    context.run_for(milliseconds(100));
+    entries.context.run_for(milliseconds(100));
     const double bytes = static_cast<double>(
             encodeSendNotice({"i-7f3a91c2", milliseconds(400), {}}).size() + 28);
     // The burst of one second, and the bytes that accrue during the loop.
@@ -134,14 +146,11 @@
 TEST_CASE("a leaving notice reaches the handler of its kind")
 {
     // Guards against DRAIN: it was decoded as evidence of no route and never applied.
-    asio::io_context context;
-    recording_entry sender(context);
-    recording_entry near(context);
-    REQUIRE(sender.notices.open().empty());
-    REQUIRE(near.notices.open().empty());
-    sender.notices.setEntries({{"near", placeOf(near, "a")}}, "teller");
+    entry_pair entries;
+    recording_entry &sender = entries.sender;
+    recording_entry &near = entries.near;
     sender.notices.sendLeavingNotice({"i-1", 7, 2});
-    context.run_for(milliseconds(100));
+    entries.context.run_for(milliseconds(100));
     REQUIRE(near.leaving.size() == 1);
     CHECK(near.leaving[0] == leaving_notice{"i-1", 7, 2});
     CHECK(near.evidence.empty());
@@ -160,6 +169,7 @@
                encodeClearedNotice({7, "v1"}),
                encodeRateLimitNotice({"i-1", 7, 2.5, milliseconds(3), 1}),
                encodeLeavingNotice({"i-1", 7, 1}),
+               encodeBackoffNotice({"i-1", 7, seconds(3)}),
                encodePaceNotice({{{"i-1", 120, 110, 3}}, false}),
                encodePressureNotice({"pool", 35, 7, 9})};
     for (std::size_t i = 0; i < notices.size(); ++i) {
@@ -169,8 +179,8 @@
                 = {decodeSendNotice(bytes).has_value(),    decodeEvidenceNotice(bytes).has_value(),
                    decodeCrashNotice(bytes).has_value(),   decodeWithheldNotice(bytes).has_value(),
                    decodeClearedNotice(bytes).has_value(), decodeRateLimitNotice(bytes).has_value(),
-                   decodeLeavingNotice(bytes).has_value(), decodePaceNotice(bytes).has_value(),
-                   decodePressureNotice(bytes).has_value()};
+                   decodeLeavingNotice(bytes).has_value(), decodeBackoffNotice(bytes).has_value(),
+                   decodePaceNotice(bytes).has_value(),    decodePressureNotice(bytes).has_value()};
         for (std::size_t kind = 0; kind < decoded.size(); ++kind)
             CHECK(decoded[kind] == (kind == i));
     }
