Notices are reported, not told: names and comments of the refusal notices

Names that a reader of the field expects (reported, notified) in place of told. No behaviour and no assertion is changed; the unit tests pass.

--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -64,7 +64,7 @@
 enum class cold_state {
     warm,
     possible, ///< it may have become cold, since its record in the store is not known
-    cold, ///< its record says so, or its data centre was taken back later than the known records
+    cold, ///< by its record, or its data centre was taken back later than the known records
 };
 
 /// One endpoint with the state that this process infers for it.
@@ -281,7 +281,8 @@
     void setEvacuated(std::set<std::string> dataCentres, time_point now, std::uint64_t version = 0);
 
     /// Notes that all records of the store at \p version are known, and that they count as current
-    /// until \p currentUntil. An endpoint may become cold at any moment, and only its record tells.
+    /// until \p currentUntil. An endpoint may become cold at any moment, and only its record shows
+    /// it.
     void setRecordsCurrent(std::uint64_t version, time_point currentUntil);
 
     /// \returns false when endpoints may have become cold unnoticed.
--- a/include/laurelcroft/Proxy/BackoffNotice.h
+++ b/include/laurelcroft/Proxy/BackoffNotice.h
@@ -1,6 +1,6 @@
 //===-- Proxy/BackoffNotice.h - refusing endpoints by datagram ---*- C++ -*-===//
 //
-// Tells other entries that an endpoint has refused a request with a Retry-After, so that they
+// Notifies other entries that an endpoint has refused a request with a Retry-After, so that they
 // prefer other endpoints. The Retry-After itself is addressed to one entry only: a lost notice only
 // makes a worse routing decision.
 //
--- a/include/laurelcroft/Proxy/BackoffWatch.h
+++ b/include/laurelcroft/Proxy/BackoffWatch.h
@@ -1,8 +1,8 @@
-//===-- Proxy/BackoffWatch.h - refusals told to other entries ----*- C++ -*-===//
+//===-- Proxy/BackoffWatch.h - refusals reported to entries ----*- C++ -*-===//
 //
-// Tells other entries of endpoints that refuse requests with a Retry-After, and avoids those that
-// refuse requests of others. Otherwise each of many entries has requests refused by each of these
-// endpoints before it knows them. Not thread-safe.
+// Notifies other entries of endpoints that refuse requests with a Retry-After, and avoids those
+// that refuse requests of others. Otherwise each of many entries has requests refused by each of
+// these endpoints before it knows them. Not thread-safe.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_PROXY_BACKOFFWATCH_H
@@ -41,20 +41,20 @@
     bool hasRefusingEndpoint(std::string_view service, time_point now) const;
 
 private:
-    /// A refusal is told again if it ends this much later than the others know.
-    static constexpr milliseconds tellInterval{500};
+    /// A refusal is reported again if it ends this much later than the others know.
+    static constexpr milliseconds reportInterval{500};
     /// Bounds the memory when endpoints are replaced.
-    static constexpr std::size_t maxTold = 10'000;
+    static constexpr std::size_t maxReported = 10'000;
     /// Bounds the log volume when many endpoints refuse requests at once.
     static constexpr double logLinesPerSecond = 5;
 
-    void noteTold(const std::string &endpoint, time_point until);
+    void noteReported(const std::string &endpoint, time_point until);
     void noteRefusal(const std::string &service, time_point until);
 
     listener m_listener;
     log_limiter m_logLimiter{logLinesPerSecond};
     /// Ends of the refusals that others know of, keyed by endpoint.
-    std::map<std::string, time_point, std::less<>> m_told;
+    std::map<std::string, time_point, std::less<>> m_reported;
     /// Latest end of a refusal, keyed by service.
     std::map<std::string, time_point, std::less<>> m_refusedUntil;
 };
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -171,7 +171,7 @@
     /// \returns true when the contract in force names \p service, or no services are known.
     bool isNamed(const std::string &service) const;
     void logEndpoint(const char *what, const endpoint_record &record);
-    /// Tells the directory how recent the known endpoint rows are, and logs when they become
+    /// Updates the directory on how recent the known endpoint rows are, and logs when they become
     /// outdated or current again.
     void noteEndpointRowsAge();
     /// Logs how many log lines about endpoints were omitted.
--- a/lib/Proxy/BackoffWatch.cpp
+++ b/lib/Proxy/BackoffWatch.cpp
@@ -1,6 +1,6 @@
-//===-- BackoffWatch.cpp - refusals told to other entries -------------------===//
+//===-- BackoffWatch.cpp - refusals reported to entries -------------------===//
 //
-// What others have told counts as known to all, so that one entry tells of each refusal period.
+// What another entry has reported counts as known to all, so that one entry reports each refusal.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/BackoffWatch.h"
@@ -11,12 +11,12 @@
 
 using namespace laurelcroft;
 
-void backoff_watch::noteTold(const std::string &endpoint, time_point until)
+void backoff_watch::noteReported(const std::string &endpoint, time_point until)
 {
-    if (m_told.size() >= maxTold)
-        m_told.clear();
-    time_point &told = m_told[endpoint];
-    told = std::max(told, until);
+    if (m_reported.size() >= maxReported)
+        m_reported.clear();
+    time_point &reported = m_reported[endpoint];
+    reported = std::max(reported, until);
 }
 
 void backoff_watch::noteRefusal(const std::string &service, time_point until)
@@ -36,13 +36,13 @@
     const endpoint_record &record = endpoint.record();
     endpoint.startBackoff(time, now);
     noteRefusal(record.service, now + time);
-    const milliseconds told = std::min(time, backoff_notice::maxTime);
-    const auto known = m_told.find(record.id);
-    if (known != m_told.end() && now + told < known->second + tellInterval)
+    const milliseconds reported = std::min(time, backoff_notice::maxTime);
+    const auto known = m_reported.find(record.id);
+    if (known != m_reported.end() && now + reported < known->second + reportInterval)
         return;
-    noteTold(record.id, now + told);
-    if (m_listener && told >= tellInterval)
-        m_listener({record.id, record.startedAt, told});
+    noteReported(record.id, now + reported);
+    if (m_listener && reported >= reportInterval)
+        m_listener({record.id, record.startedAt, reported});
 }
 
 void backoff_watch::applyNotice(const service_directory &directory, const backoff_notice &notice,
@@ -51,7 +51,7 @@
     const auto it = directory.all().find(notice.endpoint);
     if (it == directory.all().end() || it->second->record().startedAt != notice.startedAt)
         return;
-    noteTold(notice.endpoint, now + notice.time);
+    noteReported(notice.endpoint, now + notice.time);
     noteRefusal(it->second->record().service, now + notice.time);
     it->second->recordRefusalElsewhere(notice.time, now);
     if (m_logLimiter.allows(now))
--- a/unittests/Proxy/BackoffNoticeTests.cpp
+++ b/unittests/Proxy/BackoffNoticeTests.cpp
@@ -1,6 +1,6 @@
 //===-- BackoffNoticeTests.cpp - refusing endpoints by datagram -------------===//
 //
-// Encoding and decoding, malformed datagrams, and which refusals other entries are told.
+// Encoding and decoding, malformed datagrams, and which refusals are reported to other entries.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/BackoffNotice.h"
@@ -22,11 +22,11 @@
 {
     service_directory directory;
     backoff_watch watch;
-    std::vector<backoff_notice> told;
+    std::vector<backoff_notice> reported;
 
     watched_endpoint()
     {
-        watch.setListener([this](const backoff_notice &notice) { told.push_back(notice); });
+        watch.setListener([this](const backoff_notice &notice) { reported.push_back(notice); });
         endpoint_record record;
         record.id = "e1";
         record.service = "pool";
@@ -60,21 +60,21 @@
     CHECK_FALSE(decodeBackoffNotice(encodeMessagePack(json::array({"backoff"}))));
 }
 
-TEST_CASE("others are told of a refusal once, and again when it lasts longer")
+TEST_CASE("a refusal is reported to others once, and again when it lasts longer")
 {
     watched_endpoint fixture;
     fixture.watch.update(fixture.endpoint(), seconds(3), start);
     fixture.watch.update(fixture.endpoint(), seconds(3), start + milliseconds(20));
-    REQUIRE(fixture.told.size() == 1);
-    CHECK(fixture.told[0] == backoff_notice{"e1", 7, seconds(3)});
+    REQUIRE(fixture.reported.size() == 1);
+    CHECK(fixture.reported[0] == backoff_notice{"e1", 7, seconds(3)});
     fixture.watch.update(fixture.endpoint(), seconds(3), start + seconds(3));
-    CHECK(fixture.told.size() == 2);
+    CHECK(fixture.reported.size() == 2);
     // Too short for a notice to matter.
     fixture.watch.update(fixture.endpoint(), milliseconds(100), start + seconds(7));
-    CHECK(fixture.told.size() == 2);
+    CHECK(fixture.reported.size() == 2);
     fixture.watch.update(fixture.endpoint(), seconds(100), start + seconds(8));
-    REQUIRE(fixture.told.size() == 3);
-    CHECK(fixture.told[2].time == backoff_notice::maxTime);
+    REQUIRE(fixture.reported.size() == 3);
+    CHECK(fixture.reported[2].time == backoff_notice::maxTime);
 }
 
 TEST_CASE("an endpoint that refuses requests of another entry is avoided until it wants them again")
@@ -89,5 +89,5 @@
     CHECK(!fixture.endpoint().isInBackoff(start));
     // The others know it from the same notice.
     fixture.watch.update(fixture.endpoint(), seconds(3), start + milliseconds(20));
-    CHECK(fixture.told.empty());
+    CHECK(fixture.reported.empty());
 }
--- a/unittests/Proxy/ColdEndpointTests.cpp
+++ b/unittests/Proxy/ColdEndpointTests.cpp
@@ -111,7 +111,7 @@
         }
     }
 
-    /// The endpoints \p prefix \p from to \p to become cold; only their rows tell.
+    /// The endpoints \p prefix \p from to \p to become cold, which only their rows show.
     void turnCold(const std::string &prefix, unsigned from, unsigned to, milliseconds coldFor)
     {
         for (unsigned i = from; i < to; ++i)
