--- a/include/laurelcroft/Proxy/StoreSyncTables.h
+++ b/include/laurelcroft/Proxy/StoreSyncTables.h
@@ -70,6 +70,12 @@
     // The rows left in the batch by apply are those that other entries need.
     const auto take = [this, table, apply, listsEndpoints](row_update update) {
         noteTime(update.batch);
+        if (update.batch.version < m_mirror.versionOf(table))
+            logWarning(log_part::platform, "rows older than the known ones, not passed on",
+                       {{"table", table},
+                        {"version", std::int64_t(update.batch.version)},
+                        {"known_version", std::int64_t(m_mirror.versionOf(table))},
+                        {"rows", std::int64_t(update.batch.rows.size())}});
         (this->*apply)(update);
         // A relay's changes are in the mirror already, with the age that the relay reported.
         const follower &reader = *m_followers.at(table);
