--- a/unittests/Proxy/FakeStore.h
+++ b/unittests/Proxy/FakeStore.h
@@ -1,7 +1,7 @@
 //===-- FakeStore.h - in-memory store ---------------------------*- C++ -*-===//
 //
-// An in-memory store on a paused clock that can lose answers, drop its history and become
-// unavailable on request.
+// An in-memory store on a paused clock that can lose answers, drop its history, become unavailable
+// and come back from a copy on request.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_UNITTESTS_PROXY_FAKESTORE_H
@@ -39,7 +39,7 @@
                 row_callback<row_batch> done)
     {
         ++follows;
-        if (hasLostHistory) {
+        if (hasLostHistory || since > m_content.version) {
             m_runtime.after(callDelay, [done] { done(failure(row_failure::historyGone)); });
             return;
         }
@@ -62,17 +62,30 @@
 
     void put(const std::string &table, const std::string &key, const std::string &value)
     {
-        set(table, {key, value, ++m_version, false});
+        set(table, {key, value, ++m_content.version, false});
     }
 
     void remove(const std::string &table, const std::string &key)
     {
-        set(table, {key, "", ++m_version, true});
+        set(table, {key, "", ++m_content.version, true});
     }
 
+    /// Writes \p count rows that no entry reads, each of which takes a version.
+    void skipVersions(unsigned count)
+    {
+        for (unsigned i = 0; i < count; ++i)
+            put("unread", "row", std::to_string(i));
+    }
+
+    /// Keeps a copy of all rows and of the history.
+    void saveCopy() { m_copy = m_content; }
+
+    /// Comes back from the last copy: later writes are lost, and their versions are given out again.
+    void restoreCopy() { m_content = m_copy; }
+
     std::string valueOf(const std::string &table, const std::string &key)
     {
-        return m_tables[table][key].value;
+        return m_content.tables[table][key].value;
     }
 
     /// Time from a call to its answer.
@@ -109,8 +122,8 @@
 
     void set(const std::string &table, const store_row &row)
     {
-        m_tables[table][row.key] = row;
-        m_history[table].push_back(row);
+        m_content.tables[table][row.key] = row;
+        m_content.history[table].push_back(row);
     }
 
     /// Returns every change since \p since for a feed, in order, with several changes of one row;
@@ -118,13 +131,13 @@
     row_batch rowsOf(const std::string &table, std::uint64_t since, bool feed)
     {
         row_batch batch;
-        batch.version = m_version;
+        batch.version = m_content.version;
         batch.storeTime = timeNow();
-        for (const store_row &row : m_history[table]) {
+        for (const store_row &row : m_content.history[table]) {
             if (feed && row.version > since)
                 batch.rows.push_back(row);
         }
-        for (const auto &[key, row] : m_tables[table]) {
+        for (const auto &[key, row] : m_content.tables[table]) {
             if (!feed && !row.removed)
                 batch.rows.push_back(row);
         }
@@ -139,7 +152,7 @@
     conditional_write apply(const std::vector<row_write> &rows)
     {
         for (const row_write &row : rows) {
-            const auto &known = m_tables[row.table];
+            const auto &known = m_content.tables[row.table];
             const auto it = known.find(row.key);
             const std::uint64_t version
                     = it == known.end() || it->second.removed ? 0 : it->second.version;
@@ -149,16 +162,23 @@
                         milliseconds(0),
                         {{row.table, it == known.end() ? store_row() : it->second}}};
         }
-        ++m_version;
+        ++m_content.version;
         for (const row_write &row : rows)
-            set(row.table, {row.key, row.value, m_version, row.remove});
-        return {true, m_version, timeNow(), {}};
+            set(row.table, {row.key, row.value, m_content.version, row.remove});
+        return {true, m_content.version, timeNow(), {}};
     }
 
+    /// Everything that a copy contains.
+    struct content
+    {
+        std::map<std::string, std::map<std::string, store_row>> tables;
+        std::map<std::string, std::vector<store_row>> history;
+        std::uint64_t version = 1;
+    };
+
     manual_runtime &m_runtime;
-    std::map<std::string, std::map<std::string, store_row>> m_tables;
-    std::map<std::string, std::vector<store_row>> m_history;
-    std::uint64_t m_version = 1;
+    content m_content;
+    content m_copy;
 };
 
 } // namespace laurelcroft
--- /dev/null
+++ b/unittests/Proxy/StoreReturnTests.cpp
@@ -0,0 +1,175 @@
+//===-- StoreReturnTests.cpp - a store that comes back from a copy --------===//
+//
+// The store is away for a moment and comes back from a copy some seconds old: later writes are
+// lost, and their versions are given out again. Endpoints write their rows only when they change.
+//
+//===----------------------------------------------------------------------===//
+#include "EntryFleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace laurelcroft;
+
+namespace {
+
+constexpr milliseconds outage{400};
+/// Versions given out between the copy and the outage.
+constexpr unsigned lostVersions = 12;
+
+/// Entries over a store of which a copy is kept.
+struct returning_store
+{
+    fleet entries;
+
+    explicit returning_store(std::size_t count)
+    {
+        addInitialRows(entries);
+        entries.start(0, count);
+        entries.runtime.advance(seconds(5));
+        entries.store.saveCopy();
+        write(lostVersions);
+        entries.runtime.advance(seconds(2));
+    }
+
+    void write(unsigned versions) { entries.store.skipVersions(versions); }
+
+    /// Brings the store back from the copy. \p change is written when the store has given out half
+    /// of the lost versions again.
+    /// \param isPast true when all lost versions are given out again before an entry reads.
+    template <class Change>
+    void comeBack(bool isPast, Change change)
+    {
+        entries.store.away = true;
+        entries.runtime.advance(outage);
+        entries.store.restoreCopy();
+        if (!isPast) {
+            entries.store.away = false;
+            entries.runtime.advance(seconds(1));
+        }
+        write(lostVersions / 2);
+        change(entries.store);
+        write(lostVersions);
+        entries.store.away = false;
+        entries.runtime.advance(changeBound);
+    }
+
+    /// \returns the number of entries for which \p test is true.
+    template <class Test>
+    std::size_t count(Test test)
+    {
+        return static_cast<std::size_t>(
+                std::count_if(entries.entries.begin(), entries.entries.end(), test));
+    }
+
+    static bool isUsable(fleet_entry &entry, std::string_view id)
+    {
+        entry.routing.directory().expire(entry.all.runtime.now());
+        const std::vector<endpoint_ptr> &usable = entry.routing.directory().usable("pool");
+        return std::any_of(usable.begin(), usable.end(), [id](const endpoint_ptr &endpoint) {
+            return endpoint->record().id == id;
+        });
+    }
+};
+
+/// \returns true if some session of the pool is served by \p version.
+bool triesVersion(fleet_entry &entry, std::string_view version)
+{
+    rollout_tracker &tracker = entry.routing.rollouts("pool");
+    const time_point now = entry.all.runtime.now();
+    // The lowest hash belongs to every share of the sessions.
+    const version_choice choice
+            = tracker.eligible(entry.routing.directory().usable("pool"), {0, now, now});
+    return std::any_of(choice.endpoints.begin(), choice.endpoints.end(),
+                       [version](const endpoint_ptr &endpoint) {
+                           return endpoint->record().softwareVersion == version;
+                       });
+}
+
+/// Calls \p test with each number of entries, and whether the lost versions are given out again
+/// before the first read.
+template <class Test>
+void forEachReturn(Test test)
+{
+    for (const std::size_t count : {3, 12}) {
+        for (const bool isPast : {false, true}) {
+            CAPTURE(count);
+            CAPTURE(isPast);
+            test(count, isPast);
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("an endpoint that leaves after the store came back from a copy gets no more requests")
+{
+    forEachReturn([](std::size_t count, bool isPast) {
+        returning_store fixture(count);
+        fixture.comeBack(isPast, [](fake_store &store) { store.put("endpoints", "p1", "v1-"); });
+        CHECK(fixture.count([&](auto &entry) { return fixture.isUsable(entry, "p1"); }) == 0);
+    });
+}
+
+TEST_CASE("an endpoint removed after the store came back from a copy gets no more requests")
+{
+    forEachReturn([](std::size_t count, bool isPast) {
+        returning_store fixture(count);
+        fixture.comeBack(isPast, [](fake_store &store) { store.remove("endpoints", "p1"); });
+        CHECK(fixture.count([&](auto &entry) { return fixture.isUsable(entry, "p1"); }) == 0);
+    });
+}
+
+TEST_CASE("an endpoint that starts after the store came back from a copy is used by every entry")
+{
+    forEachReturn([](std::size_t count, bool isPast) {
+        returning_store fixture(count);
+        fixture.comeBack(isPast, [](fake_store &store) { store.put("endpoints", "new", "v1"); });
+        CHECK(fixture.count([&](auto &entry) { return fixture.isUsable(entry, "new"); }) == count);
+    });
+}
+
+TEST_CASE("a version taken back before the store came back from a copy is not tried again")
+{
+    forEachReturn([](std::size_t count, bool isPast) {
+        fleet entries;
+        addInitialRows(entries);
+        for (const char *id : {"n1", "n2", "n3"})
+            entries.store.put("endpoints", id, "v2");
+        entries.start(0, count);
+        entries.runtime.advance(seconds(3));
+        entries.store.put("orders", "pool", "v2");
+        // The order's window is 10 s: the trial begins after 5.1 s.
+        entries.runtime.advance(milliseconds(5300));
+        entries.store.saveCopy();
+        for (int i = 0; i < 30; ++i)
+            entries.entries.front().routing.rollouts("pool").observe(
+                    "v2", "route", "m", std::nullopt, entries.runtime.now());
+        entries.runtime.advance(milliseconds(900));
+        REQUIRE(entries.store.valueOf("status", "pool") == "reverted");
+        entries.store.away = true;
+        entries.runtime.advance(outage);
+        entries.store.restoreCopy();
+        if (isPast)
+            entries.store.skipVersions(lostVersions);
+        entries.store.put("orders", "pool", "v2");
+        entries.store.away = false;
+        std::size_t tried = 0;
+        for (duration passed{0}; passed < seconds(8); passed += milliseconds(50)) {
+            entries.runtime.advance(milliseconds(50));
+            for (fleet_entry &entry : entries.entries)
+                tried += triesVersion(entry, "v2") ? 1 : 0;
+        }
+        CHECK(tried == 0);
+        CHECK(entries.store.valueOf("status", "pool") == "reverted");
+    });
+}
+
+TEST_CASE("a contract written after the store came back from a copy comes into force")
+{
+    forEachReturn([](std::size_t count, bool isPast) {
+        returning_store fixture(count);
+        fixture.comeBack(isPast, [](fake_store &store) { store.put("orders", "contract", "8"); });
+        CHECK(fixture.count([](auto &entry) { return entry.routing.contract()->version == 8; })
+              == count);
+    });
+}
