--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -10,6 +10,7 @@
 #include "laurelcroft/Fleet/EndpointPace.h"
 #include "laurelcroft/Fleet/PrefixCacheEstimate.h"
 #include "laurelcroft/Support/Runtime.h"
+#include "laurelcroft/Support/StoreVersion.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -40,7 +41,7 @@
     bool leaving = false;
     milliseconds coldLeft{0}; ///< warm-up time left when the row was written
     std::uint64_t startedAt = 0; ///< start time in Unix milliseconds; 0 if not stated
-    std::uint64_t rowVersion = 0; ///< rises with each heartbeat; 0 if unknown
+    store_version rowVersion; ///< rises with each change; unknownVersion if unknown
 
     /// Compares all fields but \c rowVersion and \c coldLeft, which change with every heartbeat.
     bool isEquivalentTo(const endpoint_record &other) const;
@@ -249,9 +250,9 @@
 
     /// Handles the removal of an endpoint's record from the store. Until \c lapseGrace after a
     /// store outage the endpoint is kept, since its record may have expired although it is alive.
-    /// \param version of the removal; one below the record's is outdated and ignored. 0 if unknown.
+    /// \param version of the removal; one below the record's is outdated and ignored.
     /// \returns false when the endpoint is kept.
-    bool remove(std::string_view id, time_point now, std::uint64_t version = 0);
+    bool remove(std::string_view id, time_point now, store_version version = {});
 
     /// \returns true while \p id is kept although its record was removed.
     bool isLapsed(std::string_view id) const { return m_lapsed.count(id) != 0; }
@@ -277,13 +278,14 @@
     /// is taken back may have become cold. They count as cold until their rows say otherwise, or
     /// for \c assumedColdTime; and while the known records are older than \p version, for up to \c
     /// maxAssumedColdTime.
-    /// \param version of the store at which \p dataCentres were read; 0 if unknown.
-    void setEvacuated(std::set<std::string> dataCentres, time_point now, std::uint64_t version = 0);
+    /// \param version of the store at which \p dataCentres were read.
+    void setEvacuated(std::set<std::string> dataCentres, time_point now,
+                      store_version version = {});
 
     /// Notes that all records of the store at \p version are known, and that they count as current
     /// until \p currentUntil. An endpoint may become cold at any moment, and only its record shows
     /// it.
-    void setRecordsCurrent(std::uint64_t version, time_point currentUntil);
+    void setRecordsCurrent(store_version version, time_point currentUntil);
 
     /// \returns false when endpoints may have become cold unnoticed.
     bool areRecordsCurrent(time_point now) const { return now <= m_recordsCurrentUntil; }
@@ -356,11 +358,11 @@
     /// A data centre that was taken back.
     struct taken_back
     {
-        std::uint64_t version = 0; ///< of the store, which no longer had the evacuation
+        store_version version; ///< of the store, which no longer had the evacuation
         time_point until{}; ///< its endpoints count as cold no longer than this
     };
     std::map<std::string, taken_back, std::less<>> m_takenBack; ///< by data centre
-    std::uint64_t m_recordsVersion = 0; ///< of the store; all its records are known
+    store_version m_recordsVersion; ///< of the store; all its records are known
     time_point m_recordsCurrentUntil = time_point::max();
     bool m_isStoreUnavailable = false;
     time_point m_removalsTrustedFrom{};
--- a/include/laurelcroft/Platform/RowFollower.h
+++ b/include/laurelcroft/Platform/RowFollower.h
@@ -1,7 +1,7 @@
 //===-- Platform/RowFollower.h - follows the changes of a table --*- C++ -*-===//
 //
 // Reads a table once, then follows its change feed. Reads the whole table again when the store no
-// longer has the history that the feed needs. Reads are spaced out because every call to the store
+// longer has the history that the feed needs, or has come back from a copy. Reads are spaced out because every call to the store
 // has a cost. Where another process relays the rows, the follower reads from it, also at startup.
 //
 //===----------------------------------------------------------------------===//
@@ -52,11 +52,9 @@
     bool whole = false; ///< true: the batch is the whole table; false: changes to it
 };
 
-/// Version of a table that has not been read yet.
-inline constexpr std::uint64_t unknownVersion = 0;
 /// Version with which a process requests the whole table from other processes when it has read
 /// the table before but has missed changes. Versions of the store are always higher.
-inline constexpr std::uint64_t rereadVersion = 1;
+inline constexpr store_version rereadVersion = 1;
 
 /// Alternative source of rows: other processes that read the store and pass the rows on.
 struct row_relay
@@ -69,7 +67,7 @@
     std::function<bool()> isStandby;
     /// Reads the changes since a version, or the whole table if the version is \c unknownVersion or
     /// \c rereadVersion. May fail.
-    std::function<void(const std::string &table, std::uint64_t since,
+    std::function<void(const std::string &table, store_version since,
                        row_callback<row_update> done)>
             read;
 };
@@ -197,7 +195,7 @@
                     std::min<duration>(relayReadInterval, m_nextStoreReadAt - m_runtime.now()));
     }
 
-    std::uint64_t relayVersion() const
+    store_version relayVersion() const
     {
         const bool needsReread = m_since == unknownVersion && m_newest != unknownVersion;
         return needsReread ? rereadVersion : m_since;
@@ -210,6 +208,10 @@
     {
         if (update.batch.version <= m_newest)
             return;
+        if (!update.whole && update.batch.version.era != m_since.era) {
+            m_since = unknownVersion;
+            return;
+        }
         m_newest = update.batch.version;
         m_since = update.batch.version;
         m_updateRelayed = true;
@@ -222,9 +224,10 @@
     void readStore()
     {
         ++m_readNumber;
-        auto done = [this, alive = m_alive](outcome<row_batch, row_failure> result) {
+        auto done = [this, since = m_since,
+                     alive = m_alive](outcome<row_batch, row_failure> result) {
             if (*alive)
-                onStoreAnswer(std::move(result));
+                onStoreAnswer(std::move(result), since);
         };
         // While the store is unavailable, its calls are not held: its recovery is noticed at once,
         // and a call that hangs times out sooner.
@@ -244,8 +247,11 @@
         });
     }
 
-    void onStoreAnswer(outcome<row_batch, row_failure> result)
+    /// \param since the version asked for, which a relay may have raised meanwhile.
+    void onStoreAnswer(outcome<row_batch, row_failure> result, store_version since)
     {
+        if (result)
+            result = checkedEra(std::move(result.value()), since);
         if (!result) {
             onStoreFailure(result.error());
             return;
@@ -255,17 +261,30 @@
             m_availableSince = m_confirmedAt;
         reportRecovered();
         row_batch batch = std::move(result.value());
-        const bool whole = m_since == unknownVersion;
+        const bool isWhole = since == unknownVersion;
+        // A relay has delivered a newer table meanwhile.
+        const bool isOutdated = isWhole && batch.version < m_newest && m_since != unknownVersion;
         m_since = std::max(m_since, batch.version);
         m_newest = std::max(m_newest, m_since);
         m_updateRelayed = false;
-        if (whole)
+        if (isWhole && !isOutdated)
             m_events.onTable(std::move(batch));
-        else
+        else if (!isWhole)
             m_events.onChanges(std::move(batch));
         scheduleRead(m_pace.readInterval);
     }
 
+    /// \returns \p batch, or a failure when it does not continue the history that is known here:
+    /// the store came back from a copy, or the answer was sent before it did.
+    outcome<row_batch, row_failure> checkedEra(row_batch &&batch, store_version since) const
+    {
+        if (batch.version.era < m_newest.era)
+            return failure(row_failure::unknown);
+        if (since != unknownVersion && batch.version.era != since.era)
+            return failure(row_failure::historyGone);
+        return std::move(batch);
+    }
+
     void reportRecovered()
     {
         m_retryDelay = minRetryDelay;
@@ -329,8 +348,8 @@
     follow_events m_events;
     row_relay m_relay;
     std::shared_ptr<bool> m_alive;
-    std::uint64_t m_since = unknownVersion;
-    std::uint64_t m_newest = unknownVersion; ///< kept while the whole table is reread
+    store_version m_since;
+    store_version m_newest; ///< kept while the whole table is reread
     unsigned m_readNumber = 0; ///< number of the read whose answer schedules the next read
     time_point m_startedAt{};
     milliseconds m_retryDelay = minRetryDelay;
--- a/include/laurelcroft/Platform/RowStore.h
+++ b/include/laurelcroft/Platform/RowStore.h
@@ -1,8 +1,9 @@
 //===-- Platform/RowStore.h - versioned rows with a change feed --*- C++ -*-===//
 //
 // Interface of a row store: read a table, follow its changes, and write several rows
-// conditionally. Versions come from a single counter that increases with every write.
-// Every answer contains a reading of the store's own steady clock.
+// conditionally. Versions come from a single counter that increases with every write; it goes back
+// when the store comes back from a copy, and the era rises then. Every answer contains a reading of
+// the store's own steady clock.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_PLATFORM_ROWSTORE_H
@@ -10,6 +11,7 @@
 
 #include "laurelcroft/Support/Outcome.h"
 #include "laurelcroft/Support/Runtime.h"
+#include "laurelcroft/Support/StoreVersion.h"
 
 #include <cstdint>
 #include <functional>
@@ -24,7 +26,9 @@
 enum class row_failure {
     notDone, ///< refused or never sent: the call had no effect
     unknown, ///< no answer: a write may have taken effect or may still do so
-    historyGone, ///< the feed no longer covers the version asked for: reread the table
+    /// The feed does not cover the version asked for, also when the store came back from a copy:
+    /// reread the table.
+    historyGone,
     outdated ///< only from a relay: its last answer from the store is too old
 };
 
@@ -35,7 +39,7 @@
 {
     std::string key;
     std::string value;
-    std::uint64_t version = 0;
+    store_version version;
     bool removed = false; ///< set only in a change feed
 };
 
@@ -43,7 +47,7 @@
 struct row_batch
 {
     std::vector<store_row> rows;
-    std::uint64_t version = 0; ///< version from which to follow the feed
+    store_version version; ///< version from which to follow the feed
     milliseconds storeTime{0}; ///< reading of the store's clock
 };
 
@@ -60,8 +64,9 @@
     std::string table;
     std::string key;
     std::string value;
-    /// Version that the row must have; 0: the row must not exist; empty: no condition.
-    std::optional<std::uint64_t> expected;
+    /// Version that the row must have; unknownVersion: the row must not exist; empty: no condition.
+    /// The version of an earlier era matches no row.
+    std::optional<store_version> expected;
     bool remove = false; ///< removes the row instead of writing it
 };
 
@@ -69,9 +74,9 @@
 struct conditional_write
 {
     bool done = false;
-    std::uint64_t version = 0; ///< version of the written rows
+    store_version version; ///< version of the written rows; after a conflict only its era
     milliseconds storeTime{0}; ///< time of the write by the store's clock
-    /// After a conflict: the current state of the rows that had a condition. Version 0 means
+    /// After a conflict: the current state of the rows that had a condition. unknownVersion means
     /// that the row does not exist.
     std::vector<table_entry> current;
 };
@@ -91,7 +96,7 @@
 /// the caller's thread.
 template <class S>
 concept row_store_like
-        = requires(S store, const std::string &table, std::uint64_t since, milliseconds wait,
+        = requires(S store, const std::string &table, store_version since, milliseconds wait,
                    std::vector<row_write> writes, row_callback<row_batch> onRows,
                    row_callback<conditional_write> onWrite)
 {
--- a/include/laurelcroft/Policy/ServiceRollout.h
+++ b/include/laurelcroft/Policy/ServiceRollout.h
@@ -8,6 +8,8 @@
 #ifndef LAURELCROFT_POLICY_SERVICEROLLOUT_H
 #define LAURELCROFT_POLICY_SERVICEROLLOUT_H
 
+#include "laurelcroft/Support/StoreVersion.h"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -23,7 +25,7 @@
     std::string service;
     std::string targetVersion;
     std::chrono::milliseconds window{0}; ///< from the order to its deadline
-    std::uint64_t orderedAt = 0; ///< version of the order's row; distinguishes orders
+    store_version orderedAt; ///< version of the order's row; distinguishes orders
 };
 
 /// The stage of a roll-out.
@@ -46,7 +48,7 @@
 /// The row of a roll-out in the store, shared by all entries.
 struct rollout_row
 {
-    std::uint64_t orderedAt = 0;
+    store_version orderedAt; ///< rollout_order::orderedAt
     std::string targetVersion;
     rollout_stage stage = rollout_stage::trial;
     std::chrono::milliseconds startedAt{0}; ///< in the store's time
--- a/include/laurelcroft/Proxy/EntryRegistry.h
+++ b/include/laurelcroft/Proxy/EntryRegistry.h
@@ -11,7 +11,6 @@
 
 #include "laurelcroft/Proxy/RolloutRows.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -22,7 +21,7 @@
 struct listed_entry
 {
     std::string name;
-    std::uint64_t version = 0;
+    store_version version;
 };
 
 /// The rows of all entries.
@@ -40,7 +39,7 @@
     }
 
     void clear();
-    void update(const std::string &name, entry_info place, std::uint64_t version);
+    void update(const std::string &name, entry_info place, store_version version);
     void remove(const std::string &name);
 
     const entry_map &entries() const { return m_entries; }
@@ -62,7 +61,7 @@
 private:
     std::string m_own;
     entry_map m_entries;
-    std::map<std::string, std::uint64_t> m_versions;
+    std::map<std::string, store_version> m_versions;
 };
 
 } // namespace laurelcroft
--- a/include/laurelcroft/Proxy/PeerRows.h
+++ b/include/laurelcroft/Proxy/PeerRows.h
@@ -62,7 +62,7 @@
 
     /// Reads from a reader, or from any peer when there is none; successive reads rotate through
     /// them. Reads issued together are sent as one request.
-    void read(const std::string &table, std::uint64_t since, row_callback<row_update> done);
+    void read(const std::string &table, store_version since, row_callback<row_update> done);
 
 private:
     struct state;
--- a/include/laurelcroft/Proxy/RowServer.h
+++ b/include/laurelcroft/Proxy/RowServer.h
@@ -28,13 +28,15 @@
 struct table_since
 {
     std::string table;
-    std::uint64_t since = 0;
+    store_version since;
+    /// False for a request of an earlier release, whose answer must not state an era either.
+    bool statesEra = true;
 };
 
 /// Header that announces a sender that is not listed yet.
 inline constexpr std::string_view announcementHeader = "Entry-Announcement";
 
-/// Answers GET /rows?tables=NAME:SINCE,NAME:SINCE&hold=MS. Not thread-safe.
+/// Answers GET /rows?tables=NAME:NUMBER@ERA,NAME:NUMBER@ERA&hold=MS. Not thread-safe.
 class row_server
 {
 public:
--- a/include/laurelcroft/Proxy/RowWire.h
+++ b/include/laurelcroft/Proxy/RowWire.h
@@ -36,6 +36,9 @@
 
 std::string encodeUpdates(std::span<const packed_update> tables);
 
+/// Sets the era of all versions in \p batch.
+void setEra(row_batch &batch, std::uint64_t era);
+
 /// Changes keyed by table.
 using table_updates = std::map<std::string, aged_update>;
 
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -159,10 +159,15 @@
     follow_pace heldPace(milliseconds between) const;
     std::unique_ptr<follower> follow(const std::string &table, follow_pace pace,
                                      void (store_sync::*apply)(row_update &));
+    /// \returns \p orderedAt in the era of the order of \p service, if it states none: an earlier
+    /// release wrote it, or a datagram brought it.
+    store_version withEra(store_version orderedAt, const std::string &service) const;
     void applyOperator(row_update &update);
     /// Removes from \p update the rows that are only heartbeats.
     void applyEndpoints(row_update &update);
     void applyEndpointTable(row_batch &batch);
+    /// \returns true when \p version is the first of \p table since the store came back from a copy.
+    bool noteEra(const std::string &table, store_version version);
     /// \returns removal rows for the known endpoints that are not in \p batch.
     std::vector<store_row> removalsOfMissingEndpoints(const row_batch &batch) const;
     bool takeEndpointRow(const store_row &row);
@@ -181,7 +186,7 @@
     void applyInternal(row_update &update);
     void takeContract(const store_row &row);
     void takeOrder(const std::string &service, const store_row &row);
-    void setEvacuated(std::set<std::string> dataCentres, std::uint64_t version);
+    void setEvacuated(std::set<std::string> dataCentres, store_version version);
     /// Treats removals as uncertain for a while: an endpoint's row may have expired because the
     /// store was unavailable, not because the endpoint is gone.
     void deferRemovals(row_failure why);
@@ -229,13 +234,14 @@
     row_codec m_codec;
     entry_links m_links;
     std::map<std::string, std::unique_ptr<follower>> m_followers; ///< keyed by table
+    std::map<std::string, std::uint64_t> m_eras; ///< latest eras of the store, keyed by table
     std::map<std::string, std::string> m_refused; ///< errors of refused endpoint records, by key
-    std::map<std::string, std::uint64_t> m_rowVersions; ///< versions of roll-out rows, by service
+    std::map<std::string, store_version> m_rowVersions; ///< versions of roll-out rows, by service
     entry_registry m_roster;
     /// A withheld request's row in the store.
     struct finding_row
     {
-        std::uint64_t version = 0;
+        store_version version;
         milliseconds until{0}; ///< time on the store's clock
     };
     std::map<request_key, finding_row> m_findingRows;
--- a/include/laurelcroft/Proxy/StoreSyncEndpoints.h
+++ b/include/laurelcroft/Proxy/StoreSyncEndpoints.h
@@ -25,7 +25,7 @@
 
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::setEvacuated(std::set<std::string> dataCentres,
-                                              std::uint64_t version)
+                                              store_version version)
 {
     const std::set<std::string> before = m_state.directory().evacuated();
     if (dataCentres == before)
@@ -35,7 +35,7 @@
     const auto log = [&](const std::string &place, const char *what) {
         logInfo(log_part::fleet, what,
                 {{"data_centre", place},
-                 {"table_version", std::int64_t(version)},
+                 {"table_version", textOf(version)},
                  {"told_by", toldBy}});
     };
     for (const std::string &place : dataCentres) {
--- a/include/laurelcroft/Proxy/StoreSyncFindings.h
+++ b/include/laurelcroft/Proxy/StoreSyncFindings.h
@@ -63,7 +63,8 @@
     const request_key key = finding->key;
     finding->row.until = storeNow() + finding->remaining;
     const auto known = m_findingRows.find(key);
-    const std::uint64_t expected = known == m_findingRows.end() ? 0 : known->second.version;
+    const store_version expected
+            = known == m_findingRows.end() ? unknownVersion : known->second.version;
     m_isWriting = true;
     const row_write row{std::string(internalTable), withheldRowKey(key),
                         encodeWithheldRow(finding->row), expected};
--- a/include/laurelcroft/Proxy/StoreSyncRollouts.h
+++ b/include/laurelcroft/Proxy/StoreSyncRollouts.h
@@ -58,8 +58,11 @@
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::takeEvidence(const evidence_notice &notice)
 {
-    if (notice.entry != m_links.entry)
-        m_state.rollouts(notice.service).evaluator().takeEvidence(notice.entry, notice.evidence);
+    if (notice.entry == m_links.entry)
+        return;
+    rollout_evidence evidence = notice.evidence;
+    evidence.orderedAt = withEra(evidence.orderedAt, notice.service);
+    m_state.rollouts(notice.service).evaluator().takeEvidence(notice.entry, evidence);
 }
 
 template <row_store_like Store, runtime_like Runtime>
--- a/include/laurelcroft/Proxy/StoreSyncRows.h
+++ b/include/laurelcroft/Proxy/StoreSyncRows.h
@@ -53,7 +53,7 @@
     decoded<service_contract> contract = m_codec.decodeContract(row.value);
     if (!contract) {
         logWarning(log_part::bundle, "contract refused, the last one stays in force",
-                   {{"row_version", std::int64_t(row.version)}, {"fault", contract.error()}});
+                   {{"row_version", textOf(row.version)}, {"fault", contract.error()}});
         return;
     }
     const std::uint64_t version = contract.value().version;
@@ -92,7 +92,7 @@
             {{"service", service},
              {"target", order.value().targetVersion},
              {"window_ms", std::int64_t(order.value().window.count())},
-             {"row_version", std::int64_t(row.version)}});
+             {"row_version", textOf(row.version)}});
 }
 
 template <row_store_like Store, runtime_like Runtime>
@@ -133,7 +133,9 @@
         return;
     }
     if (const std::optional<evidence_row_key> place = evidenceOfKey(row.key)) {
-        const auto evidence = decodeEvidence(row.value);
+        auto evidence = decodeEvidence(row.value);
+        if (evidence)
+            evidence.value().orderedAt = withEra(evidence.value().orderedAt, place->service);
         if (!evidence)
             logWarning(log_part::bundle, "evidence refused",
                        {{"entry", place->entry}, {"fault", evidence.error()}});
@@ -154,15 +156,16 @@
     const std::optional<std::string> service = serviceOfKey(row.key);
     if (!service)
         return;
-    m_rowVersions[*service] = row.removed ? 0 : row.version;
+    m_rowVersions[*service] = row.removed ? unknownVersion : row.version;
     if (row.removed)
         return;
-    const outcome<rollout_row, std::string> value = decodeRollout(row.value);
+    outcome<rollout_row, std::string> value = decodeRollout(row.value);
     if (!value) {
         logWarning(log_part::bundle, "roll-out row refused",
                    {{"service", *service}, {"fault", value.error()}});
         return;
     }
+    value.value().orderedAt = withEra(value.value().orderedAt, *service);
     const milliseconds begin = value.value().stageSince;
     if (!m_state.rollouts(*service).setRow(value.value(), m_clock.localTimeOf(begin)))
         return;
@@ -172,7 +175,7 @@
              {"stage", textOf(value.value().stage)},
              {"share_permille", std::lround(value.value().share * 1000)},
              {"begins_in_ms", std::int64_t((begin - storeNow()).count())},
-             {"row_version", std::int64_t(row.version)}});
+             {"row_version", textOf(row.version)}});
 }
 
 } // namespace laurelcroft
--- a/include/laurelcroft/Proxy/StoreSyncTables.h
+++ b/include/laurelcroft/Proxy/StoreSyncTables.h
@@ -60,6 +60,29 @@
     return pace;
 }
 
+template <row_store_like Store, runtime_like Runtime>
+bool store_sync<Store, Runtime>::noteEra(const std::string &table, store_version version)
+{
+    const auto [known, isFirst] = m_eras.emplace(table, version.era);
+    const std::uint64_t before = std::exchange(known->second, std::max(known->second, version.era));
+    if (isFirst || before >= version.era)
+        return false;
+    logWarning(log_part::platform, "table read anew, the store came back from a copy",
+               {{"table", table}, {"version", textOf(version)}});
+    m_metrics.add("store_table_returns_total{table=\"" + table + "\"}");
+    return true;
+}
+
+template <row_store_like Store, runtime_like Runtime>
+store_version store_sync<Store, Runtime>::withEra(store_version orderedAt,
+                                                  const std::string &service) const
+{
+    const auto tracker = m_state.allRollouts().find(service);
+    if (orderedAt.era == 0 && tracker != m_state.allRollouts().end() && tracker->second.order())
+        orderedAt.era = tracker->second.order()->orderedAt.era;
+    return orderedAt;
+}
+
 template <row_store_like Store, runtime_like Runtime>
 std::unique_ptr<row_follower<Store, Runtime>>
 store_sync<Store, Runtime>::follow(const std::string &table, follow_pace pace,
@@ -70,16 +93,14 @@
     // The rows left in the batch by apply are those that other entries need.
     const auto take = [this, table, apply, listsEndpoints](row_update update) {
         noteTime(update.batch);
-        if (update.batch.version < m_mirror.versionOf(table))
-            logWarning(log_part::platform, "rows older than the known ones, not passed on",
-                       {{"table", table},
-                        {"version", std::int64_t(update.batch.version)},
-                        {"known_version", std::int64_t(m_mirror.versionOf(table))},
-                        {"rows", std::int64_t(update.batch.rows.size())}});
-        (this->*apply)(update);
-        // A relay's changes are in the mirror already, with the age that the relay reported.
         const follower &reader = *m_followers.at(table);
-        if (!reader.isUpdateRelayed())
+        // A relay's changes are in the mirror already, with the age that the relay reported.
+        bool isInMirror = reader.isUpdateRelayed();
+        // Other entries need the whole table of another era, not only what is new here.
+        if (noteEra(table, update.batch.version) && !std::exchange(isInMirror, true))
+            m_mirror.take(table, update.batch, true, reader.confirmedAt());
+        (this->*apply)(update);
+        if (!isInMirror)
             m_mirror.take(table, update.batch, update.whole, reader.confirmedAt());
         if (listsEndpoints)
             noteEndpointRowsAge();
--- a/include/laurelcroft/Proxy/VersionEvaluator.h
+++ b/include/laurelcroft/Proxy/VersionEvaluator.h
@@ -45,7 +45,7 @@
 {
 public:
     /// Starts a new order and discards the earlier evidence.
-    void begin(std::uint64_t orderedAt);
+    void begin(store_version orderedAt);
 
     /// Ends the order. Later answers still update the settled means.
     void end() { m_orderedAt.reset(); }
@@ -135,7 +135,7 @@
     bool updateSlowness(const std::string &kind, double slowness, bool onTarget);
 
     /// Identifies the current order (rollout_order::orderedAt); nothing: there is none.
-    std::optional<std::uint64_t> m_orderedAt;
+    std::optional<store_version> m_orderedAt;
     /// One pair per route and one for all routes: a version may be bad for one route only.
     std::map<std::string, guard_pair, std::less<>> m_guards;
     std::uint64_t m_targetAnswers = 0; ///< number of answers of the target version
--- a/include/laurelcroft/Usage/UsageDuty.h
+++ b/include/laurelcroft/Usage/UsageDuty.h
@@ -107,10 +107,10 @@
     void checkHolder();
     void pollRows();
     void onRows(outcome<row_batch, row_failure> result, time_point askedAt);
-    void onRow(usage_row row, std::uint64_t version, const row_batch &rows);
-    void acquire(usage_row row, std::uint64_t version, const row_batch &rows);
+    void onRow(usage_row row, store_version version, const row_batch &rows);
+    void acquire(usage_row row, store_version version, const row_batch &rows);
     /// Becomes the holder, with the lease and the ledger in \p row.
-    void startTenure(const usage_row &row, std::uint64_t version, const row_batch &rows);
+    void startTenure(const usage_row &row, store_version version, const row_batch &rows);
     /// Writes the unacknowledged batches to this entry's own row.
     void writeOwnRow();
     void removeOwnRow();
--- a/include/laurelcroft/Usage/UsageDutyImpl.h
+++ b/include/laurelcroft/Usage/UsageDutyImpl.h
@@ -249,7 +249,7 @@
     const auto it = std::find_if(rows.rows.begin(), rows.rows.end(),
                                  [](const store_row &row) { return row.key == usageKey; });
     if (it == rows.rows.end()) {
-        onRow(usage_row(), 0, rows);
+        onRow(usage_row(), unknownVersion, rows);
         return;
     }
     outcome<usage_row, std::string> row = decodeUsageRow(it->value);
@@ -261,7 +261,7 @@
 }
 
 template <usage_environment Env>
-void usage_duty<Env>::onRow(usage_row row, std::uint64_t version, const row_batch &rows)
+void usage_duty<Env>::onRow(usage_row row, store_version version, const row_batch &rows)
 {
     const duty_lease &lease = row.lease;
     const milliseconds earliest = m_bounds.earliest(now());
@@ -293,13 +293,13 @@
 }
 
 template <usage_environment Env>
-void usage_duty<Env>::acquire(usage_row row, std::uint64_t version, const row_batch &rows)
+void usage_duty<Env>::acquire(usage_row row, store_version version, const row_batch &rows)
 {
     const std::optional<milliseconds> trueTime = m_env.trueTime();
     if (!trueTime)
         return;
     const window_number current = m_settings.windows.windowAt(*trueTime);
-    if (version == 0)
+    if (version == unknownVersion)
         row.ledger = usage_ledger(current - 1);
     const std::size_t dropped
             = row.ledger.dropBefore(current - std::min(current, usage_meter::maxWindows));
@@ -332,7 +332,7 @@
 }
 
 template <usage_environment Env>
-void usage_duty<Env>::startTenure(const usage_row &row, std::uint64_t version,
+void usage_duty<Env>::startTenure(const usage_row &row, store_version version,
                                   const row_batch &rows)
 {
     m_metrics.add("usage_duty_total{event=\"gained\"}");
--- a/include/laurelcroft/Usage/UsageHolder.h
+++ b/include/laurelcroft/Usage/UsageHolder.h
@@ -58,7 +58,7 @@
     /// \param bounds bounds of the store's clock.
     /// \param onOwnAck receives the acknowledgements of this process's own batches.
     usage_holder(Env &env, const usage_settings &settings, metric_registry &metrics, usage_row row,
-                 std::uint64_t version, store_time_bounds bounds,
+                 store_version version, store_time_bounds bounds,
                  std::function<void(const usage_ack &)> onOwnAck);
 
     /// Performs all actions that are due. Must be called several times per second.
@@ -96,7 +96,7 @@
     void save();
     void onSaved(outcome<conditional_write, row_failure> result, const usage_row &saved,
                  time_point askedAt);
-    void onConfirmed(const usage_row &saved, std::uint64_t version);
+    void onConfirmed(const usage_row &saved, store_version version);
     void onConflict(const conditional_write &refused);
     void acknowledge(const usage_process &process, std::uint64_t number);
     void decideDueWindows();
@@ -119,7 +119,7 @@
     metric_registry &m_metrics;
     std::function<void(const usage_ack &)> m_onOwnAck;
     usage_row m_row;
-    std::uint64_t m_version; ///< version of the row
+    store_version m_version; ///< version of the row
     store_time_bounds m_bounds;
     milliseconds m_confirmedUntil; ///< end of the lease that the last successful write confirmed
     std::map<usage_process, usage_progress> m_savedProgress; ///< as confirmed by the last write
--- a/include/laurelcroft/Usage/UsageHolderImpl.h
+++ b/include/laurelcroft/Usage/UsageHolderImpl.h
@@ -14,7 +14,7 @@
 
 template <usage_environment Env>
 usage_holder<Env>::usage_holder(Env &env, const usage_settings &settings, metric_registry &metrics,
-                                usage_row row, std::uint64_t version, store_time_bounds bounds,
+                                usage_row row, store_version version, store_time_bounds bounds,
                                 std::function<void(const usage_ack &)> onOwnAck)
     : m_env(env)
     , m_settings(settings)
@@ -151,7 +151,7 @@
 }
 
 template <usage_environment Env>
-void usage_holder<Env>::onConfirmed(const usage_row &saved, std::uint64_t version)
+void usage_holder<Env>::onConfirmed(const usage_row &saved, store_version version)
 {
     m_version = version;
     m_confirmedUntil = saved.lease.until;
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -159,7 +159,7 @@
 
 bool service_directory::claimAddress(const endpoint_record &record)
 {
-    if (record.port == 0 || record.rowVersion == 0)
+    if (record.port == 0 || record.rowVersion == unknownVersion)
         return true;
     const address place{record.host, record.port};
     const auto holder = m_idByAddress.find(place);
@@ -256,13 +256,13 @@
     return true;
 }
 
-bool service_directory::remove(std::string_view id, time_point now, std::uint64_t version)
+bool service_directory::remove(std::string_view id, time_point now, store_version version)
 {
     const auto it = m_endpoints.find(id);
     if (it == m_endpoints.end())
         return true;
     // The removal is older than the known row: the endpoint has come back since.
-    if (version != 0 && version < it->second->record().rowVersion)
+    if (version != unknownVersion && version < it->second->record().rowVersion)
         return false;
     if (now >= m_removalsTrustedFrom || it->second->isLeaving()) {
         drop(id);
@@ -323,7 +323,7 @@
 }
 
 void service_directory::setEvacuated(std::set<std::string> dataCentres, time_point now,
-                                     std::uint64_t version)
+                                     store_version version)
 {
     for (const std::string &place : m_evacuated) {
         if (dataCentres.count(place) == 0 && version > m_recordsVersion)
@@ -341,7 +341,7 @@
     invalidateUsable();
 }
 
-void service_directory::setRecordsCurrent(std::uint64_t version, time_point currentUntil)
+void service_directory::setRecordsCurrent(store_version version, time_point currentUntil)
 {
     m_recordsVersion = std::max(m_recordsVersion, version);
     m_recordsCurrentUntil = currentUntil;
--- a/lib/Proxy/EntryRegistry.cpp
+++ b/lib/Proxy/EntryRegistry.cpp
@@ -17,7 +17,7 @@
     m_versions.clear();
 }
 
-void entry_registry::update(const std::string &name, entry_info place, std::uint64_t version)
+void entry_registry::update(const std::string &name, entry_info place, store_version version)
 {
     m_entries[name] = std::move(place);
     m_versions[name] = version;
--- a/lib/Proxy/EvidenceNotice.cpp
+++ b/lib/Proxy/EvidenceNotice.cpp
@@ -1,6 +1,6 @@
 //===-- EvidenceNotice.cpp - roll-out evidence by datagram ------------------===//
 //
-// A MessagePack array: entry, service, row version of the roll-out order, random id of the
+// A MessagePack array: entry, service, number of the version of the roll-out order's row, random id of the
 // process, and for each route its name and three counts. Counts are cumulative, so that lost or
 // late notices are harmless.
 //
@@ -32,7 +32,7 @@
     if (routes.size() > evidence_notice::maxRoutes)
         routes.resize(evidence_notice::maxRoutes);
     json item = json::array(
-            {notice.entry, notice.service, notice.evidence.orderedAt, notice.evidence.incarnation});
+            {notice.entry, notice.service, notice.evidence.orderedAt.number, notice.evidence.incarnation});
     for (const auto &[route, seen] : routes) {
         item.push_back(route);
         item.push_back(seen.good);
@@ -66,7 +66,7 @@
     evidence_notice notice;
     notice.entry = item[0].get<std::string>();
     notice.service = item[1].get<std::string>();
-    notice.evidence.orderedAt = item[2].get<std::uint64_t>();
+    notice.evidence.orderedAt.number = item[2].get<std::uint64_t>();
     notice.evidence.incarnation = item[3].get<std::uint64_t>();
     for (std::size_t i = fieldsBeforeRoutes; i < item.size(); i += routeFields) {
         notice.evidence.byRoute[item[i].get<std::string>()]
--- a/lib/Proxy/PeerRows.cpp
+++ b/lib/Proxy/PeerRows.cpp
@@ -55,7 +55,8 @@
     std::string text;
     for (const pending_read &item : asked) {
         text += text.empty() ? "" : ",";
-        text += percentEncoded(item.what.table) + ":" + std::to_string(item.what.since);
+        text += percentEncoded(item.what.table) + ":" + std::to_string(item.what.since.number) + "@"
+                + std::to_string(item.what.since.era);
     }
     return text;
 }
@@ -75,7 +76,7 @@
     void avoid(const std::string &peer, const outcome<http_reply, http_error> &reply);
     void failAll();
     void takeReply(const std::string &peer, const std::string &body);
-    row_update takeTable(const std::string &table, const aged_update &found);
+    row_update takeTable(const table_since &asked, aged_update found);
 
     asio::io_context &context;
     asio_runtime runtime;
@@ -194,10 +195,10 @@
     return !m_state->sources.readers.empty() && m_state->sources.standbys.empty();
 }
 
-void peer_rows::read(const std::string &table, std::uint64_t since, row_callback<row_update> done)
+void peer_rows::read(const std::string &table, store_version since, row_callback<row_update> done)
 {
     state &self = *m_state;
-    self.pending.push_back({{table, since}, std::move(done)});
+    self.pending.push_back({{table, since, true}, std::move(done)});
     // Restart the request in progress so that it includes this read.
     if (self.call) {
         self.http.cancel(*self.call);
@@ -331,12 +332,16 @@
         (isTaken ? answered : pending).push_back(std::move(item));
     }
     for (const pending_read &item : answered)
-        item.done(takeTable(item.what.table, tables.value().at(item.what.table)));
+        item.done(takeTable(item.what, std::move(tables.value().at(item.what.table))));
 }
 
-row_update peer_rows::state::takeTable(const std::string &table, const aged_update &found)
+row_update peer_rows::state::takeTable(const table_since &asked, aged_update found)
 {
-    metrics.set("rows_age_ms{table=\"" + table + "\"}", static_cast<double>(found.age.count()));
-    mirror.takeFromPeer(table, found, bootNow());
-    return found.update;
+    metrics.set("rows_age_ms{table=\"" + asked.table + "\"}",
+                static_cast<double>(found.age.count()));
+    // An earlier release states no era; its rows count as rows of the era that is known here.
+    if (!found.statesEra)
+        setEra(found.update.batch, mirror.versionOf(asked.table).era);
+    mirror.takeFromPeer(asked.table, found, bootNow());
+    return std::move(found.update);
 }
--- a/lib/Proxy/RolloutRows.cpp
+++ b/lib/Proxy/RolloutRows.cpp
@@ -102,9 +102,17 @@
     }
 }
 
+/// \returns the version of an order; its era is 0 in rows of earlier releases.
+static store_version decodeOrderedAt(const nlohmann::json &json)
+{
+    return {json.value("ordered_era", std::uint64_t(0)),
+            json.at("ordered_at").get<std::uint64_t>()};
+}
+
 std::string laurelcroft::encodeRollout(const rollout_row &row)
 {
-    return nlohmann::json{{"ordered_at", row.orderedAt},
+    return nlohmann::json{{"ordered_at", row.orderedAt.number},
+                          {"ordered_era", row.orderedAt.era},
                           {"target", row.targetVersion},
                           {"stage", textOf(row.stage)},
                           {"started_ms", row.startedAt.count()},
@@ -119,7 +127,7 @@
     try {
         const nlohmann::json json = nlohmann::json::parse(value);
         rollout_row row;
-        row.orderedAt = json.at("ordered_at").get<std::uint64_t>();
+        row.orderedAt = decodeOrderedAt(json);
         row.targetVersion = json.at("target").get<std::string>();
         const std::optional<rollout_stage> stage
                 = rolloutStage(json.at("stage").get<std::string>());
@@ -141,8 +149,10 @@
     nlohmann::json routes = nlohmann::json::object();
     for (const auto &[route, seen] : evidence.byRoute)
         routes[route] = {{"good", seen.good}, {"failed", seen.failed}, {"slow", seen.slow}};
-    return nlohmann::json{
-            {"ordered_at", evidence.orderedAt}, {"routes", routes}, {"life", evidence.incarnation}}
+    return nlohmann::json{{"ordered_at", evidence.orderedAt.number},
+                          {"ordered_era", evidence.orderedAt.era},
+                          {"routes", routes},
+                          {"life", evidence.incarnation}}
             .dump();
 }
 
@@ -151,7 +161,7 @@
     try {
         const nlohmann::json json = nlohmann::json::parse(value);
         rollout_evidence evidence;
-        evidence.orderedAt = json.at("ordered_at").get<std::uint64_t>();
+        evidence.orderedAt = decodeOrderedAt(json);
         evidence.incarnation = json.value("life", std::uint64_t(0));
         for (const auto &[route, seen] : json.at("routes").items()) {
             evidence.byRoute[route]
--- a/lib/Proxy/RowMirror.cpp
+++ b/lib/Proxy/RowMirror.cpp
@@ -6,6 +6,7 @@
 #include "laurelcroft/Proxy/RowMirror.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 using namespace laurelcroft;
@@ -29,7 +30,7 @@
     known.changes.insert({row.version, row.key});
 }
 
-void row_mirror::setRemoved(table_copy &known, const std::string &key, std::uint64_t version)
+void row_mirror::setRemoved(table_copy &known, const std::string &key, store_version version)
 {
     erase(known, key);
     known.removed[key] = version;
@@ -59,15 +60,33 @@
     take(table, batch, found.update.whole, batch.storeTime - found.age, now - found.age);
 }
 
+void row_mirror::begin(table_copy &known, store_version version)
+{
+    table_copy next;
+    next.formerRows = std::move(known.rows);
+    next.changesFrom = version;
+    known = std::move(next);
+}
+
+row_map row_mirror::takeFormerRows(const std::string &table)
+{
+    const auto it = m_tables.find(table);
+    return it == m_tables.end() ? row_map() : std::exchange(it->second.formerRows, {});
+}
+
 void row_mirror::take(const std::string &table, const row_batch &batch, bool whole,
                       milliseconds storeTime, time_point confirmedAt)
 {
     table_copy &known = m_tables[table];
     if (batch.version < known.version)
         return;
-    const bool isFirst = known.version == 0;
-    if (isFirst)
-        known.changesFrom = batch.version;
+    const bool isFirst = known.version == unknownVersion;
+    const bool isOtherEra = !isFirst && batch.version.era != known.version.era;
+    // Changes of another era do not continue the rows that are known.
+    if (isOtherEra && !whole)
+        return;
+    if (isFirst || isOtherEra)
+        begin(known, batch.version);
     if (whole) {
         std::vector<std::string> before;
         for (const auto &[key, row] : known.rows)
@@ -91,13 +110,13 @@
         m_onChange();
 }
 
-std::uint64_t row_mirror::versionOf(const std::string &table) const
+store_version row_mirror::versionOf(const std::string &table) const
 {
     const auto it = m_tables.find(table);
     return it == m_tables.end() ? unknownVersion : it->second.version;
 }
 
-update_state row_mirror::stateOf(const std::string &table, std::uint64_t since,
+update_state row_mirror::stateOf(const std::string &table, store_version since,
                                  time_point now) const
 {
     update_state state;
@@ -106,14 +125,15 @@
         return state;
     const table_copy &known = it->second;
     state.isKnown = true;
-    state.isOutdated = now - known.confirmedAt > m_freshness;
+    state.isOutdated
+            = now - known.confirmedAt > m_freshness || since.era > known.version.era;
     state.age = std::chrono::duration_cast<milliseconds>(now - known.confirmedAt);
     const bool hasChanges = !known.changes.empty() && known.changes.rbegin()->first > since;
     state.hasUpdate = !state.isOutdated && (since < known.changesFrom || hasChanges);
     return state;
 }
 
-std::optional<aged_update> row_mirror::read(const std::string &table, std::uint64_t since,
+std::optional<aged_update> row_mirror::read(const std::string &table, store_version since,
                                             time_point now) const
 {
     const update_state state = stateOf(table, since, now);
@@ -138,19 +158,20 @@
     return headSince(m_tables.at(table), unknownVersion, state);
 }
 
-aged_update row_mirror::headSince(const table_copy &known, std::uint64_t since,
+aged_update row_mirror::headSince(const table_copy &known, store_version since,
                                   const update_state &state)
 {
     aged_update result;
     result.age = state.age;
-    result.changedAt = known.changes.empty() ? 0 : known.changes.rbegin()->first;
+    if (!known.changes.empty())
+        result.changedAt = known.changes.rbegin()->first;
     result.update.whole = since < known.changesFrom;
     result.update.batch.version = known.version;
     result.update.batch.storeTime = known.storeTime + result.age;
     return result;
 }
 
-aged_update row_mirror::updateSince(const table_copy &known, std::uint64_t since,
+aged_update row_mirror::updateSince(const table_copy &known, store_version since,
                                     const update_state &state)
 {
     aged_update result = headSince(known, since, state);
@@ -161,7 +182,7 @@
         return result;
     }
     std::vector<store_row> removed;
-    for (auto item = known.changes.lower_bound({since + 1, ""}); item != known.changes.end();
+    for (auto item = known.changes.lower_bound({{since.era, since.number + 1}, ""}); item != known.changes.end();
          ++item) {
         const auto row = known.rows.find(item->second);
         if (row != known.rows.end())
--- a/lib/Proxy/RowServer.cpp
+++ b/lib/Proxy/RowServer.cpp
@@ -41,12 +41,30 @@
 /// The packed rows of a whole table.
 struct packed_table
 {
-    std::optional<std::uint64_t> changedAt; ///< version of the newest row or removal in the table
+    std::optional<store_version> changedAt; ///< version of the newest row or removal in the table
     packed_rows rows;
 };
 
 } // namespace
 
+static std::uint64_t parseNumber(std::string_view text)
+{
+    std::uint64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number, decimal);
+    return number;
+}
+
+/// \param version as NUMBER@ERA, or as NUMBER from an earlier release.
+static table_since parseSince(std::string_view table, std::string_view version)
+{
+    const std::size_t separator = version.find('@');
+    table_since result{std::string(table), {}, separator != std::string_view::npos};
+    result.since.number = parseNumber(version.substr(0, separator));
+    if (result.statesEra)
+        result.since.era = parseNumber(version.substr(separator + 1));
+    return result;
+}
+
 /// \returns the tables of a query; malformed items are left out.
 static std::vector<table_since> parseTables(std::string_view text)
 {
@@ -58,10 +76,7 @@
         const std::size_t colon = item.rfind(':');
         if (colon == std::string_view::npos)
             continue;
-        table_since table{std::string(item.substr(0, colon)), 0};
-        const std::string_view number = item.substr(colon + 1);
-        std::from_chars(number.data(), number.data() + number.size(), table.since, decimal);
-        tables.push_back(std::move(table));
+        tables.push_back(parseSince(item.substr(0, colon), item.substr(colon + 1)));
     }
     return tables;
 }
@@ -79,6 +94,8 @@
 
     void serve(const message_head &head, caller_exchange &exchange);
     void noteAnnouncement(const message_head &head) const;
+    /// Completes versions without an era: an earlier release follows the era of this mirror.
+    void addMissingEras(std::vector<table_since> &tables) const;
     void holdRead(std::vector<table_since> tables, caller_exchange &exchange, milliseconds time);
     milliseconds maxHoldFor(const std::vector<table_since> &tables) const;
     void answer(const std::vector<table_since> &tables, caller_exchange &exchange);
@@ -145,6 +162,14 @@
                    {{"bytes", std::int64_t(text.size())}});
 }
 
+void row_server::state::addMissingEras(std::vector<table_since> &tables) const
+{
+    for (table_since &item : tables) {
+        if (!item.statesEra && item.since > rereadVersion)
+            item.since.era = mirror.versionOf(item.table).era;
+    }
+}
+
 void row_server::state::serve(const message_head &head, caller_exchange &exchange)
 {
     const std::string_view target = head.target;
@@ -156,6 +181,7 @@
     noteAnnouncement(head);
     const std::string_view parameters = target.substr(query + 1);
     std::vector<table_since> tables = parseTables(queryValue(parameters, "tables"));
+    addMissingEras(tables);
     const milliseconds wanted = parseHold(queryValue(parameters, "hold"));
     const milliseconds time = std::min(wanted, maxHoldFor(tables));
     if (time.count() > 0)
@@ -239,8 +265,11 @@
 {
     std::vector<packed_update> found;
     for (const table_since &item : tables) {
-        if (std::optional<packed_update> update = updateFor(item))
-            found.push_back(std::move(*update));
+        std::optional<packed_update> update = updateFor(item);
+        if (!update)
+            continue;
+        update->about.statesEra = item.statesEra;
+        found.push_back(std::move(*update));
     }
     if (found.empty()) {
         exchange.reply(http_status::unavailable, {}, "");
--- a/lib/Proxy/VersionEvaluator.cpp
+++ b/lib/Proxy/VersionEvaluator.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-void version_evaluator::begin(std::uint64_t orderedAt)
+void version_evaluator::begin(store_version orderedAt)
 {
     m_orderedAt = orderedAt;
     m_guards.clear();
--- a/unittests/Fleet/ServiceDirectoryTests.cpp
+++ b/unittests/Fleet/ServiceDirectoryTests.cpp
@@ -37,7 +37,7 @@
 
 TEST_CASE("of two ids at one address the one with the newer row is used, in either order")
 {
-    const auto at = [](const std::string &id, std::uint64_t rowVersion, std::uint16_t port) {
+    const auto at = [](const std::string &id, store_version rowVersion, std::uint16_t port) {
         endpoint_record record = recordOf(id);
         record.host = "10.0.0.1";
         record.port = port;
--- a/unittests/Platform/RowFollowerTests.cpp
+++ b/unittests/Platform/RowFollowerTests.cpp
@@ -18,7 +18,7 @@
 struct simple_store
 {
     void list(const std::string &, row_callback<row_batch> done) { answer(std::move(done)); }
-    void follow(const std::string &, std::uint64_t, milliseconds wait, row_callback<row_batch> done)
+    void follow(const std::string &, store_version, milliseconds wait, row_callback<row_batch> done)
     {
         lastWait = wait;
         answer(std::move(done));
@@ -31,9 +31,10 @@
         if (away)
             done(failure(row_failure::unknown));
         else
-            done(row_batch{{}, 1, {}});
+            done(row_batch{{}, version, {}});
     }
     bool away = false;
+    store_version version = 1;
     unsigned calls = 0;
     milliseconds lastWait{-1};
 };
@@ -42,6 +43,7 @@
 struct event_counter
 {
     unsigned tables = 0;
+    unsigned changes = 0;
     unsigned lost = 0;
     unsigned regained = 0;
 
@@ -49,7 +51,7 @@
     {
         follow_events events;
         events.onTable = [this](row_batch &&) { ++tables; };
-        events.onChanges = [](row_batch &&) {};
+        events.onChanges = [this](row_batch &&) { ++changes; };
         events.onLost = [this](row_failure) { ++lost; };
         events.onRecovered = [this](milliseconds) { ++regained; };
         return events;
@@ -71,7 +73,7 @@
     {
         row_relay relay;
         relay.isPreferred = [this] { return relayFirst; };
-        relay.read = [this](const std::string &, std::uint64_t, row_callback<row_update> done) {
+        relay.read = [this](const std::string &, store_version, row_callback<row_update> done) {
             ++relayReads;
             if (relayAway)
                 done(failure(row_failure::notDone));
@@ -177,7 +179,7 @@
         row_relay relay;
         relay.isPreferred = [] { return true; };
         relay.isStandby = [this] { return isStandby; };
-        relay.read = [this](const std::string &, std::uint64_t, row_callback<row_update> done) {
+        relay.read = [this](const std::string &, store_version, row_callback<row_update> done) {
             if (outdated)
                 done(failure(row_failure::outdated));
             else
@@ -269,3 +271,27 @@
         CHECK((fixture.store.calls > 0) == isStandby);
     }
 }
+
+TEST_CASE("changes of a later era are not taken for changes since a version of the earlier one")
+{
+    follower_fixture fixture;
+    fixture.relayFirst = false;
+    fixture.store.version = {1, 39};
+    fixture.follower.start();
+    fixture.runtime.advance(seconds(2));
+    REQUIRE(fixture.tables == 1);
+    const unsigned before = fixture.changes;
+    // The store is back from a copy, and past the version that the follower asks for.
+    fixture.store.version = {2, 59};
+    fixture.runtime.advance(seconds(1));
+    CHECK(fixture.tables == 2);
+    CHECK(fixture.changes == before);
+    fixture.runtime.advance(seconds(2));
+    CHECK(fixture.changes > before);
+    CHECK(fixture.lost == 0);
+    // An answer from before the return is a failure, not news.
+    fixture.store.version = {1, 70};
+    fixture.runtime.advance(seconds(1));
+    CHECK(fixture.tables == 2);
+    CHECK(fixture.lost == 1);
+}
--- a/unittests/Proxy/EntryFleet.h
+++ b/unittests/Proxy/EntryFleet.h
@@ -37,7 +37,7 @@
         if (mayCall(done))
             store.list(table, std::move(done));
     }
-    void follow(const std::string &table, std::uint64_t since, milliseconds wait,
+    void follow(const std::string &table, store_version since, milliseconds wait,
                 row_callback<row_batch> done)
     {
         if (mayCall(done))
@@ -73,7 +73,7 @@
     entry_links linksOf();
     bool isReady() { return routing.contract() && !routing.directory().all().empty(); }
     std::vector<std::string> peersToRead() const;
-    void read(const std::string &table, std::uint64_t since, row_callback<row_update> done,
+    void read(const std::string &table, store_version since, row_callback<row_update> done,
               time_point until);
 
     fleet &all;
@@ -152,7 +152,7 @@
     return addresses;
 }
 
-inline void fleet_entry::read(const std::string &table, std::uint64_t since,
+inline void fleet_entry::read(const std::string &table, store_version since,
                               row_callback<row_update> done, time_point until)
 {
     if (!store.isUp)
@@ -199,7 +199,7 @@
     links.isFirstStart = all.isFirstStart;
     links.relay.isPreferred = [this] { return !peersToRead().empty(); };
     links.relay.read
-            = [this](const std::string &table, std::uint64_t since, row_callback<row_update> done) {
+            = [this](const std::string &table, store_version since, row_callback<row_update> done) {
                   read(table, since, std::move(done), all.runtime.now() + longPollTime);
               };
     links.onEntries = [this](const entry_map &known) {
--- a/unittests/Proxy/EntryRegistryTests.cpp
+++ b/unittests/Proxy/EntryRegistryTests.cpp
@@ -33,7 +33,7 @@
     const auto gone = roster.findExpired(end);
     REQUIRE(gone);
     CHECK(gone->name == "e2");
-    CHECK(gone->version == 4);
+    CHECK(gone->version.number == 4);
     roster.remove("e2");
     CHECK(!roster.findExpired(end));
     CHECK(roster.entries().size() == 1);
--- a/unittests/Proxy/FakeStore.h
+++ b/unittests/Proxy/FakeStore.h
@@ -32,14 +32,14 @@
             m_runtime.after(callDelay, [done] { done(failure(row_failure::unknown)); });
             return;
         }
-        answer(std::move(done), [this, table] { return rowsOf(table, 0, false); });
+        answer(std::move(done), [this, table] { return rowsOf(table, {}, false); });
     }
 
-    void follow(const std::string &table, std::uint64_t since, milliseconds wait,
+    void follow(const std::string &table, store_version since, milliseconds wait,
                 row_callback<row_batch> done)
     {
         ++follows;
-        if (hasLostHistory || since > m_content.version) {
+        if (hasLostHistory || since.number > m_content.number) {
             m_runtime.after(callDelay, [done] { done(failure(row_failure::historyGone)); });
             return;
         }
@@ -62,12 +62,12 @@
 
     void put(const std::string &table, const std::string &key, const std::string &value)
     {
-        set(table, {key, value, ++m_content.version, false});
+        set(table, {key, value, nextVersion(), false});
     }
 
     void remove(const std::string &table, const std::string &key)
     {
-        set(table, {key, "", ++m_content.version, true});
+        set(table, {key, "", nextVersion(), true});
     }
 
     /// Writes \p count rows that no entry reads, each of which takes a version.
@@ -81,7 +81,11 @@
     void saveCopy() { m_copy = m_content; }
 
     /// Comes back from the last copy: later writes are lost, and their versions are given out again.
-    void restoreCopy() { m_content = m_copy; }
+    void restoreCopy()
+    {
+        m_content = m_copy;
+        ++era;
+    }
 
     std::string valueOf(const std::string &table, const std::string &key)
     {
@@ -95,6 +99,7 @@
     std::string awayTable; ///< reads of this table fail
     milliseconds awayDelay = callDelay; ///< time until a call fails while the store is unavailable
     bool hasLostHistory = false;
+    std::uint64_t era = 0; ///< rises with each return from a copy; 0: not stated
     unsigned lists = 0;
     unsigned follows = 0;
     unsigned writes = 0;
@@ -115,7 +120,16 @@
         answer<row_batch>(std::move(done), std::move(result));
     }
 
-    bool changedSince(const std::string &table, std::uint64_t since)
+    store_version nextVersion() { return {era, ++m_content.number}; }
+
+    /// \returns \p row as it is read in the current era.
+    store_row inEra(store_row row) const
+    {
+        row.version.era = era;
+        return row;
+    }
+
+    bool changedSince(const std::string &table, store_version since)
     {
         return !rowsOf(table, since, true).rows.empty();
     }
@@ -128,18 +142,18 @@
 
     /// Returns every change since \p since for a feed, in order, with several changes of one row;
     /// otherwise the current rows.
-    row_batch rowsOf(const std::string &table, std::uint64_t since, bool feed)
+    row_batch rowsOf(const std::string &table, store_version since, bool feed)
     {
         row_batch batch;
-        batch.version = m_content.version;
+        batch.version = {era, m_content.number};
         batch.storeTime = timeNow();
         for (const store_row &row : m_content.history[table]) {
-            if (feed && row.version > since)
-                batch.rows.push_back(row);
+            if (feed && row.version.number > since.number)
+                batch.rows.push_back(inEra(row));
         }
         for (const auto &[key, row] : m_content.tables[table]) {
             if (!feed && !row.removed)
-                batch.rows.push_back(row);
+                batch.rows.push_back(inEra(row));
         }
         return batch;
     }
@@ -154,18 +168,15 @@
         for (const row_write &row : rows) {
             const auto &known = m_content.tables[row.table];
             const auto it = known.find(row.key);
-            const std::uint64_t version
-                    = it == known.end() || it->second.removed ? 0 : it->second.version;
-            if (row.expected && *row.expected != version)
-                return {false,
-                        0,
-                        milliseconds(0),
-                        {{row.table, it == known.end() ? store_row() : it->second}}};
+            const bool exists = it != known.end() && !it->second.removed;
+            const store_row current = exists ? inEra(it->second) : store_row();
+            if (row.expected && *row.expected != current.version)
+                return {false, {era, 0}, milliseconds(0), {{row.table, current}}};
         }
-        ++m_content.version;
+        const store_version version = nextVersion();
         for (const row_write &row : rows)
-            set(row.table, {row.key, row.value, m_content.version, row.remove});
-        return {true, m_content.version, timeNow(), {}};
+            set(row.table, {row.key, row.value, version, row.remove});
+        return {true, version, timeNow(), {}};
     }
 
     /// Everything that a copy contains.
@@ -173,7 +184,7 @@
     {
         std::map<std::string, std::map<std::string, store_row>> tables;
         std::map<std::string, std::vector<store_row>> history;
-        std::uint64_t version = 1;
+        std::uint64_t number = 1;
     };
 
     manual_runtime &m_runtime;
--- a/unittests/Proxy/PeerRowsTests.cpp
+++ b/unittests/Proxy/PeerRowsTests.cpp
@@ -216,11 +216,11 @@
         client.rows.setFirstPeers({serverAddress()});
     }
     std::string serverAddress() const { return "127.0.0.1:" + std::to_string(server.rows.port()); }
-    void tell(const std::string &table, std::uint64_t version)
+    void tell(const std::string &table, store_version version)
     {
         server.mirror.take(table, {{{"k", "v", version, false}}, version, {}}, true, bootNow());
     }
-    void ask(const std::string &table, std::uint64_t since)
+    void ask(const std::string &table, store_version since)
     {
         client.rows.read(table, since, [this, table](outcome<row_update, row_failure> update) {
             results.emplace(table, std::move(update));
@@ -281,8 +281,8 @@
     two.context.poll();
     two.ask("d", 0);
     two.runUntil(4);
-    CHECK(two.results.at("a").value().batch.version == 3);
-    CHECK(two.results.at("b").value().batch.version == 5);
+    CHECK(two.results.at("a").value().batch.version.number == 3);
+    CHECK(two.results.at("b").value().batch.version.number == 5);
     CHECK(!two.results.at("c"));
     CHECK(!two.results.at("d"));
     const std::string told = two.client.metrics.prometheusText();
@@ -372,7 +372,7 @@
     CHECK(two.results.at("a").value().batch.rows.size() == 1);
     // Tables that are current at the reader are still taken from it.
     REQUIRE(two.results.at("b"));
-    CHECK(two.results.at("b").value().batch.version == 4);
+    CHECK(two.results.at("b").value().batch.version.number == 4);
 }
 
 TEST_CASE("a read skips a dead peer and succeeds at the next one")
--- a/unittests/Proxy/RolloutTests.cpp
+++ b/unittests/Proxy/RolloutTests.cpp
@@ -170,7 +170,7 @@
     const auto next = tracker.nextRow(milliseconds(1000), {endpointOf("c", "v3")}, 1);
     REQUIRE(next);
     CHECK(next->stage == rollout_stage::waiting);
-    CHECK(next->orderedAt == 9);
+    CHECK(next->orderedAt.number == 9);
 }
 
 TEST_CASE("shared rows round-trip through their encoding; malformed ones are refused")
--- a/unittests/Proxy/RowMirrorTests.cpp
+++ b/unittests/Proxy/RowMirrorTests.cpp
@@ -93,3 +93,39 @@
     REQUIRE(told);
     CHECK(told->update.batch.storeTime == milliseconds(1000));
 }
+
+TEST_CASE("a table of a later era replaces the known one, and readers of the earlier era get all of it")
+{
+    row_mirror mirror(milliseconds(1500));
+    const time_point now{seconds(100)};
+    mirror.take("t", {{{"a", "1", {1, 39}, false}, {"b", "1", {1, 12}, false}}, {1, 40}, {}}, true,
+                now);
+    // Versions are given out again: 12 and 30 are of another history.
+    mirror.take("t", {{{"b", "1", {2, 12}, false}, {"c", "1", {2, 30}, false}}, {2, 31}, {}}, true,
+                now);
+    const auto update = mirror.read("t", {1, 40}, now);
+    REQUIRE(update);
+    CHECK(update->update.whole);
+    CHECK(update->update.batch.rows.size() == 2);
+    mirror.take("t", {{{"c", "2", {2, 32}, false}}, {2, 32}, {}}, false, now);
+    const auto changes = mirror.read("t", {2, 31}, now);
+    REQUIRE(changes);
+    CHECK(!changes->update.whole);
+    CHECK(changes->update.batch.rows.size() == 1);
+    CHECK(mirror.takeFormerRows("t").size() == 2);
+    // Rows of the earlier era that arrive late change nothing.
+    mirror.take("t", {{{"a", "2", {1, 50}, false}}, {1, 50}, {}}, true, now);
+    CHECK(mirror.versionOf("t") == store_version(2, 32));
+}
+
+TEST_CASE("a mirror does not confirm rows to a reader that knows a later era")
+{
+    row_mirror mirror(milliseconds(1500));
+    const time_point now{seconds(100)};
+    mirror.take("t", {{{"a", "1", {1, 39}, false}}, {1, 40}, {}}, true, now);
+    CHECK(!mirror.read("t", {2, 10}, now));
+    CHECK(mirror.stateOf("t", {2, 10}, now).isOutdated);
+    // Changes do not continue the table of another era.
+    mirror.take("t", {{{"b", "1", {2, 11}, false}}, {2, 11}, {}}, false, now);
+    CHECK(!mirror.read("t", {2, 10}, now));
+}
--- a/unittests/Proxy/RowWireTests.cpp
+++ b/unittests/Proxy/RowWireTests.cpp
@@ -27,13 +27,13 @@
     const aged_update &orders = back.value().at("orders");
     CHECK(!orders.update.whole);
     CHECK(orders.age == milliseconds(30));
-    CHECK(orders.update.batch.version == 8);
+    CHECK(orders.update.batch.version.number == 8);
     CHECK(orders.update.batch.storeTime == milliseconds(50));
     REQUIRE(orders.update.batch.rows.size() == 2);
     CHECK(orders.update.batch.rows[0].value == std::string("3\0x", 3));
     CHECK(!orders.update.batch.rows[0].removed);
     CHECK(orders.update.batch.rows[1].key == "a");
-    CHECK(orders.update.batch.rows[1].version == 7);
+    CHECK(orders.update.batch.rows[1].version.number == 7);
     CHECK(orders.update.batch.rows[1].removed);
     CHECK(back.value().at("endpoints").update.batch.rows.empty());
 }
@@ -48,7 +48,7 @@
                         R"({"service":"pool","address":"10.0.0.)" + number
                                 + R"(:8000","zone":"east","version":"v1","slots":16,)"
                                 + R"("state":"ready","models":["small","middle","large"]})",
-                        i + 1, false});
+                        {0, i + 1}, false});
         plain += rows.back().key.size() + rows.back().value.size();
     }
     const std::string bytes
@@ -64,7 +64,7 @@
 {
     std::vector<store_row> rows;
     for (unsigned i = 0; i < 100; ++i)
-        rows.push_back({"key-" + std::to_string(i), std::string(40, 'v'), i + 1, false});
+        rows.push_back({"key-" + std::to_string(i), std::string(40, 'v'), {0, i + 1}, false});
     const std::string whole = encodeUpdates(std::vector<packed_update>{updateOf("orders", rows)});
     REQUIRE(decodeUpdates(whole));
     for (std::size_t size = 0; size < whole.size(); ++size)
@@ -81,3 +81,22 @@
             CHECK(update.update.batch.rows.size() <= rows.size());
     }
 }
+
+TEST_CASE("rows between entries keep their era, and an earlier release sends and gets none")
+{
+    packed_update sent;
+    sent.table = "t";
+    sent.about.update.batch.version = {3, 40};
+    sent.rows = packRows(std::vector<store_row>{{"a", "1", {3, 39}, false}});
+    const auto received = decodeUpdates(encodeUpdates(std::span(&sent, 1)));
+    REQUIRE(received);
+    const aged_update &found = received.value().at("t");
+    CHECK(found.statesEra);
+    CHECK(found.update.batch.version == store_version(3, 40));
+    CHECK(found.update.batch.rows.at(0).version == store_version(3, 39));
+    sent.about.statesEra = false;
+    const auto earlier = decodeUpdates(encodeUpdates(std::span(&sent, 1)));
+    REQUIRE(earlier);
+    CHECK(!earlier.value().at("t").statesEra);
+    CHECK(earlier.value().at("t").update.batch.version == store_version(0, 40));
+}
--- a/unittests/Proxy/StoreReturnTests.cpp
+++ b/unittests/Proxy/StoreReturnTests.cpp
@@ -23,6 +23,7 @@
 
     explicit returning_store(std::size_t count)
     {
+        entries.store.era = 1;
         addInitialRows(entries);
         entries.start(0, count);
         entries.runtime.advance(seconds(5));
@@ -132,6 +133,7 @@
 {
     forEachReturn([](std::size_t count, bool isPast) {
         fleet entries;
+        entries.store.era = 1;
         addInitialRows(entries);
         for (const char *id : {"n1", "n2", "n3"})
             entries.store.put("endpoints", id, "v2");
--- a/unittests/Proxy/StoreSyncTests.cpp
+++ b/unittests/Proxy/StoreSyncTests.cpp
@@ -64,7 +64,7 @@
         links.timings = row_timings(leaveBound);
         links.relay.isPreferred = [this] { return relayed; };
         links.relay.read
-                = [this](const std::string &table, std::uint64_t, row_callback<row_update> done) {
+                = [this](const std::string &table, store_version, row_callback<row_update> done) {
                       ++relayReads;
                       if (ordersOfPeer && table == "orders")
                           done(*ordersOfPeer);
@@ -233,7 +233,7 @@
     fixture.store.away = false;
     fixture.runtime.advance(seconds(2));
     CHECK(fixture.store.valueOf("status", "pool") == "trial");
-    const std::uint64_t order = fixture.routing.rollouts("pool").order()->orderedAt;
+    const store_version order = fixture.routing.rollouts("pool").order()->orderedAt;
     fixture.store.put("laurelcroft", evidenceKey("e2", "pool"),
                       encodeEvidence({order, {{"route", {10, 30, 0}}}}));
     fixture.runtime.advance(seconds(3));
@@ -329,7 +329,7 @@
     sync_fixture fixture;
     fixture.store.put("orders", "contract", "3");
     fixture.begin();
-    const std::uint64_t version = 50;
+    const store_version version = 50;
     fixture.store.away = true;
     fixture.ordersOfPeer = row_update{{{{"contract", "7", version, false}}, version, {}}, true};
     fixture.runtime.advance(seconds(4));
--- a/unittests/Proxy/VersionInForceTests.cpp
+++ b/unittests/Proxy/VersionInForceTests.cpp
@@ -29,12 +29,12 @@
     return endpoints;
 }
 
-rollout_order orderOf(const std::string &version, std::uint64_t at)
+rollout_order orderOf(const std::string &version, store_version at)
 {
     return {"pool", version, seconds(20), at};
 }
 
-rollout_row rowOf(const std::string &version, std::uint64_t orderedAt, rollout_stage stage)
+rollout_row rowOf(const std::string &version, store_version orderedAt, rollout_stage stage)
 {
     rollout_row row;
     row.orderedAt = orderedAt;
@@ -97,7 +97,7 @@
         const auto next = tracker.nextRow(seconds(200), endpoints, 3);
         REQUIRE(next);
         CHECK(next->stage == stage);
-        CHECK(next->orderedAt == 9);
+        CHECK(next->orderedAt.number == 9);
         tracker.setRow(*next);
         CHECK(versionsOf(tracker.eligible(endpoints, {session, start, start}))
               == std::set<std::string>{"v2"});
--- a/unittests/Usage/UsageFixture.cpp
+++ b/unittests/Usage/UsageFixture.cpp
@@ -82,7 +82,7 @@
             std::move(done));
 }
 
-void process_store::follow(const std::string &table, std::uint64_t since, milliseconds wait,
+void process_store::follow(const std::string &table, store_version since, milliseconds wait,
                            row_callback<row_batch> done)
 {
     m_fixture.store.follow(table, since, wait, std::move(done));
--- a/unittests/Usage/UsageFixture.h
+++ b/unittests/Usage/UsageFixture.h
@@ -86,7 +86,7 @@
     {
     }
     void list(const std::string &table, row_callback<row_batch> done);
-    void follow(const std::string &table, std::uint64_t since, milliseconds wait,
+    void follow(const std::string &table, store_version since, milliseconds wait,
                 row_callback<row_batch> done);
     void write(const std::vector<row_write> &rows, row_callback<conditional_write> done);
 
