Keep what is known over a return of the store, and write lost rows again

Callers would see (reproduced, not in the users' record): a version that was found bad and taken back is tried again after the store comes back from a copy, since the row that takes it back is gone and its order, written again, has another version; requests at an endpoint that had gone, which the copy still lists; requests in an evacuated data centre whose row is missing for a moment; budgets that are shared by fewer entries than there are.

Cause: the absence of a row, and an older state of it, were taken for news.

- carried_rows keeps the rows that the first table of a later era lacks, for 2.2 s, in which their owners write them again; other entries still get the store's rows only.
- Any entry writes lost rows of the internal table again, if they don't exist; the row of a roll-out with the latest stage that the entry knows, over an earlier or missing one, and the status with it.
- An order for the same version whose row is of a later era is the same order: stage, evidence and findings hold on.
An older order of the copy is held back while the later one is written again.
- The directory doubts the record of an endpoint that was removed in an earlier era until it changes or for 10 s, and does not take a cold endpoint for warm by a record of the copy.

--- a/include/laurelcroft/Fleet/ServiceDirectory.h
+++ b/include/laurelcroft/Fleet/ServiceDirectory.h
@@ -41,7 +41,7 @@
     bool leaving = false;
     milliseconds coldLeft{0}; ///< warm-up time left when the row was written
     std::uint64_t startedAt = 0; ///< start time in Unix milliseconds; 0 if not stated
-    store_version rowVersion; ///< rises with each change; unknownVersion if unknown
+    store_version rowVersion{}; ///< rises with each change; unknownVersion if unknown
 
     /// Compares all fields but \c rowVersion and \c coldLeft, which change with every heartbeat.
     bool isEquivalentTo(const endpoint_record &other) const;
@@ -271,7 +271,13 @@
     /// until \p until.
     void deferRemovalsUntil(time_point until);
 
-    /// Drops the endpoints whose grace period has ended.
+    /// Handles that the store came back from a copy; \p version is that of the first table read
+    /// from it. Records up to this version may be older than what is known here: an endpoint whose
+    /// record had been removed is not used again until its record changes, or is still listed after
+    /// \c copyDoubtTime, and a cold endpoint stays cold.
+    void storeReturned(store_version version, time_point now);
+
+    /// Drops the endpoints whose grace period has ended, and takes over doubted records.
     void expire(time_point now);
 
     /// Sets the data centres whose endpoints must get no requests. Endpoints in a data centre that
@@ -324,6 +330,10 @@
     /// The same while the store can't be read: longer than endpoints stay cold.
     static constexpr milliseconds maxAssumedColdTime{10'000};
 
+    /// How long the record of a removed endpoint is doubted when the store comes back from a copy
+    /// that still has it: longer than the store keeps the record of an endpoint that is silent.
+    static constexpr milliseconds copyDoubtTime{10'000};
+
     /// Limit on remembered endpoints that have left; covers weeks of replacements.
     static constexpr std::size_t maxDeparted = 4096;
 
@@ -336,6 +346,11 @@
     bool claimAddress(const endpoint_record &record);
     /// \returns true when \p record belongs to an incarnation that has left.
     bool hasDeparted(const endpoint_record &record) const;
+    /// \returns true when \p record may come from the copy from which the store came back.
+    bool mayBeFromCopy(const endpoint_record &record, time_point now) const;
+    /// Keeps \p record for later when its endpoint was removed before the store came back.
+    /// \returns true when it is kept for later.
+    bool isDoubted(const endpoint_record &record, time_point now);
     void add(endpoint_record &&record, time_point now);
 
     std::map<std::string, endpoint_ptr, std::less<>> m_endpoints;
@@ -358,11 +373,16 @@
     /// A data centre that was taken back.
     struct taken_back
     {
-        store_version version; ///< of the store, which no longer had the evacuation
+        store_version version{}; ///< of the store, which no longer had the evacuation
         time_point until{}; ///< its endpoints count as cold no longer than this
     };
     std::map<std::string, taken_back, std::less<>> m_takenBack; ///< by data centre
     store_version m_recordsVersion; ///< of the store; all its records are known
+    store_version m_returnVersion; ///< of the first table since the store came back from a copy
+    time_point m_copyDoubtedUntil{};
+    /// Eras in which endpoints that were not leaving were removed, by id.
+    std::map<std::string, std::uint64_t, std::less<>> m_removedIn;
+    std::map<std::string, endpoint_record, std::less<>> m_doubted; ///< by id
     time_point m_recordsCurrentUntil = time_point::max();
     bool m_isStoreUnavailable = false;
     time_point m_removalsTrustedFrom{};
--- a/include/laurelcroft/Platform/RowFollower.h
+++ b/include/laurelcroft/Platform/RowFollower.h
@@ -1,8 +1,9 @@
 //===-- Platform/RowFollower.h - follows the changes of a table --*- C++ -*-===//
 //
 // Reads a table once, then follows its change feed. Reads the whole table again when the store no
-// longer has the history that the feed needs, or has come back from a copy. Reads are spaced out because every call to the store
-// has a cost. Where another process relays the rows, the follower reads from it, also at startup.
+// longer has the history that the feed needs, or has come back from a copy. Reads are spaced out
+// because every call to the store has a cost. Where another process relays the rows, the follower
+// reads from it, also at startup.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_PLATFORM_ROWFOLLOWER_H
@@ -224,11 +225,11 @@
     void readStore()
     {
         ++m_readNumber;
-        auto done = [this, since = m_since,
-                     alive = m_alive](outcome<row_batch, row_failure> result) {
-            if (*alive)
-                onStoreAnswer(std::move(result), since);
-        };
+        auto done
+                = [this, since = m_since, alive = m_alive](outcome<row_batch, row_failure> result) {
+                      if (*alive)
+                          onStoreAnswer(std::move(result), since);
+                  };
         // While the store is unavailable, its calls are not held: its recovery is noticed at once,
         // and a call that hangs times out sooner.
         const milliseconds maxHold = m_lost ? milliseconds(0) : m_pace.held;
--- a/include/laurelcroft/Platform/RowStore.h
+++ b/include/laurelcroft/Platform/RowStore.h
@@ -39,7 +39,7 @@
 {
     std::string key;
     std::string value;
-    store_version version;
+    store_version version{};
     bool removed = false; ///< set only in a change feed
 };
 
@@ -47,7 +47,7 @@
 struct row_batch
 {
     std::vector<store_row> rows;
-    store_version version; ///< version from which to follow the feed
+    store_version version{}; ///< version from which to follow the feed
     milliseconds storeTime{0}; ///< reading of the store's clock
 };
 
@@ -74,7 +74,7 @@
 struct conditional_write
 {
     bool done = false;
-    store_version version; ///< version of the written rows; after a conflict only its era
+    store_version version{}; ///< version of the written rows; after a conflict only its era
     milliseconds storeTime{0}; ///< time of the write by the store's clock
     /// After a conflict: the current state of the rows that had a condition. unknownVersion means
     /// that the row does not exist.
--- a/include/laurelcroft/Policy/ServiceRollout.h
+++ b/include/laurelcroft/Policy/ServiceRollout.h
@@ -25,7 +25,7 @@
     std::string service;
     std::string targetVersion;
     std::chrono::milliseconds window{0}; ///< from the order to its deadline
-    store_version orderedAt; ///< version of the order's row; distinguishes orders
+    store_version orderedAt{}; ///< version of the order's row; distinguishes orders
 };
 
 /// The stage of a roll-out.
@@ -48,7 +48,7 @@
 /// The row of a roll-out in the store, shared by all entries.
 struct rollout_row
 {
-    store_version orderedAt; ///< rollout_order::orderedAt
+    store_version orderedAt{}; ///< rollout_order::orderedAt
     std::string targetVersion;
     rollout_stage stage = rollout_stage::trial;
     std::chrono::milliseconds startedAt{0}; ///< in the store's time
@@ -61,6 +61,10 @@
     bool operator==(const rollout_row &) const = default;
 };
 
+/// \returns true if \p row is of \p order. An order for the same version whose row is of a later
+/// era is the same one: its row was written again after the store came back from a copy.
+bool isOfOrder(const rollout_row &row, const rollout_order &order);
+
 /// What this entry currently knows about a roll-out.
 struct rollout_view
 {
--- a/include/laurelcroft/Proxy/EntryRegistry.h
+++ b/include/laurelcroft/Proxy/EntryRegistry.h
@@ -21,7 +21,7 @@
 struct listed_entry
 {
     std::string name;
-    store_version version;
+    store_version version{};
 };
 
 /// The rows of all entries.
--- a/include/laurelcroft/Proxy/RolloutRows.h
+++ b/include/laurelcroft/Proxy/RolloutRows.h
@@ -33,7 +33,7 @@
 /// Answers of a version under roll-out that one entry has seen.
 struct rollout_evidence
 {
-    store_version orderedAt; ///< rollout_order::orderedAt
+    store_version orderedAt{}; ///< rollout_order::orderedAt
     std::map<std::string, version_answers> byRoute;
     std::uint64_t incarnation = 0; ///< random per process, whose counts start from 0; 0: unknown
     bool operator==(const rollout_evidence &) const = default;
--- a/include/laurelcroft/Proxy/RolloutTracker.h
+++ b/include/laurelcroft/Proxy/RolloutTracker.h
@@ -74,10 +74,13 @@
     /// \returns false when the row is older than the current one or equal to it.
     bool setRow(const rollout_row &row, time_point begin = {});
 
+    /// Notes that the store has lost the row, so that nextRow() returns it again.
+    void noteRowLost() { m_isRowLost = m_row.has_value(); }
+
     const std::optional<rollout_order> &order() const { return m_order; }
     const std::optional<rollout_row> &row() const { return m_row; }
 
-    /// \returns true when the roll-out was completed or reverted.
+    /// \returns true when the roll-out was completed or reverted, and the store has its row.
     bool isOver() const;
 
     /// \param version the version that all endpoints have; null when they have several or there are
@@ -166,6 +169,8 @@
     std::deque<time_point> m_arrivals; ///< arrival times of requests in the last second
     std::optional<rollout_order> m_order;
     std::optional<rollout_row> m_row;
+    /// The store came back from a copy that does not have m_row, or an earlier stage of it.
+    bool m_isRowLost = false;
     time_point m_stageBegin{}; ///< when the stage of m_row begins
     std::optional<time_point> m_foundBadAt; ///< when a request first found the version to be bad
     version_evaluator m_evaluator;
--- a/include/laurelcroft/Proxy/RowMirror.h
+++ b/include/laurelcroft/Proxy/RowMirror.h
@@ -2,8 +2,8 @@
 //
 // Copies of tables that other entries read from this one: entries that cannot reach the store, and
 // entries that leave reading the store to a few. Rows keep the store's versions, so that no reader
-// goes back to an older state; all rows of a copy are of one era. Each answer carries its age, so that entries cannot keep confirming
-// each other's copies after the store is lost.
+// goes back to an older state; all rows of a copy are of one era. Each answer carries its age, so
+// that entries cannot keep confirming each other's copies after the store is lost.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_PROXY_ROWMIRROR_H
@@ -26,7 +26,7 @@
     row_update update;
     milliseconds age{0}; ///< since the store confirmed them
     bool statesEra = true; ///< false when it comes from, or goes to, an earlier release
-    store_version changedAt; ///< version of the newest row or removal in the table
+    store_version changedAt{}; ///< version of the newest row or removal in the table
 };
 
 /// State of a table relative to the version that a reader knows.
@@ -104,7 +104,7 @@
         /// a scan of the table; many entries ask for them each second.
         std::set<std::pair<store_version, std::string>> changes;
         store_version changesFrom; ///< changes since this or any later version are known
-        store_version version;
+        store_version version{};
         milliseconds storeTime{0};
         time_point confirmedAt{};
     };
--- a/include/laurelcroft/Proxy/RowServer.h
+++ b/include/laurelcroft/Proxy/RowServer.h
@@ -28,7 +28,7 @@
 struct table_since
 {
     std::string table;
-    store_version since;
+    store_version since{};
     /// False for a request of an earlier release, whose answer must not state an era either.
     bool statesEra = true;
 };
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -9,6 +9,7 @@
 #define LAURELCROFT_PROXY_STORESYNC_H
 
 #include "laurelcroft/Platform/RowFollower.h"
+#include "laurelcroft/Proxy/CarriedRows.h"
 #include "laurelcroft/Proxy/EntryAnnouncement.h"
 #include "laurelcroft/Proxy/EntryRegistry.h"
 #include "laurelcroft/Proxy/EvidenceNotice.h"
@@ -108,6 +109,8 @@
     static constexpr milliseconds announcementInterval{700};
     /// Maximum number of rows per write: the store accepts a hundred rows in a transaction.
     static constexpr std::size_t maxAnnouncedRows = 90;
+    /// Delay after lost rows were written, in which they come back by the feed.
+    static constexpr milliseconds lostRowsRetryDelay{400};
     /// Delay after a failed write.
     static constexpr milliseconds writeRetryDelay{1000};
     /// An endpoint whose cold period ends this much later than was known has become cold again.
@@ -132,6 +135,10 @@
     static constexpr milliseconds maxEvidenceAge{2500};
     static constexpr milliseconds evidenceSettleTime{2500};
 
+    /// How long a row may be missing after the store came back from a copy. Its owner writes it
+    /// again within about two seconds.
+    static constexpr milliseconds rewriteGrace{2200};
+
     store_sync(Store &store, Runtime &runtime, routing_state &state, row_mirror &mirror,
                metric_registry &metrics, row_codec codec, entry_links links);
 
@@ -157,17 +164,35 @@
 
     follow_pace endpointPace() const;
     follow_pace heldPace(milliseconds between) const;
-    std::unique_ptr<follower> follow(const std::string &table, follow_pace pace,
-                                     void (store_sync::*apply)(row_update &));
-    /// \returns \p orderedAt in the era of the order of \p service, if it states none: an earlier
-    /// release wrote it, or a datagram brought it.
+    std::unique_ptr<follower> follow(const std::string &table, follow_pace pace);
+    /// Applies an update of \p table, and passes it on by the mirror unless it came from there.
+    void takeUpdate(const std::string &table, row_update update);
+    /// Applies an update with the rows that are missing since the store came back from a copy.
+    void apply(const std::string &table, row_update &update);
+    /// \returns true when \p version is the first of \p table since the store came back.
+    bool noteEra(const std::string &table, store_version version);
+    /// Keeps the rows that are missing in \p batch, the first whole table since the store came
+    /// back.
+    void carryRows(const std::string &table, const row_batch &batch);
+    /// Removes the carried rows that nobody has written again in time.
+    void removeExpiredRows();
+    /// Writes the rows of the internal table that are missing since the store came back.
+    /// \returns true when a write was started.
+    bool writeLostRows();
+    /// \returns the version that \p row of the internal table has in the store; unknownVersion when
+    /// the row is missing there.
+    store_version versionInStore(const store_row &row) const;
+    /// \returns \p orderedAt in the era of the order of \p service, if an earlier release wrote it
+    /// without one.
     store_version withEra(store_version orderedAt, const std::string &service) const;
+    /// \returns true when \p row comes from a copy and is older than the order that is known here.
+    bool isOlderOrder(const std::string &service, const rollout_order &order) const;
+    /// Applies the held orders that the operator has not written again in time.
+    void takeHeldOrders();
     void applyOperator(row_update &update);
     /// Removes from \p update the rows that are only heartbeats.
     void applyEndpoints(row_update &update);
     void applyEndpointTable(row_batch &batch);
-    /// \returns true when \p version is the first of \p table since the store came back from a copy.
-    bool noteEra(const std::string &table, store_version version);
     /// \returns removal rows for the known endpoints that are not in \p batch.
     std::vector<store_row> removalsOfMissingEndpoints(const row_batch &batch) const;
     bool takeEndpointRow(const store_row &row);
@@ -234,14 +259,19 @@
     row_codec m_codec;
     entry_links m_links;
     std::map<std::string, std::unique_ptr<follower>> m_followers; ///< keyed by table
-    std::map<std::string, std::uint64_t> m_eras; ///< latest eras of the store, keyed by table
+    std::map<std::string, store_version> m_appliedVersions; ///< latest ones, keyed by table
+    std::map<std::string, carried_rows> m_carried; ///< keyed by table
+    /// Version of the first operator table since the store came back from a copy.
+    store_version m_operatorReturnVersion;
+    time_point m_ordersHeldUntil{};
+    std::map<std::string, store_row> m_heldOrders; ///< older than the known ones, by service
     std::map<std::string, std::string> m_refused; ///< errors of refused endpoint records, by key
     std::map<std::string, store_version> m_rowVersions; ///< versions of roll-out rows, by service
     entry_registry m_roster;
     /// A withheld request's row in the store.
     struct finding_row
     {
-        store_version version;
+        store_version version{};
         milliseconds until{0}; ///< time on the store's clock
     };
     std::map<request_key, finding_row> m_findingRows;
--- a/include/laurelcroft/Proxy/StoreSyncEndpoints.h
+++ b/include/laurelcroft/Proxy/StoreSyncEndpoints.h
@@ -34,9 +34,7 @@
             = m_followers.at(m_codec.operatorTable)->isUpdateRelayed() ? "entry" : "store";
     const auto log = [&](const std::string &place, const char *what) {
         logInfo(log_part::fleet, what,
-                {{"data_centre", place},
-                 {"table_version", textOf(version)},
-                 {"told_by", toldBy}});
+                {{"data_centre", place}, {"table_version", textOf(version)}, {"told_by", toldBy}});
     };
     for (const std::string &place : dataCentres) {
         if (before.count(place) == 0)
--- a/include/laurelcroft/Proxy/StoreSyncFindings.h
+++ b/include/laurelcroft/Proxy/StoreSyncFindings.h
@@ -25,7 +25,7 @@
                    {{"request_key", textOf(key)}, {"fault", value.error()}});
         return;
     }
-    m_findingRows[key] = {row.version, value.value().until};
+    m_findingRows[key] = {versionInStore(row), value.value().until};
     m_state.crashes().applyRow(key, value.value(), m_clock.localTimeOf(value.value().until),
                                m_runtime.now());
 }
--- a/include/laurelcroft/Proxy/StoreSyncRollouts.h
+++ b/include/laurelcroft/Proxy/StoreSyncRollouts.h
@@ -100,6 +100,8 @@
 void store_sync<Store, Runtime>::runChecks()
 {
     m_runtime.after(stepInterval, [this] { runChecks(); });
+    removeExpiredRows();
+    takeHeldOrders();
     maintainEntryRows();
     noteEndpointRowsAge();
     logOmittedEndpointLines();
@@ -114,7 +116,7 @@
     }
     if (m_isWriting || !m_clock.isKnown() || m_runtime.now() < m_nextWriteAt)
         return;
-    if (writeFinding())
+    if (writeLostRows() || writeFinding())
         return;
     for (auto &[service, tracker] : m_state.allRollouts()) {
         if (!tracker.order() || tracker.isOver())
--- a/include/laurelcroft/Proxy/StoreSyncRows.h
+++ b/include/laurelcroft/Proxy/StoreSyncRows.h
@@ -87,6 +87,11 @@
     }
     order.value().service = service;
     order.value().orderedAt = row.version;
+    if (isOlderOrder(service, order.value())) {
+        m_heldOrders[service] = row;
+        return;
+    }
+    m_heldOrders.erase(service);
     tracker.setOrder(order.value());
     logInfo(log_part::bundle, "roll-out ordered",
             {{"service", service},
@@ -95,6 +100,29 @@
              {"row_version", textOf(row.version)}});
 }
 
+template <row_store_like Store, runtime_like Runtime>
+bool store_sync<Store, Runtime>::isOlderOrder(const std::string &service,
+                                              const rollout_order &order) const
+{
+    const auto tracker = m_state.allRollouts().find(service);
+    if (tracker == m_state.allRollouts().end() || !tracker->second.order())
+        return false;
+    const rollout_order &known = *tracker->second.order();
+    const bool isFromCopy = m_runtime.now() < m_ordersHeldUntil
+            && known.orderedAt.era < order.orderedAt.era
+            && order.orderedAt <= m_operatorReturnVersion;
+    return isFromCopy && known.targetVersion != order.targetVersion;
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::takeHeldOrders()
+{
+    if (m_runtime.now() < m_ordersHeldUntil)
+        return;
+    for (const auto &[service, row] : std::exchange(m_heldOrders, {}))
+        takeOrder(service, row);
+}
+
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::applyInternal(row_update &update)
 {
@@ -129,7 +157,7 @@
         if (row.removed)
             m_roster.remove(*entry);
         else
-            m_roster.update(*entry, decodeEntry(row.value), row.version);
+            m_roster.update(*entry, decodeEntry(row.value), versionInStore(row));
         return;
     }
     if (const std::optional<evidence_row_key> place = evidenceOfKey(row.key)) {
@@ -156,7 +184,7 @@
     const std::optional<std::string> service = serviceOfKey(row.key);
     if (!service)
         return;
-    m_rowVersions[*service] = row.removed ? unknownVersion : row.version;
+    m_rowVersions[*service] = versionInStore(row);
     if (row.removed)
         return;
     outcome<rollout_row, std::string> value = decodeRollout(row.value);
@@ -165,6 +193,10 @@
                    {{"service", *service}, {"fault", value.error()}});
         return;
     }
+    if (m_rowVersions[*service] == unknownVersion) {
+        m_state.rollouts(*service).noteRowLost();
+        return;
+    }
     value.value().orderedAt = withEra(value.value().orderedAt, *service);
     const milliseconds begin = value.value().stageSince;
     if (!m_state.rollouts(*service).setRow(value.value(), m_clock.localTimeOf(begin)))
--- a/include/laurelcroft/Proxy/StoreSyncTables.h
+++ b/include/laurelcroft/Proxy/StoreSyncTables.h
@@ -29,13 +29,12 @@
 void store_sync<Store, Runtime>::start()
 {
     const std::string own(internalTable);
-    m_followers[m_codec.endpointTable]
-            = follow(m_codec.endpointTable, endpointPace(), &store_sync::applyEndpoints);
-    m_followers[m_codec.operatorTable] = follow(
-            m_codec.operatorTable, heldPace(operatorReadInterval), &store_sync::applyOperator);
+    m_followers[m_codec.endpointTable] = follow(m_codec.endpointTable, endpointPace());
+    m_followers[m_codec.operatorTable]
+            = follow(m_codec.operatorTable, heldPace(operatorReadInterval));
     follow_pace ownPace = heldPace(internalReadInterval);
     ownPace.firstWait = m_links.isFirstStart ? internalFirstWaitAtFirstStart : internalFirstWait;
-    m_followers[own] = follow(own, ownPace, &store_sync::applyInternal);
+    m_followers[own] = follow(own, ownPace);
     for (const auto &[table, item] : m_followers)
         item->start();
     runChecks();
@@ -60,19 +59,120 @@
     return pace;
 }
 
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::takeUpdate(const std::string &table, row_update update)
+{
+    noteTime(update.batch);
+    const follower &reader = *m_followers.at(table);
+    // A relay's changes are in the mirror already, with the age that the relay reported.
+    bool isInMirror = reader.isUpdateRelayed();
+    if (noteEra(table, update.batch.version)) {
+        if (!std::exchange(isInMirror, true))
+            m_mirror.take(table, update.batch, true, reader.confirmedAt());
+        carryRows(table, update.batch);
+    }
+    apply(table, update);
+    // The rows that are left are those that other entries need, but for this entry's carried ones.
+    if (!isInMirror) {
+        std::erase_if(update.batch.rows, [&](const store_row &row) {
+            return row.version.era != update.batch.version.era;
+        });
+        m_mirror.take(table, update.batch, update.whole, reader.confirmedAt());
+    }
+    if (table == m_codec.endpointTable)
+        noteEndpointRowsAge();
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::apply(const std::string &table, row_update &update)
+{
+    m_carried[table].complete(update);
+    if (table == m_codec.endpointTable)
+        applyEndpoints(update);
+    else if (table == m_codec.operatorTable)
+        applyOperator(update);
+    else
+        applyInternal(update);
+}
+
 template <row_store_like Store, runtime_like Runtime>
 bool store_sync<Store, Runtime>::noteEra(const std::string &table, store_version version)
 {
-    const auto [known, isFirst] = m_eras.emplace(table, version.era);
-    const std::uint64_t before = std::exchange(known->second, std::max(known->second, version.era));
-    if (isFirst || before >= version.era)
+    store_version &applied = m_appliedVersions[table];
+    const store_version before = std::exchange(applied, std::max(applied, version));
+    if (before == unknownVersion || before.era >= version.era)
         return false;
     logWarning(log_part::platform, "table read anew, the store came back from a copy",
-               {{"table", table}, {"version", textOf(version)}});
+               {{"table", table}, {"version", textOf(version)}, {"before", textOf(before)}});
     m_metrics.add("store_table_returns_total{table=\"" + table + "\"}");
     return true;
 }
 
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::carryRows(const std::string &table, const row_batch &batch)
+{
+    carried_rows &carried = m_carried[table];
+    carried.begin(m_mirror.takeFormerRows(table), batch, m_runtime.now() + rewriteGrace);
+    if (table == m_codec.endpointTable)
+        m_state.directory().storeReturned(batch.version, m_runtime.now());
+    if (table == m_codec.operatorTable) {
+        m_operatorReturnVersion = batch.version;
+        m_ordersHeldUntil = m_runtime.now() + rewriteGrace;
+    }
+    if (!carried.missing().empty())
+        logInfo(log_part::platform, "rows are missing in the copy, kept for a while",
+                {{"table", table},
+                 {"rows", std::int64_t(carried.missing().size())},
+                 {"first", carried.missing().begin()->first}});
+}
+
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::removeExpiredRows()
+{
+    for (auto &[table, carried] : m_carried) {
+        row_update update;
+        update.batch.version = m_appliedVersions[table];
+        update.batch.rows = carried.takeExpired(m_runtime.now(), update.batch.version);
+        if (update.batch.rows.empty())
+            continue;
+        logInfo(log_part::platform, "rows not written again, removed",
+                {{"table", table}, {"rows", std::int64_t(update.batch.rows.size())}});
+        apply(table, update);
+    }
+}
+
+template <row_store_like Store, runtime_like Runtime>
+bool store_sync<Store, Runtime>::writeLostRows()
+{
+    std::vector<row_write> rows;
+    for (const auto &[key, row] : m_carried[std::string(internalTable)].missing()) {
+        // The row of a roll-out is written with the next step.
+        if (!serviceOfKey(key) && rows.size() < maxAnnouncedRows)
+            rows.push_back({std::string(internalTable), key, row.value, unknownVersion});
+    }
+    if (rows.empty() || !isSampledWriter())
+        return false;
+    m_isWriting = true;
+    const auto count = std::int64_t(rows.size());
+    m_store.write(rows, [this, count](outcome<conditional_write, row_failure> result) {
+        m_isWriting = false;
+        // After a conflict, the next check writes those rows that are still missing then.
+        m_nextWriteAt = m_runtime.now() + lostRowsRetryDelay;
+        logInfo(log_part::platform, "lost rows written again",
+                {{"rows", count}, {"result", textOf(result)}});
+    });
+    return true;
+}
+
+template <row_store_like Store, runtime_like Runtime>
+store_version store_sync<Store, Runtime>::versionInStore(const store_row &row) const
+{
+    const auto applied = m_appliedVersions.find(std::string(internalTable));
+    const bool isCarried
+            = applied != m_appliedVersions.end() && row.version.era < applied->second.era;
+    return row.removed || isCarried ? unknownVersion : row.version;
+}
+
 template <row_store_like Store, runtime_like Runtime>
 store_version store_sync<Store, Runtime>::withEra(store_version orderedAt,
                                                   const std::string &service) const
@@ -85,28 +185,16 @@
 
 template <row_store_like Store, runtime_like Runtime>
 std::unique_ptr<row_follower<Store, Runtime>>
-store_sync<Store, Runtime>::follow(const std::string &table, follow_pace pace,
-                                   void (store_sync::*apply)(row_update &))
+store_sync<Store, Runtime>::follow(const std::string &table, follow_pace pace)
 {
     const bool listsEndpoints = table == m_codec.endpointTable;
     follow_events events;
-    // The rows left in the batch by apply are those that other entries need.
-    const auto take = [this, table, apply, listsEndpoints](row_update update) {
-        noteTime(update.batch);
-        const follower &reader = *m_followers.at(table);
-        // A relay's changes are in the mirror already, with the age that the relay reported.
-        bool isInMirror = reader.isUpdateRelayed();
-        // Other entries need the whole table of another era, not only what is new here.
-        if (noteEra(table, update.batch.version) && !std::exchange(isInMirror, true))
-            m_mirror.take(table, update.batch, true, reader.confirmedAt());
-        (this->*apply)(update);
-        if (!isInMirror)
-            m_mirror.take(table, update.batch, update.whole, reader.confirmedAt());
-        if (listsEndpoints)
-            noteEndpointRowsAge();
+    events.onTable = [this, table](row_batch &&batch) {
+        takeUpdate(table, {std::move(batch), true});
+    };
+    events.onChanges = [this, table](row_batch &&batch) {
+        takeUpdate(table, {std::move(batch), false});
     };
-    events.onTable = [take](row_batch &&batch) { take({std::move(batch), true}); };
-    events.onChanges = [take](row_batch &&batch) { take({std::move(batch), false}); };
     events.onLost = [this, table, listsEndpoints](row_failure why) {
         m_metrics.add("store_lost_total{table=\"" + table + "\"}");
         logWarning(log_part::platform, "store lost", {{"table", table}, {"why", textOf(why)}});
--- a/include/laurelcroft/Proxy/VersionEvaluator.h
+++ b/include/laurelcroft/Proxy/VersionEvaluator.h
@@ -47,6 +47,10 @@
     /// Starts a new order and discards the earlier evidence.
     void begin(store_version orderedAt);
 
+    /// Keeps all evidence for the order, whose row has another version since the store came back
+    /// from a copy.
+    void rename(store_version orderedAt);
+
     /// Ends the order. Later answers still update the settled means.
     void end() { m_orderedAt.reset(); }
 
--- a/lib/Fleet/ServiceDirectory.cpp
+++ b/lib/Fleet/ServiceDirectory.cpp
@@ -10,7 +10,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <tuple>
+#include <utility>
 
 using namespace laurelcroft;
 
@@ -183,10 +185,26 @@
     return !record.isLaterIncarnationThan(before);
 }
 
+bool service_directory::mayBeFromCopy(const endpoint_record &record, time_point now) const
+{
+    return now < m_copyDoubtedUntil && record.rowVersion.era == m_returnVersion.era
+            && record.rowVersion <= m_returnVersion;
+}
+
+bool service_directory::isDoubted(const endpoint_record &record, time_point now)
+{
+    const auto removed = m_removedIn.find(record.id);
+    const bool isDoubtful = removed != m_removedIn.end() && removed->second < record.rowVersion.era
+            && mayBeFromCopy(record, now);
+    if (isDoubtful)
+        m_doubted[record.id] = record;
+    return isDoubtful;
+}
+
 void service_directory::apply(endpoint_record record, time_point now, bool claimsAddress)
 {
     // Ignore a late heartbeat of an endpoint that has left.
-    if (hasDeparted(record))
+    if (hasDeparted(record) || isDoubted(record, now))
         return;
     if (const auto known = m_endpoints.find(record.id); known != m_endpoints.end()) {
         if (known->second->record().isLaterIncarnationThan(record))
@@ -197,13 +215,17 @@
     }
     m_departed.erase(record.id);
     m_lapsed.erase(record.id);
+    m_removedIn.erase(record.id);
+    m_doubted.erase(record.id);
     const auto it = m_endpoints.find(record.id);
     if (it != m_endpoints.end()) {
         if (!record.isEquivalentTo(it->second->record()))
             invalidateUsable();
         // Once an endpoint is leaving, it stays so until it restarts.
         record.leaving = record.leaving || it->second->record().leaving;
-        it->second->setColdFor(record.coldLeft, now);
+        const bool isWarmer = now + record.coldLeft < it->second->coldUntil();
+        if (!isWarmer || !mayBeFromCopy(record, now))
+            it->second->setColdFor(record.coldLeft, now);
         it->second->update(std::move(record));
         return;
     }
@@ -235,6 +257,10 @@
         if (m_departed.size() >= maxDeparted)
             m_departed.erase(m_departed.begin());
         m_departed.emplace(it->first, it->second->record().startedAt);
+    } else {
+        if (m_removedIn.size() >= maxDeparted)
+            m_removedIn.erase(m_removedIn.begin());
+        m_removedIn[it->first] = it->second->record().rowVersion.era;
     }
     const endpoint_record &record = it->second->record();
     const auto place = m_idByAddress.find({record.host, record.port});
@@ -258,6 +284,8 @@
 
 bool service_directory::remove(std::string_view id, time_point now, store_version version)
 {
+    if (const auto doubted = m_doubted.find(id); doubted != m_doubted.end())
+        m_doubted.erase(doubted);
     const auto it = m_endpoints.find(id);
     if (it == m_endpoints.end())
         return true;
@@ -309,8 +337,22 @@
     m_removalsTrustedFrom = std::max(m_removalsTrustedFrom, until);
 }
 
+void service_directory::storeReturned(store_version version, time_point now)
+{
+    m_returnVersion = version;
+    m_copyDoubtedUntil = now + copyDoubtTime;
+    m_doubted.clear();
+    // The records of the copy may be older than the data centre's return.
+    for (auto &[place, back] : m_takenBack)
+        back.version = {version.era, std::numeric_limits<std::uint64_t>::max()};
+}
+
 void service_directory::expire(time_point now)
 {
+    if (!m_doubted.empty() && now >= m_copyDoubtedUntil) {
+        for (auto &[id, record] : std::exchange(m_doubted, {}))
+            apply(std::move(record), now);
+    }
     if (m_isStoreUnavailable || m_lapsed.empty())
         return;
     std::vector<std::string> due;
--- a/lib/Policy/ServiceRollout.cpp
+++ b/lib/Policy/ServiceRollout.cpp
@@ -94,6 +94,13 @@
     return stage == rollout_stage::completed || stage == rollout_stage::reverted;
 }
 
+bool laurelcroft::isOfOrder(const rollout_row &row, const rollout_order &order)
+{
+    const bool isEarlierEra = row.orderedAt.era < order.orderedAt.era;
+    return row.targetVersion == order.targetVersion
+            && (row.orderedAt == order.orderedAt || isEarlierEra);
+}
+
 double laurelcroft::shareOf(rollout_stage stage, const rollout_view &view)
 {
     switch (stage) {
@@ -186,8 +193,13 @@
                                                        const std::optional<rollout_row> &row,
                                                        const rollout_view &view)
 {
-    if (!row || row->orderedAt != order.orderedAt)
+    if (!row || !isOfOrder(*row, order))
         return firstRow(order, row, view.now);
+    if (row->orderedAt != order.orderedAt) {
+        rollout_row renamed = *row;
+        renamed.orderedAt = order.orderedAt;
+        return renamed;
+    }
     if (isFinal(row->stage))
         return std::nullopt;
     if (view.foundBad)
--- a/lib/Proxy/EvidenceNotice.cpp
+++ b/lib/Proxy/EvidenceNotice.cpp
@@ -1,8 +1,8 @@
 //===-- EvidenceNotice.cpp - roll-out evidence by datagram ------------------===//
 //
-// A MessagePack array: entry, service, number of the version of the roll-out order's row, random id of the
-// process, and for each route its name and three counts. Counts are cumulative, so that lost or
-// late notices are harmless.
+// A MessagePack array: entry, service, number of the version of the roll-out order's row, random id
+// of the process, and for each route its name and three counts. Counts are cumulative, so that lost
+// or late notices are harmless.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/EvidenceNotice.h"
@@ -31,8 +31,8 @@
                      [](const auto &a, const auto &b) { return a.second.bad() > b.second.bad(); });
     if (routes.size() > evidence_notice::maxRoutes)
         routes.resize(evidence_notice::maxRoutes);
-    json item = json::array(
-            {notice.entry, notice.service, notice.evidence.orderedAt.number, notice.evidence.incarnation});
+    json item = json::array({notice.entry, notice.service, notice.evidence.orderedAt.number,
+                             notice.evidence.incarnation});
     for (const auto &[route, seen] : routes) {
         item.push_back(route);
         item.push_back(seen.good);
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -41,10 +41,14 @@
 void rollout_tracker::setOrder(const rollout_order &order)
 {
     const bool isNew = !m_order || m_order->orderedAt != order.orderedAt;
-    if (isNew)
+    const bool isWrittenAgain = isNew && m_order && m_order->targetVersion == order.targetVersion
+            && m_order->orderedAt.era < order.orderedAt.era;
+    if (isNew && !isWrittenAgain)
         noteCompletion();
     m_order = order;
-    if (!isNew)
+    if (isWrittenAgain)
+        m_evaluator.rename(order.orderedAt);
+    if (!isNew || isWrittenAgain)
         return;
     m_foundBadAt.reset();
     m_evaluator.begin(order.orderedAt);
@@ -63,11 +67,28 @@
         m_settled = m_order->targetVersion;
 }
 
+/// \returns true if both rows are of one order, which may have been written again in a later era.
+static bool isSameRollout(const rollout_row &one, const rollout_row &other)
+{
+    return one.targetVersion == other.targetVersion
+            && (one.orderedAt == other.orderedAt || one.orderedAt.era != other.orderedAt.era);
+}
+
 bool rollout_tracker::setRow(const rollout_row &row, time_point begin)
 {
-    const bool older = m_row && m_row->orderedAt > row.orderedAt;
-    if (older || m_row == row)
+    if (m_row == row) {
+        m_isRowLost = false;
+        return false;
+    }
+    // Only a copy has an earlier stage of the same roll-out.
+    const bool isEarlier = m_row && !isFinal(row.stage) && row.stage < m_row->stage;
+    if (isEarlier && isSameRollout(*m_row, row)) {
+        m_isRowLost = true;
+        return false;
+    }
+    if (m_row && m_row->orderedAt > row.orderedAt)
         return false;
+    m_isRowLost = false;
     m_row = row;
     m_stageBegin = begin;
     return true;
@@ -81,12 +102,12 @@
     // Otherwise sessions would return to the old version in between.
     const bool goesOn = m_row->targetVersion == m_order->targetVersion
             && m_row->stage != rollout_stage::reverted;
-    return m_row->orderedAt == m_order->orderedAt || goesOn;
+    return isOfOrder(*m_row, *m_order) || goesOn;
 }
 
 bool rollout_tracker::isOver() const
 {
-    return isCurrent() && isFinal(m_row->stage);
+    return isCurrent() && isFinal(m_row->stage) && !m_isRowLost;
 }
 
 double rollout_tracker::shareAt(time_point now) const
@@ -246,6 +267,11 @@
 {
     if (!m_order)
         return std::nullopt;
+    if (m_isRowLost && isOfOrder(*m_row, *m_order)) {
+        rollout_row lost = *m_row;
+        lost.orderedAt = m_order->orderedAt;
+        return lost;
+    }
     rollout_view view;
     view.now = storeNow;
     view.exposure = m_exposure;
--- a/lib/Proxy/RowMirror.cpp
+++ b/lib/Proxy/RowMirror.cpp
@@ -125,8 +125,7 @@
         return state;
     const table_copy &known = it->second;
     state.isKnown = true;
-    state.isOutdated
-            = now - known.confirmedAt > m_freshness || since.era > known.version.era;
+    state.isOutdated = now - known.confirmedAt > m_freshness || since.era > known.version.era;
     state.age = std::chrono::duration_cast<milliseconds>(now - known.confirmedAt);
     const bool hasChanges = !known.changes.empty() && known.changes.rbegin()->first > since;
     state.hasUpdate = !state.isOutdated && (since < known.changesFrom || hasChanges);
@@ -182,8 +181,8 @@
         return result;
     }
     std::vector<store_row> removed;
-    for (auto item = known.changes.lower_bound({{since.era, since.number + 1}, ""}); item != known.changes.end();
-         ++item) {
+    for (auto item = known.changes.lower_bound({{since.era, since.number + 1}, ""});
+         item != known.changes.end(); ++item) {
         const auto row = known.rows.find(item->second);
         if (row != known.rows.end())
             batch.rows.push_back(row->second);
--- a/lib/Proxy/VersionEvaluator.cpp
+++ b/lib/Proxy/VersionEvaluator.cpp
@@ -36,6 +36,16 @@
 
 } // namespace
 
+void version_evaluator::rename(store_version orderedAt)
+{
+    for (auto &[source, evidence] : m_received) {
+        if (evidence.orderedAt == m_orderedAt)
+            evidence.orderedAt = orderedAt;
+    }
+    m_orderedAt = orderedAt;
+    m_own.orderedAt = orderedAt;
+}
+
 void version_evaluator::begin(store_version orderedAt)
 {
     m_orderedAt = orderedAt;
--- a/unittests/Proxy/FakeStore.h
+++ b/unittests/Proxy/FakeStore.h
@@ -80,7 +80,8 @@
     /// Keeps a copy of all rows and of the history.
     void saveCopy() { m_copy = m_content; }
 
-    /// Comes back from the last copy: later writes are lost, and their versions are given out again.
+    /// Comes back from the last copy: later writes are lost, and their versions are given out
+    /// again.
     void restoreCopy()
     {
         m_content = m_copy;
--- a/unittests/Proxy/RowMirrorTests.cpp
+++ b/unittests/Proxy/RowMirrorTests.cpp
@@ -94,7 +94,8 @@
     CHECK(told->update.batch.storeTime == milliseconds(1000));
 }
 
-TEST_CASE("a table of a later era replaces the known one, and readers of the earlier era get all of it")
+TEST_CASE("a table of a later era replaces the known one, and readers of the earlier era get all "
+          "of it")
 {
     row_mirror mirror(milliseconds(1500));
     const time_point now{seconds(100)};
--- a/unittests/Proxy/RowWireTests.cpp
+++ b/unittests/Proxy/RowWireTests.cpp
@@ -48,7 +48,8 @@
                         R"({"service":"pool","address":"10.0.0.)" + number
                                 + R"(:8000","zone":"east","version":"v1","slots":16,)"
                                 + R"("state":"ready","models":["small","middle","large"]})",
-                        {0, i + 1}, false});
+                        {0, i + 1},
+                        false});
         plain += rows.back().key.size() + rows.back().value.size();
     }
     const std::string bytes
--- a/unittests/Proxy/StoreReturnTests.cpp
+++ b/unittests/Proxy/StoreReturnTests.cpp
@@ -175,3 +175,144 @@
               == count);
     });
 }
+
+TEST_CASE(
+        "rows of entries that a copy does not have are written again, and none is missed meanwhile")
+{
+    for (const std::size_t count : {3, 12}) {
+        CAPTURE(count);
+        fleet entries;
+        entries.store.era = 1;
+        addInitialRows(entries);
+        entries.store.saveCopy();
+        entries.start(0, count);
+        entries.runtime.advance(seconds(5));
+        entries.store.restoreCopy();
+        for (duration passed{0}; passed < seconds(5); passed += milliseconds(50)) {
+            entries.runtime.advance(milliseconds(50));
+            for (fleet_entry &entry : entries.entries)
+                REQUIRE(entry.routing.entries() == count);
+        }
+        for (fleet_entry &entry : entries.entries)
+            CHECK(!entries.store.valueOf("laurelcroft", entryKey(entry.name)).empty());
+    }
+}
+
+TEST_CASE("a data centre stays evacuated while its row is missing after the store came back")
+{
+    returning_store fixture(3);
+    fleet &entries = fixture.entries;
+    entries.store.put("endpoints", "q@north", "v1");
+    entries.runtime.advance(seconds(2));
+    entries.store.saveCopy();
+    entries.store.put("orders", "evacuate north", "");
+    entries.runtime.advance(seconds(2));
+    entries.store.restoreCopy();
+    const auto advance = [&](duration time) {
+        for (duration passed{0}; passed < time; passed += milliseconds(50)) {
+            entries.runtime.advance(milliseconds(50));
+            CHECK(fixture.count([&](auto &entry) { return fixture.isUsable(entry, "q@north"); })
+                  == 0);
+        }
+    };
+    advance(seconds(1));
+    entries.store.put("orders", "evacuate north", "");
+    advance(seconds(4));
+    entries.store.remove("orders", "evacuate north");
+    entries.runtime.advance(changeBound);
+    CHECK(fixture.count([&](auto &entry) { return fixture.isUsable(entry, "q@north"); }) == 3);
+}
+
+TEST_CASE("a row that nobody writes again after the store came back counts as removed in the end")
+{
+    returning_store fixture(3);
+    fleet &entries = fixture.entries;
+    entries.store.put("endpoints", "q", "v1");
+    entries.runtime.advance(seconds(2));
+    entries.store.restoreCopy();
+    entries.runtime.advance(seconds(1));
+    CHECK(fixture.count([&](auto &entry) { return fixture.isUsable(entry, "q"); }) == 3);
+    entries.runtime.advance(seconds(4));
+    CHECK(fixture.count([&](auto &entry) { return fixture.isUsable(entry, "q"); }) == 0);
+}
+
+TEST_CASE("an endpoint that a copy still lists although it was removed is not used at once")
+{
+    for (const bool isRewritten : {false, true}) {
+        CAPTURE(isRewritten);
+        returning_store fixture(12);
+        fleet &entries = fixture.entries;
+        entries.store.remove("endpoints", "p1");
+        entries.runtime.advance(seconds(4));
+        const auto users = [&] {
+            return fixture.count([&](auto &entry) { return fixture.isUsable(entry, "p1"); });
+        };
+        REQUIRE(users() == 0);
+        entries.store.restoreCopy();
+        for (duration passed{0}; passed < seconds(8); passed += milliseconds(100)) {
+            entries.runtime.advance(milliseconds(100));
+            REQUIRE(users() == 0);
+        }
+        // It lives after all: its row changes, or outlasts the time in which it would lapse.
+        if (isRewritten)
+            entries.store.put("endpoints", "p1", "v1*1");
+        entries.runtime.advance(isRewritten ? changeBound : seconds(4));
+        CHECK(users() == 12);
+    }
+}
+
+TEST_CASE("a completed roll-out whose row is lost by a return of the store is completed again")
+{
+    returning_store fixture(3);
+    fleet &entries = fixture.entries;
+    for (const char *id : {"n1", "n2", "n3"})
+        entries.store.put("endpoints", id, "v2");
+    entries.store.put("orders", "pool", "v2");
+    // Far enough for full share, which begins in the last seconds of the order's window.
+    entries.runtime.advance(seconds(8));
+    entries.store.saveCopy();
+    const auto observe = [&] {
+        for (fleet_entry &entry : entries.entries) {
+            for (int i = 0; i < 20; ++i)
+                entry.routing.rollouts("pool").observe("v2", "route", "m", answer_timing{},
+                                                       entries.runtime.now());
+        }
+    };
+    observe();
+    entries.runtime.advance(seconds(3));
+    REQUIRE(entries.store.valueOf("status", "pool") == "completed");
+    entries.store.restoreCopy();
+    REQUIRE(entries.store.valueOf("status", "pool") != "completed");
+    entries.store.put("orders", "pool", "v2");
+    entries.runtime.advance(seconds(3));
+    CHECK(entries.store.valueOf("status", "pool") == "completed");
+    CHECK(fixture.count([](auto &entry) { return triesVersion(entry, "v2"); }) == 3);
+}
+
+TEST_CASE("an older order that a copy has does not replace a later one while that is written again")
+{
+    returning_store fixture(3);
+    fleet &entries = fixture.entries;
+    entries.store.put("orders", "pool", "v2");
+    entries.runtime.advance(seconds(1));
+    entries.store.saveCopy();
+    entries.store.put("orders", "pool", "v3");
+    entries.runtime.advance(seconds(1));
+    entries.store.restoreCopy();
+    const auto follow = [&](const char *target) {
+        return fixture.count([&](auto &entry) {
+            return entry.routing.rollouts("pool").order()->targetVersion == target;
+        });
+    };
+    for (duration passed{0}; passed < seconds(1); passed += milliseconds(50)) {
+        entries.runtime.advance(milliseconds(50));
+        REQUIRE(follow("v3") == 3);
+    }
+    entries.store.put("orders", "pool", "v3");
+    entries.runtime.advance(seconds(4));
+    CHECK(follow("v3") == 3);
+    // Nobody writes the later order again: the one in the store holds.
+    entries.store.restoreCopy();
+    entries.runtime.advance(seconds(4));
+    CHECK(follow("v2") == 3);
+}
