Keep the usage duty exclusive over a return of the store

The platform would see (reproduced, not in the users' record): one window told with two counts, and one token used by two holders, after the store came back from a copy without the row that says what was told.

Cause: a successor continued from the row of the copy, whose lease is over while the holder's goes on, whose token was given out since, and whose open windows the holder had told.

The row states the era in which it was written. A holder that finds a row of before its tenure, or none, in a later era writes its ledger again and reports nothing that the row doesn't have. A successor that finds a row of an earlier era, or none, takes the duty a lease's length after it first saw the era, skips 1,000 tokens, and gives up windows that may have been decided.

--- a/include/laurelcroft/Usage/UsageDuty.h
+++ b/include/laurelcroft/Usage/UsageDuty.h
@@ -53,6 +53,9 @@
     /// Bounds of the interval between two reads of the rows.
     static constexpr milliseconds minPollInterval{300};
     static constexpr milliseconds maxPollInterval{1500};
+    /// Number of tokens skipped when the store came back from a copy: more than the acquisitions
+    /// in the time that the copy is old.
+    static constexpr std::uint64_t skippedTokens = 1000;
     /// Maximum number of counts that wait to be added to their windows. True time, which this
     /// needs, may be unknown for a long time.
     static constexpr std::size_t maxWaitingCounts = 10'000;
@@ -108,6 +111,13 @@
     void pollRows();
     void onRows(outcome<row_batch, row_failure> result, time_point askedAt);
     void onRow(usage_row row, store_version version, const row_batch &rows);
+    /// \returns true when \p row may lack later writes, or be missing, since the store came back
+    /// from a copy.
+    bool mayBeFromCopy(const usage_row &row, const row_batch &rows) const;
+    /// Makes \p row safe to continue from although later writes are lost: no token is used again,
+    /// and no window is decided that a lost row may have decided.
+    /// \returns the number of windows dropped.
+    std::size_t discardLostTenure(usage_row &row, milliseconds trueTime) const;
     void acquire(usage_row row, store_version version, const row_batch &rows);
     /// Becomes the holder, with the lease and the ledger in \p row.
     void startTenure(const usage_row &row, store_version version, const row_batch &rows);
@@ -137,6 +147,8 @@
     std::shared_ptr<holder> m_holder; ///< null unless this entry has the duty
     std::string m_holderName; ///< last known holder; empty: none
     std::uint64_t m_token = 0; ///< highest fencing token known
+    std::uint64_t m_era = 0; ///< highest era of the store known
+    time_point m_eraSeenAt{}; ///< when it was first known
     store_time_bounds m_bounds;
     time_point m_holderHeardAt{}; ///< time of the last message from the holder
     time_point m_nextPollAt{};
--- a/include/laurelcroft/Usage/UsageDutyImpl.h
+++ b/include/laurelcroft/Usage/UsageDutyImpl.h
@@ -246,6 +246,10 @@
     }
     const row_batch &rows = result.value();
     m_bounds.note(rows.storeTime, askedAt, now());
+    if (rows.version.era > m_era) {
+        m_era = rows.version.era;
+        m_eraSeenAt = now();
+    }
     const auto it = std::find_if(rows.rows.begin(), rows.rows.end(),
                                  [](const store_row &row) { return row.key == usageKey; });
     if (it == rows.rows.end()) {
@@ -260,9 +264,22 @@
         logWarning(log_part::ledger, "malformed row of the usage duty", {{"fault", row.error()}});
 }
 
+template <usage_environment Env>
+bool usage_duty<Env>::mayBeFromCopy(const usage_row &row, const row_batch &rows) const
+{
+    const bool isOfEarlierEra = row.era && *row.era < rows.version.era;
+    const bool isMissingOrOutdated = row.lease.token == 0 || row.lease.token < m_token;
+    return isOfEarlierEra || (rows.version.era != 0 && isMissingOrOutdated);
+}
+
 template <usage_environment Env>
 void usage_duty<Env>::onRow(usage_row row, store_version version, const row_batch &rows)
 {
+    // A holder whose row is lost may have a lease that lasts for its whole length.
+    if (mayBeFromCopy(row, rows) && now() < m_eraSeenAt + m_settings.lease) {
+        m_nextPollAt = m_eraSeenAt + m_settings.lease;
+        return;
+    }
     const duty_lease &lease = row.lease;
     const milliseconds earliest = m_bounds.earliest(now());
     if (lease.token >= m_token && !lease.holder.empty()) {
@@ -292,6 +309,15 @@
         writeOwnRow();
 }
 
+template <usage_environment Env>
+std::size_t usage_duty<Env>::discardLostTenure(usage_row &row, milliseconds trueTime) const
+{
+    const std::uint64_t knownToken = std::max(row.lease.token, m_token);
+    row.lease.token = std::max(knownToken + skippedTokens, m_era * skippedTokens);
+    return row.ledger.dropUndecidedBefore(
+            m_settings.windows.windowAt(trueTime - holder::settleTime));
+}
+
 template <usage_environment Env>
 void usage_duty<Env>::acquire(usage_row row, store_version version, const row_batch &rows)
 {
@@ -301,8 +327,11 @@
     const window_number current = m_settings.windows.windowAt(*trueTime);
     if (version == unknownVersion)
         row.ledger = usage_ledger(current - 1);
-    const std::size_t dropped
+    std::size_t dropped
             = row.ledger.dropBefore(current - std::min(current, usage_meter::maxWindows));
+    if (mayBeFromCopy(row, rows))
+        dropped += discardLostTenure(row, *trueTime);
+    row.era = rows.version.era;
     if (dropped > 0) {
         m_metrics.add("usage_windows_total{result=\"given_up\"}", dropped);
         logWarning(log_part::ledger, "usage windows given up, nobody had the duty in time",
--- a/include/laurelcroft/Usage/UsageHolder.h
+++ b/include/laurelcroft/Usage/UsageHolder.h
@@ -97,6 +97,9 @@
     void onSaved(outcome<conditional_write, row_failure> result, const usage_row &saved,
                  time_point askedAt);
     void onConfirmed(const usage_row &saved, store_version version);
+    /// Writes everything again on top of the row that the store has since it came back from a copy.
+    /// \param decidedBefore the first window that is not decided in that row.
+    void resumeInEra(std::uint64_t era, store_version version, window_number decidedBefore);
     void onConflict(const conditional_write &refused);
     void acknowledge(const usage_process &process, std::uint64_t number);
     void decideDueWindows();
@@ -120,6 +123,7 @@
     std::function<void(const usage_ack &)> m_onOwnAck;
     usage_row m_row;
     store_version m_version; ///< version of the row
+    std::uint64_t m_era; ///< of the store, as last known
     store_time_bounds m_bounds;
     milliseconds m_confirmedUntil; ///< end of the lease that the last successful write confirmed
     std::map<usage_process, usage_progress> m_savedProgress; ///< as confirmed by the last write
--- a/include/laurelcroft/Usage/UsageHolderImpl.h
+++ b/include/laurelcroft/Usage/UsageHolderImpl.h
@@ -22,6 +22,7 @@
     , m_onOwnAck(std::move(onOwnAck))
     , m_row(std::move(row))
     , m_version(version)
+    , m_era(version.era)
     , m_bounds(bounds)
     , m_confirmedUntil(m_row.lease.until)
     , m_savedProgress(m_row.ledger.progress())
@@ -115,6 +116,7 @@
     m_nextSaveAt = m_savedAt + saveInterval;
     const milliseconds earliest = m_bounds.earliest(m_savedAt);
     ++m_row.save;
+    m_row.era = m_era;
     m_row.lease.until = m_isReleasing ? earliest : earliest + m_settings.lease;
     const row_write write{std::string(usageTable), std::string(usageKey), encodeUsageRow(m_row),
                           m_version};
@@ -174,15 +176,46 @@
         m_env.send(m_others[i], usage_handover{m_settings.entry, m_row.lease.token});
 }
 
+template <usage_environment Env>
+void usage_holder<Env>::resumeInEra(std::uint64_t era, store_version version,
+                                    window_number decidedBefore)
+{
+    logWarning(log_part::ledger, "usage duty goes on after the store came back from a copy",
+               {{"token", std::int64_t(m_row.lease.token)},
+                {"version", textOf(version)},
+                {"decided_before", std::int64_t(decidedBefore)}});
+    m_era = era;
+    m_version = version;
+    // Windows are reported only when the store has the decision on them again.
+    m_savedDecidedBefore = std::min(m_savedDecidedBefore, decidedBefore);
+    m_hasUnsavedChanges = true;
+    m_nextSaveAt = now();
+}
+
 template <usage_environment Env>
 void usage_holder<Env>::onConflict(const conditional_write &refused)
 {
+    const std::uint64_t era = refused.version.era;
+    const bool isLost = std::all_of(
+            refused.current.begin(), refused.current.end(),
+            [](const table_entry &entry) { return entry.row.version == unknownVersion; });
+    if (era > m_era && isLost) {
+        resumeInEra(era, unknownVersion, 0);
+        return;
+    }
     for (const table_entry &entry : refused.current) {
         const outcome<usage_row, std::string> row = decodeUsageRow(entry.row.value);
         if (!row)
             continue;
         const duty_lease &lease = row.value().lease;
-        if (lease.token != m_row.lease.token || lease.life != m_row.lease.life)
+        const bool isOwn = lease.token == m_row.lease.token && lease.life == m_row.lease.life;
+        // A row from before this tenure, or from an earlier time of it: the lease was confirmed
+        // before the store came back, and no other entry acquires the duty while it lasts.
+        if (era > m_era && (isOwn || lease.token < m_row.lease.token)) {
+            resumeInEra(era, entry.row.version, row.value().ledger.decidedBefore());
+            return;
+        }
+        if (!isOwn)
             continue;
         // The row was written by an earlier write of this holder whose answer was lost.
         m_hasUnsavedChanges = true;
--- a/include/laurelcroft/Usage/UsageLedger.h
+++ b/include/laurelcroft/Usage/UsageLedger.h
@@ -86,6 +86,10 @@
     /// \returns the number of windows dropped.
     std::size_t dropBefore(window_number window);
 
+    /// Drops the windows before \p window that are not decided.
+    /// \returns the number of windows dropped.
+    std::size_t dropUndecidedBefore(window_number window);
+
     /// \returns the counts received so far for \p window, which is not decided yet.
     customer_counts openCounts(window_number window) const;
 
@@ -110,6 +114,8 @@
 /// The contents of the row with the lease and the ledger.
 struct usage_row
 {
+    /// Era of the store in which it was written; nothing in rows of earlier releases.
+    std::optional<std::uint64_t> era;
     duty_lease lease;
     std::uint64_t save = 0; ///< number of the write, for operators who read the row
     usage_ledger ledger;
--- a/lib/Usage/UsageLedger.cpp
+++ b/lib/Usage/UsageLedger.cpp
@@ -110,14 +110,18 @@
 {
     const std::size_t before = m_decided.size();
     m_decided.erase(m_decided.begin(), m_decided.lower_bound(window));
-    std::size_t dropped = before - m_decided.size();
     // No entry has had the duty for a long time, and the entries no longer keep the counts of these
     // windows.
-    if (m_decidedBefore < window) {
-        dropped += window - m_decidedBefore;
-        m_decidedBefore = window;
-        m_open.erase(m_open.begin(), m_open.lower_bound(window));
-    }
+    return before - m_decided.size() + dropUndecidedBefore(window);
+}
+
+std::size_t usage_ledger::dropUndecidedBefore(window_number window)
+{
+    if (m_decidedBefore >= window)
+        return 0;
+    const std::size_t dropped = window - m_decidedBefore;
+    m_decidedBefore = window;
+    m_open.erase(m_open.begin(), m_open.lower_bound(window));
     return dropped;
 }
 
@@ -191,10 +195,12 @@
     json progress = json::array();
     for (const auto &[process, item] : ledger.m_progress)
         progress.push_back({process.first, process.second, item.lastCounted, item.closedBefore});
-    return json{{"lease", encodeLease(row.lease)},           {"save", row.save},
+    json object{{"lease", encodeLease(row.lease)},           {"save", row.save},
                 {"decided_before", ledger.m_decidedBefore},  {"open", encodeCounts(ledger.m_open)},
-                {"decided", encodeCounts(ledger.m_decided)}, {"processes", std::move(progress)}}
-            .dump(-1, ' ', false, json::error_handler_t::replace);
+                {"decided", encodeCounts(ledger.m_decided)}, {"processes", std::move(progress)}};
+    if (row.era)
+        object["era"] = *row.era;
+    return object.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 outcome<usage_row, std::string> laurelcroft::decodeUsageRow(const std::string &value)
@@ -203,6 +209,8 @@
     usage_ledger &ledger = row.ledger;
     try {
         const json object = json::parse(value);
+        if (object.contains("era"))
+            row.era = object.at("era").get<std::uint64_t>();
         row.lease = decodeLease(object.at("lease"));
         row.save = object.at("save").get<std::uint64_t>();
         ledger.m_decidedBefore = object.at("decided_before").get<window_number>();
--- a/unittests/Usage/UsageDutyTests.cpp
+++ b/unittests/Usage/UsageDutyTests.cpp
@@ -243,6 +243,65 @@
     }
 }
 
+TEST_CASE("a store that comes back from a copy: one holder at a time, one count per window")
+{
+    constexpr std::uint64_t seeds = 200;
+    std::size_t reported = 0;
+    std::uint64_t returns = 0;
+    for (std::uint64_t seed = 5000; seed < 5000 + seeds; ++seed) {
+        INFO("seed ", seed);
+        usage_fixture fixture(entries, seed);
+        fixture.store.era = 1;
+        fixture.advanceTime(seconds(5), 2);
+        for (int i = 0; i < 25; ++i) {
+            if (fixture.random.chance(0.5))
+                fixture.store.saveCopy();
+            // Beside the return the holder is often killed or cut off.
+            if (fixture.random.chance(0.7))
+                injectRandomFault(fixture);
+            fixture.advanceTime(
+                    milliseconds(static_cast<std::int64_t>(2500 * fixture.random.uniform())), 2);
+            if (i > 0 && fixture.random.chance(0.25)) {
+                fixture.store.restoreCopy();
+                fixture.store.skipVersions(static_cast<unsigned>(fixture.random.bits() % 60));
+                ++returns;
+            }
+        }
+        for (usage_machine *machine : fixture.allMachines()) {
+            machine->store = call_mode::normal;
+            machine->reportSink = call_mode::normal;
+            machine->isPartitioned = false;
+            fixture.resume(*machine);
+        }
+        fixture.advanceTime(seconds(20), 2);
+        REQUIRE(fixture.violations() == std::vector<std::string>());
+        REQUIRE(fixture.holder());
+        reported += fixture.reports.size();
+    }
+    CHECK(reported > 4 * seeds);
+    CHECK(returns > 3 * seeds);
+}
+
+TEST_CASE("a holder that lives through a return of the store loses no window")
+{
+    for (const unsigned skipped : {0U, 500U}) {
+        CAPTURE(skipped);
+        usage_fixture fixture(entries, 9);
+        fixture.store.era = 1;
+        fixture.advanceTime(seconds(9));
+        fixture.store.saveCopy();
+        fixture.advanceTime(seconds(4));
+        usage_machine *holder = fixture.holder();
+        REQUIRE(holder);
+        fixture.store.restoreCopy();
+        fixture.store.skipVersions(skipped);
+        fixture.advanceTime(seconds(25));
+        CHECK(fixture.holder() == holder);
+        CHECK(fixture.violations() == std::vector<std::string>());
+        CHECK(fixture.lateWindows(fixture.trueTime()) == std::vector<window_number>());
+    }
+}
+
 TEST_CASE("random faults: one holder at a time, rising tokens, one count per window")
 {
     constexpr std::uint64_t seeds = 200;
