Give up only windows that ended before the store came back

A successor gave up each window that had ended before it took the duty, up to 9 s after the return. What the lost holder had reported was saved before the store came back, so windows that ended later are safe to decide; the successor reckons from the moment at which it first saw the era.

--- a/include/laurelcroft/Usage/UsageDuty.h
+++ b/include/laurelcroft/Usage/UsageDuty.h
@@ -117,7 +117,7 @@
     /// Makes \p row safe to continue from although later writes are lost: no token is used again,
     /// and no window is decided that a lost row may have decided.
     /// \returns the number of windows dropped.
-    std::size_t discardLostTenure(usage_row &row, milliseconds trueTime) const;
+    std::size_t discardLostTenure(usage_row &row, milliseconds trueTime);
     void acquire(usage_row row, store_version version, const row_batch &rows);
     /// Becomes the holder, with the lease and the ledger in \p row.
     void startTenure(const usage_row &row, store_version version, const row_batch &rows);
--- a/include/laurelcroft/Usage/UsageDutyImpl.h
+++ b/include/laurelcroft/Usage/UsageDutyImpl.h
@@ -310,12 +310,15 @@
 }
 
 template <usage_environment Env>
-std::size_t usage_duty<Env>::discardLostTenure(usage_row &row, milliseconds trueTime) const
+std::size_t usage_duty<Env>::discardLostTenure(usage_row &row, milliseconds trueTime)
 {
     const std::uint64_t knownToken = std::max(row.lease.token, m_token);
     row.lease.token = std::max(knownToken + skippedTokens, m_era * skippedTokens);
+    // The lost holder reported only what it had saved, before the store came back.
+    const auto sinceReturn = std::chrono::duration_cast<milliseconds>(now() - m_eraSeenAt);
+    const milliseconds lastSave = trueTime - sinceReturn;
     return row.ledger.dropUndecidedBefore(
-            m_settings.windows.windowAt(trueTime - holder::settleTime));
+            m_settings.windows.windowAt(lastSave - holder::settleTime));
 }
 
 template <usage_environment Env>
