--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -167,6 +167,9 @@
     std::unique_ptr<follower> follow(const std::string &table, follow_pace pace);
     /// Applies an update of \p table, and passes it on by the mirror unless it came from there.
     void takeUpdate(const std::string &table, row_update update);
+    /// Passes the rows that are left in an applied update on to other entries, but for the carried
+    /// ones, which are of an earlier era.
+    void passOn(const std::string &table, row_update update, time_point confirmedAt);
     /// Applies an update with the rows that are missing since the store came back from a copy.
     void apply(const std::string &table, row_update &update);
     /// \returns true when \p version is the first of \p table since the store came back.
--- a/include/laurelcroft/Proxy/StoreSyncRows.h
+++ b/include/laurelcroft/Proxy/StoreSyncRows.h
@@ -75,6 +75,7 @@
 {
     rollout_tracker &tracker = m_state.rollouts(service);
     if (row.removed) {
+        m_heldOrders.erase(service);
         tracker.clearOrder();
         logInfo(log_part::bundle, "roll-out order withdrawn", {{"service", service}});
         return;
--- a/include/laurelcroft/Proxy/StoreSyncTables.h
+++ b/include/laurelcroft/Proxy/StoreSyncTables.h
@@ -65,24 +65,30 @@
     noteTime(update.batch);
     const follower &reader = *m_followers.at(table);
     // A relay's changes are in the mirror already, with the age that the relay reported.
-    bool isInMirror = reader.isUpdateRelayed();
-    if (noteEra(table, update.batch.version)) {
-        if (!std::exchange(isInMirror, true))
-            m_mirror.take(table, update.batch, true, reader.confirmedAt());
+    const bool isInMirror = reader.isUpdateRelayed();
+    const bool isReturn = noteEra(table, update.batch.version);
+    // Other entries need the whole table of another era, not only what is new here.
+    if (isReturn && !isInMirror)
+        m_mirror.take(table, update.batch, true, reader.confirmedAt());
+    if (isReturn)
         carryRows(table, update.batch);
-    }
     apply(table, update);
-    // The rows that are left are those that other entries need, but for this entry's carried ones.
-    if (!isInMirror) {
-        std::erase_if(update.batch.rows, [&](const store_row &row) {
-            return row.version.era != update.batch.version.era;
-        });
-        m_mirror.take(table, update.batch, update.whole, reader.confirmedAt());
-    }
+    if (!isReturn && !isInMirror)
+        passOn(table, std::move(update), reader.confirmedAt());
     if (table == m_codec.endpointTable)
         noteEndpointRowsAge();
 }
 
+template <row_store_like Store, runtime_like Runtime>
+void store_sync<Store, Runtime>::passOn(const std::string &table, row_update update,
+                                        time_point confirmedAt)
+{
+    const std::uint64_t era = update.batch.version.era;
+    std::erase_if(update.batch.rows,
+                  [era](const store_row &row) { return row.version.era != era; });
+    m_mirror.take(table, update.batch, update.whole, confirmedAt);
+}
+
 template <row_store_like Store, runtime_like Runtime>
 void store_sync<Store, Runtime>::apply(const std::string &table, row_update &update)
 {
--- a/unittests/Proxy/StoreReturnTests.cpp
+++ b/unittests/Proxy/StoreReturnTests.cpp
@@ -72,6 +72,21 @@
     }
 };
 
+/// Lets \p entry see answers of version v2, or failures without a timing.
+void observe(fleet_entry &entry, int answers, std::optional<answer_timing> timing)
+{
+    for (int i = 0; i < answers; ++i)
+        entry.routing.rollouts("pool").observe("v2", "route", "m", timing, entry.all.runtime.now());
+}
+
+/// Starts the order for version v2 with three endpoints of it.
+void orderRollout(fleet &entries)
+{
+    for (const char *id : {"n1", "n2", "n3"})
+        entries.store.put("endpoints", id, "v2");
+    entries.store.put("orders", "pool", "v2");
+}
+
 /// \returns true if some session of the pool is served by \p version.
 bool triesVersion(fleet_entry &entry, std::string_view version)
 {
@@ -135,17 +150,13 @@
         fleet entries;
         entries.store.era = 1;
         addInitialRows(entries);
-        for (const char *id : {"n1", "n2", "n3"})
-            entries.store.put("endpoints", id, "v2");
         entries.start(0, count);
         entries.runtime.advance(seconds(3));
-        entries.store.put("orders", "pool", "v2");
+        orderRollout(entries);
         // The order's window is 10 s: the trial begins after 5.1 s.
         entries.runtime.advance(milliseconds(5300));
         entries.store.saveCopy();
-        for (int i = 0; i < 30; ++i)
-            entries.entries.front().routing.rollouts("pool").observe(
-                    "v2", "route", "m", std::nullopt, entries.runtime.now());
+        observe(entries.entries.front(), 30, std::nullopt);
         entries.runtime.advance(milliseconds(900));
         REQUIRE(entries.store.valueOf("status", "pool") == "reverted");
         entries.store.away = true;
@@ -265,20 +276,12 @@
 {
     returning_store fixture(3);
     fleet &entries = fixture.entries;
-    for (const char *id : {"n1", "n2", "n3"})
-        entries.store.put("endpoints", id, "v2");
-    entries.store.put("orders", "pool", "v2");
+    orderRollout(entries);
     // Far enough for full share, which begins in the last seconds of the order's window.
     entries.runtime.advance(seconds(8));
     entries.store.saveCopy();
-    const auto observe = [&] {
-        for (fleet_entry &entry : entries.entries) {
-            for (int i = 0; i < 20; ++i)
-                entry.routing.rollouts("pool").observe("v2", "route", "m", answer_timing{},
-                                                       entries.runtime.now());
-        }
-    };
-    observe();
+    for (fleet_entry &entry : entries.entries)
+        observe(entry, 20, answer_timing());
     entries.runtime.advance(seconds(3));
     REQUIRE(entries.store.valueOf("status", "pool") == "completed");
     entries.store.restoreCopy();
--- a/unittests/Usage/UsageDutyTests.cpp
+++ b/unittests/Usage/UsageDutyTests.cpp
@@ -243,6 +243,17 @@
     }
 }
 
+/// Ends all faults but the restarts under way.
+static void endFaults(usage_fixture &fixture)
+{
+    for (usage_machine *machine : fixture.allMachines()) {
+        machine->store = call_mode::normal;
+        machine->reportSink = call_mode::normal;
+        machine->isPartitioned = false;
+        fixture.resume(*machine);
+    }
+}
+
 TEST_CASE("a store that comes back from a copy: one holder at a time, one count per window")
 {
     constexpr std::uint64_t seeds = 200;
@@ -267,12 +278,7 @@
                 ++returns;
             }
         }
-        for (usage_machine *machine : fixture.allMachines()) {
-            machine->store = call_mode::normal;
-            machine->reportSink = call_mode::normal;
-            machine->isPartitioned = false;
-            fixture.resume(*machine);
-        }
+        endFaults(fixture);
         fixture.advanceTime(seconds(20), 2);
         REQUIRE(fixture.violations() == std::vector<std::string>());
         REQUIRE(fixture.holder());
@@ -316,12 +322,7 @@
             fixture.advanceTime(
                     milliseconds(static_cast<std::int64_t>(2500 * fixture.random.uniform())), 2);
         }
-        for (usage_machine *machine : fixture.allMachines()) {
-            machine->store = call_mode::normal;
-            machine->reportSink = call_mode::normal;
-            machine->isPartitioned = false;
-            fixture.resume(*machine);
-        }
+        endFaults(fixture);
         fixture.advanceTime(seconds(16), 2);
         REQUIRE(fixture.violations() == std::vector<std::string>());
         REQUIRE(fixture.holder());
