--- a/include/laurelcroft/Support/StoreVersion.h
+++ b/include/laurelcroft/Support/StoreVersion.h
@@ -33,7 +33,7 @@
     {
     }
 
-    auto operator<=>(const store_version &) const = default;
+    auto operator<=>(const store_version &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Version of a table that has not been read yet, or of a row that does not exist.
