--- a/utils/check.sh
+++ b/utils/check.sh
@@ -72,7 +72,8 @@
 countSummaryLine uneven-endpoints python3 platform/soak/uneven.py --plays half,half_many --seconds 8 --jobs 1
 countSummaryLine slow-readers python3 platform/soak/slow_readers.py --plays unread,slow,slow_chunked,broken,leave --seconds 8 --jobs 4
 countSummaryLine room-under-shortage python3 platform/soak/room.py --plays urgent,hot --seconds 9 --jobs 1
-countSummaryLine usage-told-once python3 platform/soak/duty.py --plays calm,holder_killed,holder_suspended,raced,store_returns --seconds 14 --jobs 4
+countSummaryLine usage-told-once python3 platform/soak/duty.py --plays calm,holder_killed,holder_suspended,raced --seconds 14 --jobs 4
+countSummaryLine usage-over-returns python3 platform/soak/duty_returns.py --plays store_returns --seconds 14
 seeds=$(sed -nE 's/^([0-9]+) .*/\1/p' platform/soak/seeds.txt | paste -sd,)
 countSummaryLine soak python3 platform/soak/soak.py --seeds "$seeds" --seconds 8 --jobs 4
 # Failing seeds that KNOWN-RED.txt lists for CI are printed but not counted as failed.
