One way to give a roll-out's row its order's new version; one loop in the tests

Read again: the row of an order that was written again was made twice, when its step is due and when the store has lost it; renamed() does both. The tests of returns repeat one loop that advances the clock and checks.

--- a/include/laurelcroft/Policy/ServiceRollout.h
+++ b/include/laurelcroft/Policy/ServiceRollout.h
@@ -65,6 +65,9 @@
 /// era is the same one: its row was written again after the store came back from a copy.
 bool isOfOrder(const rollout_row &row, const rollout_order &order);
 
+/// \returns \p row with the version that the row of its order \p order has now.
+rollout_row renamed(rollout_row row, const rollout_order &order);
+
 /// What this entry currently knows about a roll-out.
 struct rollout_view
 {
--- a/include/laurelcroft/Proxy/StoreSync.h
+++ b/include/laurelcroft/Proxy/StoreSync.h
@@ -177,7 +177,7 @@
     /// Keeps the rows that are missing in \p batch, the first whole table since the store came
     /// back.
     void carryRows(const std::string &table, const row_batch &batch);
-    /// Removes the carried rows that nobody has written again in time.
+    /// Removes the carried rows that were not written again in time.
     void removeExpiredRows();
     /// Writes the rows of the internal table that are missing since the store came back.
     /// \returns true when a write was started.
--- a/include/laurelcroft/Support/StoreVersion.h
+++ b/include/laurelcroft/Support/StoreVersion.h
@@ -1,7 +1,7 @@
 //===-- Support/StoreVersion.h - position in a store's history --*- C++ -*-===//
 //
 // A store may come back from a copy that is some seconds old. Its counter of writes then goes back,
-// and the same numbers are given out again, so a number alone does not tell which of two rows is
+// and the same numbers are given out again, so a number alone does not show which of two rows is
 // newer. Together with the store's era it does.
 //
 //===----------------------------------------------------------------------===//
--- a/lib/Policy/ServiceRollout.cpp
+++ b/lib/Policy/ServiceRollout.cpp
@@ -101,6 +101,12 @@
             && (row.orderedAt == order.orderedAt || isEarlierEra);
 }
 
+rollout_row laurelcroft::renamed(rollout_row row, const rollout_order &order)
+{
+    row.orderedAt = order.orderedAt;
+    return row;
+}
+
 double laurelcroft::shareOf(rollout_stage stage, const rollout_view &view)
 {
     switch (stage) {
@@ -195,11 +201,8 @@
 {
     if (!row || !isOfOrder(*row, order))
         return firstRow(order, row, view.now);
-    if (row->orderedAt != order.orderedAt) {
-        rollout_row renamed = *row;
-        renamed.orderedAt = order.orderedAt;
-        return renamed;
-    }
+    if (row->orderedAt != order.orderedAt)
+        return renamed(*row, order);
     if (isFinal(row->stage))
         return std::nullopt;
     if (view.foundBad)
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -267,11 +267,8 @@
 {
     if (!m_order)
         return std::nullopt;
-    if (m_isRowLost && isOfOrder(*m_row, *m_order)) {
-        rollout_row lost = *m_row;
-        lost.orderedAt = m_order->orderedAt;
-        return lost;
-    }
+    if (m_isRowLost && isOfOrder(*m_row, *m_order))
+        return renamed(*m_row, *m_order);
     rollout_view view;
     view.now = storeNow;
     view.exposure = m_exposure;
--- a/unittests/Proxy/StoreReturnTests.cpp
+++ b/unittests/Proxy/StoreReturnTests.cpp
@@ -13,9 +13,20 @@
 namespace {
 
 constexpr milliseconds outage{400};
+constexpr milliseconds checkInterval{50};
 /// Versions given out between the copy and the outage.
 constexpr unsigned lostVersions = 12;
 
+/// Advances the clock by \p time and calls \p check at short intervals.
+template <class Check>
+void advanceAndCheck(fleet &entries, duration time, Check check)
+{
+    for (duration passed{0}; passed < time; passed += checkInterval) {
+        entries.runtime.advance(checkInterval);
+        check();
+    }
+}
+
 /// Entries over a store of which a copy is kept.
 struct returning_store
 {
@@ -167,11 +178,10 @@
         entries.store.put("orders", "pool", "v2");
         entries.store.away = false;
         std::size_t tried = 0;
-        for (duration passed{0}; passed < seconds(8); passed += milliseconds(50)) {
-            entries.runtime.advance(milliseconds(50));
+        advanceAndCheck(entries, seconds(8), [&] {
             for (fleet_entry &entry : entries.entries)
                 tried += triesVersion(entry, "v2") ? 1 : 0;
-        }
+        });
         CHECK(tried == 0);
         CHECK(entries.store.valueOf("status", "pool") == "reverted");
     });
@@ -199,11 +209,10 @@
         entries.start(0, count);
         entries.runtime.advance(seconds(5));
         entries.store.restoreCopy();
-        for (duration passed{0}; passed < seconds(5); passed += milliseconds(50)) {
-            entries.runtime.advance(milliseconds(50));
+        advanceAndCheck(entries, seconds(5), [&] {
             for (fleet_entry &entry : entries.entries)
                 REQUIRE(entry.routing.entries() == count);
-        }
+        });
         for (fleet_entry &entry : entries.entries)
             CHECK(!entries.store.valueOf("laurelcroft", entryKey(entry.name)).empty());
     }
@@ -219,16 +228,12 @@
     entries.store.put("orders", "evacuate north", "");
     entries.runtime.advance(seconds(2));
     entries.store.restoreCopy();
-    const auto advance = [&](duration time) {
-        for (duration passed{0}; passed < time; passed += milliseconds(50)) {
-            entries.runtime.advance(milliseconds(50));
-            CHECK(fixture.count([&](auto &entry) { return fixture.isUsable(entry, "q@north"); })
-                  == 0);
-        }
+    const auto isUnused = [&] {
+        CHECK(fixture.count([&](auto &entry) { return fixture.isUsable(entry, "q@north"); }) == 0);
     };
-    advance(seconds(1));
+    advanceAndCheck(entries, seconds(1), isUnused);
     entries.store.put("orders", "evacuate north", "");
-    advance(seconds(4));
+    advanceAndCheck(entries, seconds(4), isUnused);
     entries.store.remove("orders", "evacuate north");
     entries.runtime.advance(changeBound);
     CHECK(fixture.count([&](auto &entry) { return fixture.isUsable(entry, "q@north"); }) == 3);
@@ -260,11 +265,8 @@
         };
         REQUIRE(users() == 0);
         entries.store.restoreCopy();
-        for (duration passed{0}; passed < seconds(8); passed += milliseconds(100)) {
-            entries.runtime.advance(milliseconds(100));
-            REQUIRE(users() == 0);
-        }
-        // It lives after all: its row changes, or outlasts the time in which it would lapse.
+        advanceAndCheck(entries, seconds(8), [&] { REQUIRE(users() == 0); });
+        // The endpoint is running: its row changes, or outlasts the time in which it would lapse.
         if (isRewritten)
             entries.store.put("endpoints", "p1", "v1*1");
         entries.runtime.advance(isRewritten ? changeBound : seconds(4));
@@ -307,14 +309,11 @@
             return entry.routing.rollouts("pool").order()->targetVersion == target;
         });
     };
-    for (duration passed{0}; passed < seconds(1); passed += milliseconds(50)) {
-        entries.runtime.advance(milliseconds(50));
-        REQUIRE(follow("v3") == 3);
-    }
+    advanceAndCheck(entries, seconds(1), [&] { REQUIRE(follow("v3") == 3); });
     entries.store.put("orders", "pool", "v3");
     entries.runtime.advance(seconds(4));
     CHECK(follow("v3") == 3);
-    // Nobody writes the later order again: the one in the store holds.
+    // The later order is not written again: the one in the store holds.
     entries.store.restoreCopy();
     entries.runtime.advance(seconds(4));
     CHECK(follow("v2") == 3);
