Log the budget of further sends in hundredths, rounded down

Callers saw nothing. On-call read a contradiction: a stream was cut with lacks=budget and budget_left=1, since the field was rounded and 0.5 to 0.99 printed as 1, while a further send needs a whole one.

The field now has two decimals and is rounded down, so that less than a whole send never reads as one.

--- a/lib/Proxy/FlowReporter.cpp
+++ b/lib/Proxy/FlowReporter.cpp
@@ -9,7 +9,9 @@
 #include "laurelcroft/Support/Log.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <cstdio>
 
 using namespace laurelcroft;
 
@@ -118,6 +120,17 @@
              {"max_pause_ms", std::int64_t(record.maxPause.count())}});
 }
 
+/// \returns \p sends with two decimals, rounded down so that less than a whole send never reads as
+/// one.
+static std::string textOfSends(double sends)
+{
+    constexpr double hundred = 100;
+    constexpr std::size_t longestText = 32;
+    std::array<char, longestText> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", std::floor(sends * hundred) / hundred);
+    return text.data();
+}
+
 void flow_reporter::attemptEnded(const flow_record &record, attempt_end end, next_step step,
                                  time_point now)
 {
@@ -141,7 +154,7 @@
              {"retry_after_ms",
               std::int64_t(record.endpointRetryAfter.value_or(milliseconds(-1)).count())},
              {"lacks", textOf(record.lack)},
-             {"budget_left", std::lround(record.budgetLeft)},
+             {"budget_left", textOfSends(record.budgetLeft)},
              {"request_key", record.key ? textOf(*record.key) : ""}});
 }
 
