Credit budgets of further sends from an entry's start, not its first request

Cause, first of three: the budget of a service was created by its first request, so that an entry that had been up for seconds or hours without one had earned nothing of its share of the allowance.

The housekeeping of each second now credits the budgets of all services of the contract. The bound over all entries holds as before: the rate and the cap of the allowance are unchanged, and an entry whose row is unknown still earns nothing.

New test: an entry has earned further sends when its first request arrives.

--- a/include/laurelcroft/Policy/SendBudget.h
+++ b/include/laurelcroft/Policy/SendBudget.h
@@ -69,6 +69,9 @@
     /// Counts a request, whether it was sent or not.
     void countRequest(time_point now, double share);
 
+    /// Credits the share of the allowance that was earned since the last call of any kind.
+    void credit(time_point now, double share) { advance(now, share); }
+
     /// \returns the number of further sends available at \p now.
     double availableSends(time_point now, double share);
 
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -135,6 +135,10 @@
     send_budget &repeats(std::string_view service);
     std::map<std::string, send_budget, std::less<>> &allRepeats() { return m_repeats; }
 
+    /// Credits the budgets of all services with what they have earned. Call it at intervals, since
+    /// an entry without requests earns its share of the allowance too.
+    void creditBudgets(time_point now);
+
     /// \returns the outcomes of the last attempts at endpoints of \p service.
     failure_streak &outlook(std::string_view service);
 
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -267,6 +267,7 @@
     routing.runs().sweep(runtime.now());
     routing.directory().expire(runtime.now());
     routing.suspects().expire(runtime.now());
+    routing.creditBudgets(runtime.now());
     reporter.logSuppressedLines();
     setGauges();
     logReadiness();
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -44,6 +44,14 @@
     return findOrCreate(m_repeats, service, m_bounds.repeats, m_roundingRandom.uniform());
 }
 
+void routing_state::creditBudgets(time_point now)
+{
+    if (!m_contract)
+        return;
+    for (const service_description &service : m_contract->services)
+        repeats(service.name).credit(now, m_share);
+}
+
 failure_streak &routing_state::outlook(std::string_view service)
 {
     return findOrCreate(m_outlooks, service);
--- a/unittests/Policy/SendBudgetTests.cpp
+++ b/unittests/Policy/SendBudgetTests.cpp
@@ -109,6 +109,17 @@
     CHECK(budget.take(now, 0, further_send::repeat));
 }
 
+TEST_CASE("an entry without requests earns its share of the allowance")
+{
+    send_budget budget({0.9, 52, seconds(10)});
+    time_point now{seconds(100)};
+    budget.credit(now, 1.0 / 3);
+    CHECK(!budget.allows(now, 1.0 / 3, further_send::repeat));
+    now += seconds(3);
+    budget.credit(now, 1.0 / 3);
+    CHECK(budget.allows(now, 1.0 / 3, further_send::repeat));
+}
+
 TEST_CASE("a refunded send can be made again")
 {
     send_budget budget({0.9, 0, seconds(10)});
--- a/unittests/Proxy/RetryBudgetTests.cpp
+++ b/unittests/Proxy/RetryBudgetTests.cpp
@@ -246,6 +246,20 @@
     CHECK(further <= bounds.ratio * requests + bounds.allowance);
 }
 
+TEST_CASE("an entry has earned further sends when its first request arrives")
+{
+    routing_bounds bounds;
+    bounds.repeats.allowance = 52;
+    routing_state routing(bounds, {0, 50}, 1);
+    flow_fixture fixture(draftRoute(), {});
+    routing.setContract(fixture.routing.contract());
+    routing.setEntries({"e0", "e1", "own"}, "own");
+    for (int second = 0; second <= 5; ++second)
+        routing.creditBudgets(time_point(seconds(100 + second)));
+    CHECK(routing.repeats("pool").allows(time_point(seconds(105)), routing.shareOfEntries(),
+                                         further_send::repeat));
+}
+
 TEST_CASE("a retry that finds no endpoint is not charged to the budget")
 {
     flow_fixture fixture(draftRoute(), {"only"});
