A request suspected of crashing endpoints leaves one further send to others

Callers saw innocent streams cut for lack of budget while the crashing request itself was sent on with the last send of their entry.

A request that is suspected when an attempt ends now needs two sends in the budget where others need one. With enough budget nothing changes, also not for an innocent request that met two crashes; without it, the stream that is interrupted for the first time comes first. An innocent request is not suspected at its first interruption.

New tests: SendBudgetTests and SuspectFlowTests, each on the last send.

--- a/include/laurelcroft/Policy/SendBudget.h
+++ b/include/laurelcroft/Policy/SendBudget.h
@@ -38,6 +38,7 @@
 enum class further_send {
     repeat, ///< the previous send was not answered
     resume, ///< the stream that it had begun was interrupted
+    suspected, ///< the same for a request that is suspected of crashing endpoints
     largerModel ///< its answer was dropped in favour of a larger model's
 };
 
@@ -93,6 +94,8 @@
     };
     void advance(time_point now, double share);
     double maxSaved() const;
+    /// \returns the number of sends that must be left after a send for \p what.
+    double reservedFrom(further_send what) const;
 
     send_budget_bounds m_bounds;
     double m_rounding;
--- a/include/laurelcroft/Proxy/RequestFlowAttempts.h
+++ b/include/laurelcroft/Proxy/RequestFlowAttempts.h
@@ -39,7 +39,9 @@
     facts.mayHaveRun = m_mayHaveRun;
     facts.endpointsLeft
             = m_sends < m_route->maxEndpoints && m_unreached < flow_bounds::maxUnreachedEndpoints;
-    facts.budgetLeft = mayTakeFurtherSend(further_send::repeat);
+    const bool isSuspected = ownSuspicion() != suspicion::none;
+    facts.budgetLeft
+            = mayTakeFurtherSend(isSuspected ? further_send::suspected : further_send::repeat);
     facts.timeLeft = timeLeft() >= flow_bounds::minAttemptTime;
     // A begun stream is always resumed if possible: the caller would lose what it has received.
     facts.worthRetrying = m_streamBegun || !outlook().isRepeatFutile(now());
--- a/lib/Policy/SendBudget.cpp
+++ b/lib/Policy/SendBudget.cpp
@@ -28,6 +28,9 @@
 /// model.
 constexpr double reservedForRepeats = 0.5;
 constexpr double unreservedSends = 4;
+/// Sends that a suspected request leaves to others. Each endpoint that it crashes interrupts
+/// further streams, which then need a send to be resumed.
+constexpr double reservedFromSuspects = 1;
 
 } // namespace
 
@@ -38,6 +41,8 @@
         return "repeat";
     case further_send::resume:
         return "resume";
+    case further_send::suspected:
+        return "suspected";
     case further_send::largerModel:
         return "larger_model";
     }
@@ -85,12 +90,19 @@
     return m_saved + m_rounding;
 }
 
+double send_budget::reservedFrom(further_send what) const
+{
+    if (what == further_send::suspected)
+        return reservedFromSuspects;
+    if (what != further_send::largerModel)
+        return 0;
+    return reservedForRepeats * std::max(0.0, maxSaved() - unreservedSends);
+}
+
 bool send_budget::allows(time_point now, double share, further_send what)
 {
     advance(now, share);
-    const double beyondFew = std::max(0.0, maxSaved() - unreservedSends);
-    const double kept = what == further_send::largerModel ? reservedForRepeats * beyondFew : 0;
-    return m_saved + m_rounding >= 1 + kept;
+    return m_saved + m_rounding >= 1 + reservedFrom(what);
 }
 
 bool send_budget::take(time_point now, double share, further_send what)
--- a/unittests/Policy/SendBudgetTests.cpp
+++ b/unittests/Policy/SendBudgetTests.cpp
@@ -109,6 +109,17 @@
     CHECK(budget.take(now, 0, further_send::repeat));
 }
 
+TEST_CASE("a suspected request leaves one send to others")
+{
+    send_budget budget({1, 0, seconds(10)});
+    const time_point now{seconds(100)};
+    while (budget.availableSends(now, 0) < 2)
+        budget.countRequest(now, 0);
+    CHECK(budget.take(now, 0, further_send::suspected));
+    CHECK(!budget.take(now, 0, further_send::suspected));
+    CHECK(budget.take(now, 0, further_send::resume));
+}
+
 TEST_CASE("an entry without requests earns its share of the allowance")
 {
     send_budget budget({0.9, 52, seconds(10)});
--- a/unittests/Proxy/SuspectFlowTests.cpp
+++ b/unittests/Proxy/SuspectFlowTests.cpp
@@ -118,3 +118,26 @@
     fixture.data(0, eventText(++event));
     CHECK(fixture.routing.suspects().isEmpty());
 }
+
+TEST_CASE("a suspected request leaves the last further send to others")
+{
+    flow_fixture fixture(draftRoute(), {"e1", "e2", "e3", "e4"});
+    const auto suspected = requestFor(draftRoute());
+    const auto other = std::make_shared<proxy_request>(*suspected);
+    other->body = "another";
+    crashEndpoints(fixture, suspected, 1);
+    startFlow(fixture, suspected);
+    startFlow(fixture, other);
+    send_budget &budget = fixture.routing.repeats("pool");
+    const auto availableSends = [&] {
+        return budget.availableSends(fixture.runtime.now(), fixture.routing.shareOfEntries());
+    };
+    while (availableSends() >= 2)
+        budget.take(fixture.runtime.now(), fixture.routing.shareOfEntries(), further_send::repeat);
+    REQUIRE(availableSends() >= 1);
+    fixture.end(0, call_end::broken);
+    CHECK(fixture.calls.size() == 2);
+    CHECK(fixture.status == http_status::badGateway);
+    fixture.end(1, call_end::broken);
+    CHECK(fixture.calls.size() == 3);
+}
