Resume interrupted streams with further sends borrowed from other entries

Callers saw begun streams cut as an endpoint crashed beside a crashing request, although the bound on further sends would have allowed to resume them.

An entry without a send now asks up to three others, one after the other, by datagram. The lender takes the send from its own budget before it replies, and a reply counts only within 150 ms, so that the bound on the sum holds without further messages: a lost, late or repeated message loses a send, none is made up. Only whole sends move, since each process has a rounding of its own. Only begun streams borrow, and no request that is suspected of crashing endpoints; an entry asks 5 times a second at most.

DirectPolicyTests: a begun response may now also borrow; a new case says exactly when, over all 512 rows.

--- a/include/laurelcroft/Policy/AttemptOutcome.h
+++ b/include/laurelcroft/Policy/AttemptOutcome.h
@@ -31,6 +31,7 @@
     bool mayHaveRun = false; ///< at this endpoint or at an earlier one
     bool endpointsLeft = false; ///< the limit of endpoints per request is not reached
     bool budgetLeft = false; ///< the service's budget for repeats allows one more send
+    bool mayBorrow = false; ///< without it, another entry may lend a send to a begun stream
     bool worthRetrying = false; ///< a repeat is not futile, or a stream has begun
     bool timeLeft = false; ///< the deadline leaves enough time for another attempt
 };
@@ -40,6 +41,7 @@
     deliver, ///< forward the response, whether a success or the endpoint's own error
     tryElsewhere,
     resumeElsewhere, ///< after the last event that was forwarded
+    borrow, ///< ask another entry for a send, then resume elsewhere or cut
     refuse, ///< report an error stating that the request has not run
     fail, ///< report an error stating that it is unknown whether the request ran
     cut ///< abort the partly sent response so that it cannot be mistaken for a complete one
--- a/include/laurelcroft/Policy/SendBudget.h
+++ b/include/laurelcroft/Policy/SendBudget.h
@@ -39,7 +39,8 @@
     repeat, ///< the previous send was not answered
     resume, ///< the stream that it had begun was interrupted
     suspected, ///< the same for a request that is suspected of crashing endpoints
-    largerModel ///< its answer was dropped in favour of a larger model's
+    largerModel, ///< its answer was dropped in favour of a larger model's
+    lent ///< another entry resumes an interrupted stream with it
 };
 
 std::string_view textOf(further_send what);
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -116,6 +116,10 @@
 /// Number of unreachable endpoints after which a begun stream may continue at another version: half
 /// of maxUnreachedEndpoints.
 inline constexpr unsigned unreachedBeforeVersionChange = 2;
+/// Number of entries that one request asks for a further send, one after the other. At 300 entries
+/// about half of them have one, and three unanswered requests take less than the longest pause that
+/// streams allow.
+inline constexpr std::size_t maxLenders = 3;
 /// An endpoint that makes no progress on any of this entry's requests for this long is presumed
 /// dead. Covers several decoding steps of a full batch and the reading of a long prompt in between.
 inline constexpr milliseconds endpointSilenceTimeout{700};
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -191,6 +191,12 @@
     /// Reserves a further send in the budget, unless one is reserved already.
     /// \returns false when the budget is exhausted.
     bool takeFurtherSend(further_send what);
+    /// \returns true if another entry may be asked for a send to resume the stream with.
+    bool mayBorrowSend();
+    /// Asks another entry for a send, to resume the stream that \p end has interrupted. Cuts it if
+    /// no further entry may be asked.
+    void borrowSend(attempt_end end);
+    void onBorrowReply(bool isGranted, attempt_end end);
     call_events eventsFor(unsigned number);
     void watchProgress(unsigned number);
     /// Reports to the roll-out tracker when the first part of the current attempt is late.
@@ -317,6 +323,7 @@
     unsigned m_unreached = 0; ///< endpoints that could not be reached at their addresses
     unsigned m_receivedSends = 0; ///< sends that any process received, including misdirected ones
     std::optional<further_send> m_reservedSend; ///< taken from the budget, not sent yet
+    std::size_t m_lendersAsked = 0; ///< entries asked for a send
     std::optional<further_send> m_currentFurtherSend; ///< set if the attempt is a further send
     bool m_excludedCold = false; ///< the last choice excluded a cold endpoint at capacity
     bool m_excludedInBackoff = false; ///< the last choice excluded an endpoint in backoff
@@ -364,6 +371,7 @@
 #include "laurelcroft/Proxy/RequestFlowAnswering.h"
 #include "laurelcroft/Proxy/RequestFlowAttempts.h"
 #include "laurelcroft/Proxy/RequestFlowBackpressure.h"
+#include "laurelcroft/Proxy/RequestFlowBorrowing.h"
 #include "laurelcroft/Proxy/RequestFlowCandidates.h"
 #include "laurelcroft/Proxy/RequestFlowCascade.h"
 #include "laurelcroft/Proxy/RequestFlowChoosing.h"
--- a/include/laurelcroft/Proxy/RequestFlowAttempts.h
+++ b/include/laurelcroft/Proxy/RequestFlowAttempts.h
@@ -42,6 +42,7 @@
     const bool isSuspected = ownSuspicion() != suspicion::none;
     facts.budgetLeft
             = mayTakeFurtherSend(isSuspected ? further_send::suspected : further_send::repeat);
+    facts.mayBorrow = !isSuspected && mayBorrowSend();
     facts.timeLeft = timeLeft() >= flow_bounds::minAttemptTime;
     // A begun stream is always resumed if possible: the caller would lose what it has received.
     facts.worthRetrying = m_streamBegun || !outlook().isRepeatFutile(now());
@@ -182,6 +183,9 @@
     case next_step::tryElsewhere:
         sendAgain(further_send::repeat);
         return;
+    case next_step::borrow:
+        borrowSend(end);
+        return;
     case next_step::cut:
         m_env.abort();
         finish(noAnswer, 0);
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -19,6 +19,7 @@
 #include "laurelcroft/Policy/ServicePressure.h"
 #include "laurelcroft/Policy/ServiceRoom.h"
 #include "laurelcroft/Proxy/BackoffWatch.h"
+#include "laurelcroft/Proxy/BudgetBorrowing.h"
 #include "laurelcroft/Proxy/CrashWatch.h"
 #include "laurelcroft/Proxy/LeavingWatch.h"
 #include "laurelcroft/Proxy/LoadSettings.h"
@@ -69,6 +70,7 @@
         , m_cascade(cascade)
         , m_random(seed)
         , m_roundingRandom(seed + 1)
+        , m_borrowing(random_source(seed + 2).bits() >> 16U)
     {
     }
 
@@ -139,6 +141,12 @@
     /// an entry without requests earns its share of the allowance too.
     void creditBudgets(time_point now);
 
+    /// Further sends that are borrowed from other entries or lent to them.
+    budget_borrowing &borrowing() { return m_borrowing; }
+
+    /// Lends a further send to another entry, if this one has one, and replies.
+    void noteBorrowRequest(const borrow_request &request, time_point now);
+
     /// \returns the outcomes of the last attempts at endpoints of \p service.
     failure_streak &outlook(std::string_view service);
 
@@ -270,6 +278,7 @@
     random_source m_random;
     /// For budgets, separate from the source that decisions draw from.
     random_source m_roundingRandom;
+    budget_borrowing m_borrowing;
     contract_ptr m_contract;
     service_directory m_directory;
     crash_watch m_crashes;
--- a/lib/Policy/AttemptOutcome.cpp
+++ b/lib/Policy/AttemptOutcome.cpp
@@ -35,6 +35,8 @@
         return "try_elsewhere";
     case next_step::resumeElsewhere:
         return "resume_elsewhere";
+    case next_step::borrow:
+        return "borrow";
     case next_step::refuse:
         return "refuse";
     case next_step::fail:
@@ -85,8 +87,10 @@
             && (lack == retry_blocker::chance || lack == retry_blocker::budget);
     const bool mayGoOn = lack == retry_blocker::nothing || mayDoWithout;
     if (facts.partDelivered) {
-        const bool resumes = facts.resumable && mayGoOn;
-        return resumes ? next_step::resumeElsewhere : next_step::cut;
+        if (facts.resumable && mayGoOn)
+            return next_step::resumeElsewhere;
+        const bool borrows = facts.resumable && facts.mayBorrow && lack == retry_blocker::budget;
+        return borrows ? next_step::borrow : next_step::cut;
     }
 
     const bool ranHere = end == attempt_end::failed || end == attempt_end::broken
--- a/lib/Policy/SendBudget.cpp
+++ b/lib/Policy/SendBudget.cpp
@@ -45,6 +45,8 @@
         return "suspected";
     case further_send::largerModel:
         return "larger_model";
+    case further_send::lent:
+        return "lent";
     }
     return "unknown";
 }
--- a/lib/Proxy/FlowReporter.cpp
+++ b/lib/Proxy/FlowReporter.cpp
@@ -135,7 +135,9 @@
                                  time_point now)
 {
     m_metrics.add("attempts_total{end=\"" + std::string(textOf(end)) + "\"}");
-    if (step != next_step::tryElsewhere && step != next_step::resumeElsewhere)
+    const bool isLast = step != next_step::tryElsewhere && step != next_step::resumeElsewhere
+            && step != next_step::borrow;
+    if (isLast)
         m_metrics.add("attempts_last_total{lacks=\"" + std::string(textOf(record.lack)) + "\"}");
     if (!m_unusual.allows(now))
         return;
@@ -249,7 +251,17 @@
         if (m_routing.usesPressureInCascade(service))
             m_metrics.set("service_pressure{service=\"" + service + "\"}", pressure.level(now));
     }
+    reportBorrowing();
     for (auto &[service, budget] : m_routing.allRepeats())
         m_metrics.set("further_sends_left{service=\"" + service + "\"}",
                       budget.availableSends(now, m_routing.shareOfEntries()));
 }
+
+void flow_reporter::reportBorrowing()
+{
+    const borrow_counts counts = m_routing.borrowing().takeCounts();
+    m_metrics.add("sends_borrowed_total{result=\"granted\"}", counts.granted);
+    m_metrics.add("sends_borrowed_total{result=\"denied\"}", counts.denied);
+    m_metrics.add("sends_borrowed_total{result=\"unanswered\"}", counts.unanswered);
+    m_metrics.add("sends_lent_total", counts.lent);
+}
--- a/lib/Proxy/FlowReporter.h
+++ b/lib/Proxy/FlowReporter.h
@@ -59,6 +59,7 @@
     void reportRoom(const flow_record &record, time_point now);
     /// Reports the decision on a second run of a request on a larger model, if there was one.
     void reportSecondRun(const flow_record &record, time_point now);
+    void reportBorrowing();
     static void logFinished(const flow_record &record);
     /// Logs the pace expected of the endpoint, where pace is used.
     static void logPace(const flow_record &record);
--- a/lib/Proxy/RoutingState.cpp
+++ b/lib/Proxy/RoutingState.cpp
@@ -52,6 +52,13 @@
         repeats(service.name).credit(now, m_share);
 }
 
+void routing_state::noteBorrowRequest(const borrow_request &request, time_point now)
+{
+    const auto known = m_repeats.find(request.service);
+    send_budget *budget = known == m_repeats.end() ? nullptr : &known->second;
+    m_borrowing.applyRequest(request, budget, m_share, now);
+}
+
 failure_streak &routing_state::outlook(std::string_view service)
 {
     return findOrCreate(m_outlooks, service);
@@ -96,6 +103,7 @@
     m_share = isListed ? 1.0 / static_cast<double>(m_entries.size()) : 0;
     m_coldShares.clear();
     m_limitShares.clear();
+    m_borrowing.setEntries(m_entries, m_own);
 }
 
 std::vector<sampled_endpoint>
--- a/unittests/Policy/DirectPolicyTests.cpp
+++ b/unittests/Policy/DirectPolicyTests.cpp
@@ -34,10 +34,11 @@
     facts.budgetLeft = (bits & 32) != 0;
     facts.timeLeft = (bits & 64) != 0;
     facts.worthRetrying = (bits & 128) != 0;
+    facts.mayBorrow = (bits & 256) != 0;
     return facts;
 }
 
-constexpr unsigned allFacts = 256;
+constexpr unsigned allFacts = 512;
 
 } // namespace
 
@@ -65,7 +66,7 @@
     }
 }
 
-TEST_CASE("every row resumes or cuts a response that has begun")
+TEST_CASE("every row resumes, borrows for or cuts a response that has begun")
 {
     for (unsigned bits = 0; bits < allFacts; ++bits) {
         const attempt_facts facts = factsOf(bits);
@@ -73,13 +74,29 @@
             continue;
         for (const attempt_end end : allEnds) {
             const next_step step = stepAfter(end, facts);
-            CHECK((step == next_step::cut || step == next_step::resumeElsewhere));
-            if (step == next_step::resumeElsewhere)
+            const bool goesOn = step == next_step::resumeElsewhere || step == next_step::borrow;
+            CHECK((step == next_step::cut || goesOn));
+            if (goesOn)
                 CHECK(facts.resumable);
         }
     }
 }
 
+TEST_CASE("only a response that has begun and lacks nothing but budget borrows a send")
+{
+    for (unsigned bits = 0; bits < allFacts; ++bits) {
+        const attempt_facts facts = factsOf(bits);
+        const bool lacksOnlyBudget
+                = facts.endpointsLeft && facts.timeLeft && facts.worthRetrying && !facts.budgetLeft;
+        const bool mayBorrow
+                = facts.partDelivered && facts.resumable && facts.mayBorrow && lacksOnlyBudget;
+        for (const attempt_end end : allEnds) {
+            const bool needsBudget = end != attempt_end::notSent;
+            CHECK((stepAfter(end, facts) == next_step::borrow) == (mayBorrow && needsBudget));
+        }
+    }
+}
+
 TEST_CASE("no row tries another endpoint beyond the limits of endpoints, time or budget")
 {
     for (unsigned bits = 0; bits < allFacts; ++bits) {
--- a/unittests/Proxy/CrashingRequestTests.cpp
+++ b/unittests/Proxy/CrashingRequestTests.cpp
@@ -153,6 +153,31 @@
             sendNotice(entry, notice, encodeClearedNotice(notice).size(), true);
         };
         entry.routing.crashes().setSenders(std::move(links));
+        borrow_senders borrowing;
+        borrowing.sendRequest = [this](const std::string &to, const borrow_request &request) {
+            sendTo(to, [this, request](fleet_entry &lender) {
+                lender.routing.noteBorrowRequest(request, entries.runtime.now());
+            });
+        };
+        borrowing.sendReply = [this](const std::string &to, const borrow_reply &reply) {
+            sendTo(to, [this, reply](fleet_entry &borrower) {
+                borrower.routing.borrowing().applyReply(reply, entries.runtime.now());
+            });
+        };
+        entry.routing.borrowing().setSenders(std::move(borrowing));
+    }
+
+    /// Delivers a datagram to the entry named \p name, unless it is lost.
+    void sendTo(const std::string &name, std::function<void(fleet_entry &)> deliver)
+    {
+        if (random.chance(lostDatagrams))
+            return;
+        later(networkDelay, [this, name, deliver = std::move(deliver)] {
+            for (fleet_entry &entry : entries.entries) {
+                if (entry.name == name)
+                    deliver(entry);
+            }
+        });
     }
 
     void startEndpoint()
--- a/unittests/Proxy/RetryBudgetTests.cpp
+++ b/unittests/Proxy/RetryBudgetTests.cpp
@@ -121,6 +121,16 @@
     return ends[fixture.random.index(ends.size())];
 }
 
+/// From 11 s on, most streams are interrupted after their first event.
+request_outcome interruptsMostly(retry_fixture &fixture, milliseconds at)
+{
+    if (at < seconds(11))
+        return request_outcome::answers;
+    const std::array ends{request_outcome::interrupts, request_outcome::interrupts,
+                          request_outcome::answers};
+    return ends[fixture.random.index(ends.size())];
+}
+
 using fault = request_outcome (*)(retry_fixture &fixture, milliseconds at);
 
 struct named_churn
@@ -179,7 +189,8 @@
 {
     const std::array faults{named_fault{"refuse for seconds", refusedForSeconds},
                             named_fault{"refuse mostly", refusedMostly},
-                            named_fault{"fail mostly", failsMostly}};
+                            named_fault{"fail mostly", failsMostly},
+                            named_fault{"interrupt mostly", interruptsMostly}};
     const std::array sizes{fleet_size{3, 100, 52}, fleet_size{12, 200, 60},
                            fleet_size{100, 400, 246}};
     for (const fleet_size &size : sizes) {
--- a/unittests/Proxy/RetryFixture.cpp
+++ b/unittests/Proxy/RetryFixture.cpp
@@ -47,15 +47,20 @@
             proxy_answer answer;
             answer.requestId = request;
             answer.signedByEndpoint = true;
-            answer.status
-                    = how == request_outcome::answers ? http_status::ok : http_status::unavailable;
+            const bool isSuccess
+                    = how == request_outcome::answers || how == request_outcome::interrupts;
+            answer.status = isSuccess ? http_status::ok : http_status::unavailable;
             answer.notRun = how == request_outcome::refuses;
             answer.confidence = int(fixture->random.index(100));
             if (how == request_outcome::hangs)
                 return;
             if (how != request_outcome::breaks)
                 events.onAnswer(std::move(answer));
-            events.onEnd(how == request_outcome::breaks ? call_end::broken : call_end::complete);
+            const bool isInterrupted = how == request_outcome::interrupts;
+            if (isInterrupted)
+                events.onData(eventText(1));
+            const bool isBroken = isInterrupted || how == request_outcome::breaks;
+            events.onEnd(isBroken ? call_end::broken : call_end::complete);
         });
     });
     return ++fixture->lastCall;
@@ -122,6 +127,7 @@
             name, routing_state(bounds, {0, 50}, random.bits()), {}, true, false, {}});
     entries[index]->routing.setContract(contractOf(plan.route));
     listEndpoints(entries[index]->routing);
+    connectBorrowing(*entries[index]);
     runtime.after(plan.discoveryTime, [this] { updateEntries(); });
 }
 
@@ -139,6 +145,32 @@
     }
 }
 
+void retry_fixture::connectBorrowing(retry_entry &entry)
+{
+    borrow_senders senders;
+    senders.sendRequest = [this](const std::string &to, const borrow_request &request) {
+        deliver(to, [this, request](retry_entry &lender) {
+            lender.routing.noteBorrowRequest(request, runtime.now());
+        });
+    };
+    senders.sendReply = [this](const std::string &to, const borrow_reply &reply) {
+        deliver(to, [this, reply](retry_entry &borrower) {
+            borrower.routing.borrowing().applyReply(reply, runtime.now());
+        });
+    };
+    entry.routing.borrowing().setSenders(std::move(senders));
+}
+
+void retry_fixture::deliver(const std::string &name, std::function<void(retry_entry &)> action)
+{
+    runtime.after(way, [this, name, action = std::move(action)] {
+        for (const auto &entry : entries) {
+            if (entry && entry->name == name && !entry->isSuspended)
+                action(*entry);
+        }
+    });
+}
+
 void retry_fixture::kill(std::size_t index)
 {
     entries[index].reset();
--- a/unittests/Proxy/RetryFixture.h
+++ b/unittests/Proxy/RetryFixture.h
@@ -24,7 +24,14 @@
 namespace laurelcroft {
 
 /// How a simulated endpoint handles a request.
-enum class request_outcome { answers, refuses, fails, breaks, hangs };
+enum class request_outcome {
+    answers,
+    refuses,
+    fails,
+    breaks, ///< before the answer
+    interrupts, ///< after the first event
+    hangs
+};
 
 struct retry_fixture;
 
@@ -116,6 +123,9 @@
     void request();
     void take(retry_entry &entry, const std::string &id);
     void listEndpoints(routing_state &routing) const;
+    void connectBorrowing(retry_entry &entry);
+    /// Delivers a message to the running entry named \p name.
+    void deliver(const std::string &name, std::function<void(retry_entry &)> action);
     std::vector<std::size_t> acceptingEntries() const;
 };
 
