--- a/include/laurelcroft/Policy/SendBudget.h
+++ b/include/laurelcroft/Policy/SendBudget.h
@@ -5,7 +5,7 @@
 // them.
 //
 // The limit applies to the sum over all entries: in any window, further sends are at most a ratio
-// of the callers' requests, in that window or the one before, plus an allowance. It needs no
+// of the callers' requests, in that window or the one before, plus an allowance. It depends on no
 // messages between entries and holds when their processes are killed or restarted:
 //
 // - Each request earns ratio / (1 + s) of a further send, and an entry saves at most s times what
@@ -20,6 +20,8 @@
 //   have earned; the sum over n processes deviates by about sqrt(n) / 2.
 // - An entry whose row is visible to others also gets a share of the allowance, and may save part
 //   of it; an entry that knows of no row of its own is not counted by the others and gets none.
+// - An entry may use a send of another entry, which takes it from its own budget first (see
+//   budget_borrowing in Proxy): the sum stays the same.
 //
 //===----------------------------------------------------------------------===//
 #ifndef LAURELCROFT_POLICY_SENDBUDGET_H
@@ -38,7 +40,7 @@
 enum class further_send {
     repeat, ///< the previous send was not answered
     resume, ///< the stream that it had begun was interrupted
-    suspected, ///< the same for a request that is suspected of crashing endpoints
+    suspected, ///< a repeat or resume of a request that is suspected of crashing endpoints
     largerModel, ///< its answer was dropped in favour of a larger model's
     lent ///< another entry resumes an interrupted stream with it
 };
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -83,6 +83,7 @@
     milliseconds timeLeft{0}; ///< until the deadline, when the last attempt ended
     retry_blocker lack = retry_blocker::nothing; ///< why no further attempt was possible
     double budgetLeft = 0; ///< further sends left in the budget at that time
+    bool isSuspected = false; ///< of crashing endpoints, at that time
     unsigned resumes = 0;
     unsigned escalations = 0;
     std::optional<int> confidence;
--- a/include/laurelcroft/Proxy/RequestFlowAttempts.h
+++ b/include/laurelcroft/Proxy/RequestFlowAttempts.h
@@ -160,6 +160,7 @@
 {
     const attempt_facts facts = this->facts();
     m_record.lack = retryBlockerOf(facts);
+    m_record.isSuspected = ownSuspicion() != suspicion::none;
     m_record.budgetLeft = budget().availableSends(now(), allowanceShare());
     const bool ran = end != attempt_end::notSent && end != attempt_end::refused;
     m_mayHaveRun = m_mayHaveRun || ran;
--- a/lib/Proxy/FlowReporter.cpp
+++ b/lib/Proxy/FlowReporter.cpp
@@ -157,6 +157,7 @@
               std::int64_t(record.endpointRetryAfter.value_or(milliseconds(-1)).count())},
              {"lacks", textOf(record.lack)},
              {"budget_left", textOfSends(record.budgetLeft)},
+             {"suspected", record.isSuspected ? "yes" : "no"},
              {"request_key", record.key ? textOf(*record.key) : ""}});
 }
 
