--- a/utils/check.sh
+++ b/utils/check.sh
@@ -79,6 +79,7 @@
 
 countSummaryLine soak-audit utils/run-unittests.py platform/soak/test_audit.py
 countSummaryLine soak-store utils/run-unittests.py platform/soak/test_store.py
+countSummaryLine soak-entry utils/run-unittests.py platform/soak/test_entry.py
 countSummaryLine refused-stretches utils/run-unittests.py platform/days/test_refused.py
 countSummaryLine pinned-sessions utils/run-unittests.py platform/days/test_pinned.py
 countSummaryLine crashing-request python3 platform/soak/crasher.py --plays new_ids,same_ids,store_silent,popular --seconds 10 --jobs 4
