--- a/utils/check.sh
+++ b/utils/check.sh
@@ -7,12 +7,18 @@
 failed=0
 red=0
 
-# countDoctest PROGRAM: runs a doctest program and adds up the counts of its summary line.
+# runDoctest PROGRAM: runs a doctest program. Keeps its output and its exit code in build/.
+runDoctest() {
+    local result=build/check-$(basename "$1")
+    "$1" > "$result.log" 2>&1
+    echo $? > "$result.code"
+}
+
+# countDoctest PROGRAM: adds up the counts in the summary line of a program that runDoctest has run.
 countDoctest() {
     local log=build/check-$(basename "$1").log
-    "$@" > "$log" 2>&1
-    local code=$?
-    local line
+    local code line
+    code=$(cat "build/check-$(basename "$1").code")
     line=$(sed 's/\x1b\[[0-9;]*m//g' "$log" | grep -E '^\[doctest\] test cases:' | tail -n 1)
     if [ -z "$line" ]; then
         echo "FAILED $1 (exit $code, no summary)"; tail -n 20 "$log"
@@ -37,9 +43,17 @@
     echo "$(basename "$1"): $good passed, $bad failed"
 }
 
-for program in build/unittests/*/*-tests build/platform/unittests/*-tests build/test/FaultMatrix/fault-matrix build/test/Golden/golden-tests build/test/Processes/process-tests; do
-    [ -x "$program" ] && countDoctest "$program"
+# Most test programs use a simulated clock and one core each, so a few of them run side by side. The
+# test of whole processes measures real time and runs alone.
+programs=(build/unittests/*/*-tests build/platform/unittests/*-tests
+    build/test/FaultMatrix/fault-matrix build/test/Golden/golden-tests)
+export -f runDoctest
+printf '%s\n' "${programs[@]}" | xargs -P 4 -I{} bash -c 'runDoctest "$1"' bash {}
+runDoctest build/test/Processes/process-tests
+for program in "${programs[@]}" build/test/Processes/process-tests; do
+    countDoctest "$program"
 done
+
 # countKnownPlays NAME LOG: prints how many of the failed plays in LOG are listed in KNOWN-RED.txt, as
 # 'CI: play NAME PLAY seed SEED, only "REGEX"' at the beginning of a line. All failed checks of such a
 # play must match REGEX.
