Drop borrow requests whose flows have ended

Found by reading before the landing, not seen by callers: a request for a send whose reply was lost stayed in memory when its flow had ended meanwhile, since only the flow's timer removed it. The next request now drops what is older than two reply timeouts. New test: after 100 such requests one is pending (100 before).

--- a/include/laurelcroft/Proxy/BudgetBorrowing.h
+++ b/include/laurelcroft/Proxy/BudgetBorrowing.h
@@ -54,6 +54,8 @@
     /// Time after which a request counts as unanswered: a round trip between regions. Streams may
     /// pause for several times as long.
     static constexpr milliseconds replyTimeout{150};
+    /// Time after which a request is dropped that nobody has expired, since its flow has ended.
+    static constexpr milliseconds abandonedAfter = 2 * replyTimeout;
     /// Limits the requests of this entry, whose datagrams take about 70 bytes: where all budgets
     /// are exhausted, asking is futile. A crash interrupts the streams of one batch at a time.
     static constexpr double requestsPerSecond = 5;
@@ -80,7 +82,7 @@
     using reply_handler = std::function<void(bool isGranted)>;
 
     /// Asks the next of the other entries for one further send to \p service. The caller must call
-    /// expire() after \c replyTimeout.
+    /// expire() after \c replyTimeout, unless it no longer needs the send.
     /// \param request id of the caller's request, for the log.
     /// \returns the id of the borrow request, or nothing if canAsk() is false.
     std::optional<std::uint64_t> ask(std::string_view service, std::string_view request,
@@ -98,6 +100,9 @@
     void applyRequest(const borrow_request &request, send_budget *budget, double share,
                       time_point now);
 
+    /// \returns the number of requests that wait for a reply.
+    std::size_t pendingRequests() const { return m_pending.size(); }
+
     /// \returns the counts since the last call.
     borrow_counts takeCounts() { return std::exchange(m_counts, {}); }
 
--- a/include/laurelcroft/Proxy/RequestFlowBorrowing.h
+++ b/include/laurelcroft/Proxy/RequestFlowBorrowing.h
@@ -7,6 +7,8 @@
 #ifndef LAURELCROFT_PROXY_REQUESTFLOWBORROWING_H
 #define LAURELCROFT_PROXY_REQUESTFLOWBORROWING_H
 
+#include <cassert>
+
 namespace laurelcroft {
 
 template <flow_environment Env>
@@ -32,6 +34,7 @@
         if (const auto self = weak.lock())
             self->onBorrowReply(isGranted, end);
     });
+    assert(id && "mayBorrowSend() has checked that an entry can be asked");
     m_env.runtime().after(budget_borrowing::replyTimeout, [weak, id, end] {
         const auto self = weak.lock();
         if (self && self->m_env.routing().borrowing().expire(*id))
--- a/lib/Proxy/BudgetBorrowing.cpp
+++ b/lib/Proxy/BudgetBorrowing.cpp
@@ -33,6 +33,8 @@
     if (!canAsk(now))
         return std::nullopt;
     m_requests.consume(1);
+    std::erase_if(m_pending,
+                  [now](const auto &item) { return now - item.second.askedAt > abandonedAfter; });
     m_nextLender = (m_nextLender + 1) % m_others.size();
     const std::string &lender = m_others[m_nextLender];
     const std::uint64_t id = m_nextId++;
--- a/unittests/Proxy/BudgetBorrowingTests.cpp
+++ b/unittests/Proxy/BudgetBorrowingTests.cpp
@@ -156,6 +156,17 @@
     CHECK(entry.borrowing.takeCounts().unanswered == 2);
 }
 
+TEST_CASE("requests whose flows have ended are dropped")
+{
+    borrowing_entry entry({"e1"});
+    time_point now = start;
+    for (int i = 0; i < 100; ++i) {
+        now += seconds(1);
+        REQUIRE(entry.borrowing.ask("pool", "r1", now, [](bool) {}));
+    }
+    CHECK(entry.borrowing.pendingRequests() == 1);
+}
+
 namespace {
 
 /// A flow whose stream has begun at an entry without a further send, with other entries to ask.
