--- a/include/laurelcroft/Proxy/BudgetBorrowing.h
+++ b/include/laurelcroft/Proxy/BudgetBorrowing.h
@@ -54,7 +54,7 @@
     /// Time after which a request counts as unanswered: a round trip between regions. Streams may
     /// pause for several times as long.
     static constexpr milliseconds replyTimeout{150};
-    /// Time after which a request is dropped that nobody has expired, since its flow has ended.
+    /// Time after which an unanswered request is dropped if its flow has ended without expiring it.
     static constexpr milliseconds abandonedAfter = 2 * replyTimeout;
     /// Limits the requests of this entry, whose datagrams take about 70 bytes: where all budgets
     /// are exhausted, asking is futile. A crash interrupts the streams of one batch at a time.
--- a/unittests/Proxy/BudgetBorrowingTests.cpp
+++ b/unittests/Proxy/BudgetBorrowingTests.cpp
@@ -14,8 +14,9 @@
 
 #include <doctest/doctest.h>
 
-#include <array>
+#include <algorithm>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -282,18 +283,12 @@
     CHECK(late.fixture.calls.size() == 1);
 }
 
-TEST_CASE("a suspected request borrows nothing and leaves a send to others")
+TEST_CASE("a suspected request borrows nothing")
 {
     interrupted_stream stream;
     flow_fixture &fixture = stream.fixture;
     stream.begin();
-    crash_watch &crashes = fixture.routing.crashes();
-    endpoint_record record;
-    record.id = "gone";
-    record.service = "pool";
-    crashes.runs().add(record.id, requestFor(draftRoute()), fixture.runtime.now());
-    fixture.runtime.advance(milliseconds(100));
-    crashes.endpointEnded(service_endpoint(record), fixture.runtime.now());
+    crashEndpoints(fixture, requestFor(draftRoute()), 1);
     REQUIRE(!fixture.routing.suspects().isEmpty());
     stream.interrupt();
     CHECK(stream.asked.empty());
@@ -311,7 +306,6 @@
 
     struct process
     {
-        std::string name;
         send_budget budget;
         budget_borrowing borrowing;
     };
@@ -336,8 +330,8 @@
 
     std::unique_ptr<process> startProcess(std::size_t index)
     {
-        auto item = std::make_unique<process>(process{names[index], send_budget(rule.bounds),
-                                                      budget_borrowing(random.bits() >> 16U)});
+        auto item = std::make_unique<process>(
+                process{send_budget(rule.bounds), budget_borrowing(random.bits() >> 16U)});
         borrow_senders senders;
         senders.sendRequest = [this](const std::string &to, const borrow_request &request) {
             post(to, request, std::nullopt);
--- a/unittests/Proxy/ColdEndpointTests.cpp
+++ b/unittests/Proxy/ColdEndpointTests.cpp
@@ -59,13 +59,8 @@
 
     void useContract(fleet_entry &entry, double coldLimit) const
     {
-        auto contract = std::make_shared<service_contract>();
-        contract->version = 100;
-        contract->routes.push_back(route);
-        service_description pool;
-        pool.name = "pool";
-        pool.coldRequestsPerSecond = coldLimit;
-        contract->services.push_back(pool);
+        const auto contract = contractFor(route, 100);
+        contract->services.front().coldRequestsPerSecond = coldLimit;
         entry.routing.setContract(contract);
     }
 
--- a/unittests/Proxy/CrashFixture.cpp
+++ b/unittests/Proxy/CrashFixture.cpp
@@ -45,13 +45,7 @@
 
 void crash_fixture::useContract(fleet_entry &entry) const
 {
-    auto contract = std::make_shared<service_contract>();
-    contract->version = 100;
-    contract->routes.push_back(route);
-    service_description pool;
-    pool.name = "pool";
-    contract->services.push_back(pool);
-    entry.routing.setContract(contract);
+    entry.routing.setContract(contractFor(route, 100));
 }
 
 void crash_fixture::link(fleet_entry &entry)
--- a/unittests/Proxy/CrashFixture.h
+++ b/unittests/Proxy/CrashFixture.h
@@ -117,7 +117,7 @@
     /// Ends an endpoint's process. It is restarted later with another id.
     void endEndpoint(std::string id);
 
-    /// Tells \p entry that its idle connections to endpoint \p id were closed.
+    /// Notifies \p entry that its idle connections to endpoint \p id were closed.
     void idleClosed(fleet_entry &entry, const std::string &id);
 
     /// Ends call \p number, unless it has ended or was cancelled.
--- a/unittests/Proxy/FlowFixture.cpp
+++ b/unittests/Proxy/FlowFixture.cpp
@@ -56,13 +56,9 @@
 
 void flow_fixture::useRoute(const service_route &route)
 {
-    auto contract = std::make_shared<service_contract>();
-    contract->version = routing.contract() ? routing.contract()->version + 1 : 1;
-    contract->routes.push_back(route);
-    service_description pool;
-    pool.name = "pool";
-    pool.models = {{"small", 1}, {"middle", 3}, {"large", 10}};
-    contract->services.push_back(pool);
+    const auto contract
+            = contractFor(route, routing.contract() ? routing.contract()->version + 1 : 1);
+    contract->services.front().models = {{"small", 1}, {"middle", 3}, {"large", 10}};
     contract->needsKeys = true;
     contract->customers.push_back({"daan", 3});
     contract->customerIndexByKey["key-daan"] = 0;
@@ -144,6 +140,18 @@
     return route;
 }
 
+std::shared_ptr<service_contract> laurelcroft::contractFor(const service_route &route,
+                                                           std::uint64_t version)
+{
+    auto contract = std::make_shared<service_contract>();
+    contract->version = version;
+    contract->routes.push_back(route);
+    service_description pool;
+    pool.name = "pool";
+    contract->services.push_back(pool);
+    return contract;
+}
+
 std::shared_ptr<proxy_request> laurelcroft::requestFor(const service_route &route)
 {
     auto request = std::make_shared<proxy_request>();
@@ -171,3 +179,18 @@
 {
     return "id: " + std::to_string(id) + "\ndata: words\n\n";
 }
+
+void laurelcroft::crashEndpoints(flow_fixture &fixture,
+                                 const std::shared_ptr<proxy_request> &request, unsigned ends)
+{
+    crash_watch &crashes = fixture.routing.crashes();
+    for (unsigned i = 0; i < ends; ++i) {
+        endpoint_record record;
+        record.id = "gone" + std::to_string(i);
+        record.service = "pool";
+        record.softwareVersion = "v1";
+        crashes.runs().add(record.id, request, fixture.runtime.now());
+        fixture.runtime.advance(milliseconds(100));
+        crashes.endpointEnded(service_endpoint(record), fixture.runtime.now());
+    }
+}
--- a/unittests/Proxy/FlowFixture.h
+++ b/unittests/Proxy/FlowFixture.h
@@ -152,9 +152,15 @@
 service_route fetchRoute(); ///< at most once
 service_route draftRoute(); ///< a resumable stream over three models
 
+/// \returns a contract with one route, and the service "pool" without models.
+std::shared_ptr<service_contract> contractFor(const service_route &route, std::uint64_t version);
+
 std::shared_ptr<proxy_request> requestFor(const service_route &route);
 std::shared_ptr<fake_flow> startFlow(flow_fixture &fixture, std::shared_ptr<proxy_request> request);
 std::string eventText(unsigned id);
+/// Makes the entry see \p ends endpoints crash one after the other while they run \p request.
+void crashEndpoints(flow_fixture &fixture, const std::shared_ptr<proxy_request> &request,
+                    unsigned ends);
 
 } // namespace laurelcroft
 
--- a/unittests/Proxy/PaceFlowTests.cpp
+++ b/unittests/Proxy/PaceFlowTests.cpp
@@ -106,13 +106,7 @@
     void addEntry(const routing_bounds &bounds, unsigned number)
     {
         routing_state &routing = all.emplace_back(bounds, number + 1).routing;
-        auto contract = std::make_shared<service_contract>();
-        contract->version = 1;
-        contract->routes.push_back(route);
-        service_description pool;
-        pool.name = "pool";
-        contract->services.push_back(pool);
-        routing.setContract(contract);
+        routing.setContract(contractFor(route, 1));
         for (unsigned i = 0; i < endpoints; ++i) {
             endpoint_record record;
             record.id = "p" + std::to_string(i);
--- a/unittests/Proxy/RateLimitTests.cpp
+++ b/unittests/Proxy/RateLimitTests.cpp
@@ -93,13 +93,7 @@
 
     void useContract(fleet_entry &entry) const
     {
-        auto contract = std::make_shared<service_contract>();
-        contract->version = 100;
-        contract->routes.push_back(route);
-        service_description pool;
-        pool.name = "pool";
-        contract->services.push_back(pool);
-        entry.routing.setContract(contract);
+        entry.routing.setContract(contractFor(route, 100));
     }
 
     manual_runtime &runtime() { return entries.runtime; }
--- a/unittests/Proxy/RetryFixture.cpp
+++ b/unittests/Proxy/RetryFixture.cpp
@@ -17,13 +17,8 @@
 
 contract_ptr contractOf(const service_route &route)
 {
-    auto contract = std::make_shared<service_contract>();
-    contract->version = 1;
-    contract->routes.push_back(route);
-    service_description pool;
-    pool.name = "pool";
-    pool.models = {{"small", 1}, {"middle", 3}, {"large", 10}};
-    contract->services.push_back(pool);
+    const auto contract = contractFor(route, 1);
+    contract->services.front().models = {{"small", 1}, {"middle", 3}, {"large", 10}};
     return contract;
 }
 
--- a/unittests/Proxy/SuspectFlowTests.cpp
+++ b/unittests/Proxy/SuspectFlowTests.cpp
@@ -9,22 +9,6 @@
 
 using namespace laurelcroft;
 
-/// Makes the entry see \p ends endpoints crash one after the other while they run \p request.
-static void crashEndpoints(flow_fixture &fixture, const std::shared_ptr<proxy_request> &request,
-                           unsigned ends)
-{
-    crash_watch &crashes = fixture.routing.crashes();
-    for (unsigned i = 0; i < ends; ++i) {
-        endpoint_record record;
-        record.id = "gone" + std::to_string(i);
-        record.service = "pool";
-        record.softwareVersion = "v1";
-        crashes.runs().add(record.id, request, fixture.runtime.now());
-        fixture.runtime.advance(milliseconds(100));
-        crashes.endpointEnded(service_endpoint(record), fixture.runtime.now());
-    }
-}
-
 TEST_CASE("a request that crashed three endpoints waits, and is then refused with a Retry-After")
 {
     flow_fixture fixture(draftRoute(), {"e1", "e2"});
