Log the keys of prompt parts when endpoints end and attempts break off

'endpoint ended' and 'attempt ended' now have part_keys: for each shared part one key for all customers and one for the request's customer; at the end of an endpoint with the number of recent requests that hold it. No decision reads them yet.

--- a/include/laurelcroft/Proxy/EndpointRuns.h
+++ b/include/laurelcroft/Proxy/EndpointRuns.h
@@ -10,6 +10,7 @@
 
 #include "laurelcroft/Policy/CrashSuspects.h"
 #include "laurelcroft/Proxy/ProxyTypes.h"
+#include "laurelcroft/Proxy/RequestKey.h"
 #include "laurelcroft/Support/Runtime.h"
 
 #include <map>
@@ -27,6 +28,7 @@
     std::shared_ptr<const proxy_request> request;
     std::string route;
     std::string customer;
+    std::vector<request_key> partKeys; ///< of the shared parts of its prompt
     time_point sentAt{};
     std::optional<time_point> answerBeganAt; ///< when the answer began
     std::optional<time_point> abandonedAt; ///< when this entry stopped waiting for it
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace laurelcroft {
 
@@ -66,6 +67,7 @@
     std::string request;
     std::string session;
     std::optional<std::uint64_t> key; ///< the same for each retry by the caller; set when needed
+    std::vector<std::uint64_t> partKeys; ///< of the shared parts of its prompt
     std::string route;
     std::string customer;
     std::string service;
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -15,6 +15,7 @@
 #include "laurelcroft/Policy/DirectChoice.h"
 #include "laurelcroft/Policy/PauseSample.h"
 #include "laurelcroft/Proxy/FlowTypes.h"
+#include "laurelcroft/Proxy/PromptPartKeys.h"
 #include "laurelcroft/Proxy/ProxyTypes.h"
 #include "laurelcroft/Proxy/RequestKey.h"
 #include "laurelcroft/Proxy/RoutingState.h"
--- a/include/laurelcroft/Proxy/RequestFlowAdmission.h
+++ b/include/laurelcroft/Proxy/RequestFlowAdmission.h
@@ -94,6 +94,7 @@
 {
     m_service = pickService().name;
     m_record.service = m_service;
+    m_record.partKeys = partKeysOf(*m_request, m_record.customer);
     budget().countRequest(m_arrivedAt, allowanceShare());
     m_env.routing().rollouts(m_service).noteArrival(m_arrivedAt);
 
--- a/include/laurelcroft/Proxy/RequestFlowSuspicion.h
+++ b/include/laurelcroft/Proxy/RequestFlowSuspicion.h
@@ -30,6 +30,7 @@
     m_run = crashes.runs().add(m_endpoint->record().id, m_request, m_attemptAt);
     m_run->route = m_route->name;
     m_run->customer = m_record.customer;
+    m_run->partKeys = m_record.partKeys;
     m_run->suspected = m_suspicion;
     m_isTrial = m_suspicion != suspicion::none;
     if (m_isTrial)
--- a/lib/Proxy/CrashWatch.cpp
+++ b/lib/Proxy/CrashWatch.cpp
@@ -6,10 +6,12 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/CrashWatch.h"
 
+#include "laurelcroft/Proxy/PromptPartKeys.h"
 #include "laurelcroft/Support/Crypto.h"
 #include "laurelcroft/Support/Log.h"
 
 #include <algorithm>
+#include <map>
 
 using namespace laurelcroft;
 
@@ -33,11 +35,34 @@
     return stableHash(record.id, record.startedAt);
 }
 
-static std::string textOfKeys(std::span<const recent_request> requests)
+/// \returns the keys of \p requests as text.
+static std::string textOfRequests(std::span<const recent_request> requests)
 {
+    std::vector<request_key> keys;
+    keys.reserve(requests.size());
+    for (const recent_request &request : requests)
+        keys.push_back(request.key);
+    return textOfKeys(keys, maxKeysLogged);
+}
+
+/// \returns the keys of the prompt parts of \p runs, those in most runs first, with the numbers of
+/// runs: "key:count,key:count".
+static std::string textOfParts(std::span<const std::shared_ptr<endpoint_run>> runs)
+{
+    std::map<request_key, std::size_t> counts;
+    for (const std::shared_ptr<endpoint_run> &run : runs) {
+        for (const request_key key : run->partKeys)
+            ++counts[key];
+    }
+    std::vector<std::pair<std::size_t, request_key>> ranked;
+    for (const auto &[key, count] : counts)
+        ranked.emplace_back(count, key);
+    std::sort(ranked.rbegin(), ranked.rend());
     std::string text;
-    for (std::size_t i = 0; i < std::min(requests.size(), maxKeysLogged); ++i)
-        text += (i == 0 ? "" : ",") + textOf(requests[i].key);
+    for (std::size_t i = 0; i < std::min(ranked.size(), maxKeysLogged); ++i) {
+        text += i == 0 ? "" : ",";
+        text += textOf(ranked[i].second) + ":" + std::to_string(ranked[i].first);
+    }
     return text;
 }
 
@@ -74,7 +99,8 @@
              {"version", record.softwareVersion},
              {"planned", isPlanned ? "yes" : "no"},
              {"young_requests", std::int64_t(young.size())},
-             {"request_keys", textOfKeys(young)}});
+             {"request_keys", textOfRequests(young)},
+             {"part_keys", textOfParts(runs)}});
     if (isPlanned || young.empty())
         return;
     const endpoint_end end{hashOf(record), record.service, record.softwareVersion, at};
--- a/lib/Proxy/FlowReporter.cpp
+++ b/lib/Proxy/FlowReporter.cpp
@@ -5,7 +5,7 @@
 //===----------------------------------------------------------------------===//
 #include "FlowReporter.h"
 
-#include "laurelcroft/Proxy/RequestKey.h"
+#include "laurelcroft/Proxy/PromptPartKeys.h"
 #include "laurelcroft/Support/Log.h"
 
 #include <algorithm>
@@ -15,6 +15,9 @@
 
 using namespace laurelcroft;
 
+/// Number of keys of prompt parts in a log line: those of four parts.
+static constexpr std::size_t maxPartKeysLogged = 8;
+
 void flow_reporter::finished(const flow_record &record, time_point now)
 {
     const std::string_view reason = textOf(record.reason);
@@ -158,7 +161,8 @@
              {"lacks", textOf(record.lack)},
              {"budget_left", textOfSends(record.budgetLeft)},
              {"suspected", record.isSuspected ? "yes" : "no"},
-             {"request_key", record.key ? textOf(*record.key) : ""}});
+             {"request_key", record.key ? textOf(*record.key) : ""},
+             {"part_keys", textOfKeys(record.partKeys, maxPartKeysLogged)}});
 }
 
 void flow_reporter::escalated(const flow_record &record, const std::string &model, time_point now)
