Failing tests: a prompt part that crashes endpoints

Reproduces the incident on the paused clock: no two crashing requests alike but in one part of their prompts, 3, 12 and 100 entries.

--- a/unittests/Proxy/CrashFixture.cpp
+++ b/unittests/Proxy/CrashFixture.cpp
@@ -175,6 +175,8 @@
     auto item = requestFor(route);
     item->id = std::to_string(++lastRequest);
     item->body = body;
+    item->promptParts = endsEndpoints(body) ? crasherParts : othersParts;
+    item->promptParts.push_back({"own" + item->id, 200});
     flows.push_back(std::make_shared<crash_flow>(crash_environment{{}, this, &*entry, who}, item));
     flows.back()->start();
 }
@@ -197,11 +199,11 @@
     }
 }
 
-unsigned crash_fixture::laterArrivals() const
+unsigned crash_fixture::laterArrivals(std::size_t crash) const
 {
-    if (endedAt.size() < 3)
+    if (endedAt.size() < crash)
         return 0;
-    const auto known = endedAt[2] + detectionTime;
+    const auto known = endedAt[crash - 1] + detectionTime;
     return unsigned(std::count_if(arrivals.begin(), arrivals.end(),
                                   [known](time_point at) { return at > known; }));
 }
--- a/unittests/Proxy/CrashFixture.h
+++ b/unittests/Proxy/CrashFixture.h
@@ -141,9 +141,9 @@
     /// request every \p crashPause.
     void simulate(milliseconds time, milliseconds crashPause);
 
-    /// \returns how often the crashing request reached endpoints later than allowed after the
-    /// third crash.
-    unsigned laterArrivals() const;
+    /// \returns how often crashing requests reached endpoints later than allowed after crash number
+    /// \p crash.
+    unsigned laterArrivals(std::size_t crash = 3) const;
 
     static constexpr const char *crasher = "crasher";
     static bool endsEndpoints(const std::string &body) { return body.starts_with(crasher); }
@@ -155,6 +155,8 @@
     milliseconds popularRequestInterval{0}; ///< interval of requests with the same body; 0: never
     std::map<std::string, token_bucket> budgets; ///< byte budgets by entry
     unsigned crashers = 1; ///< number of different crashing requests, sent in turn
+    std::vector<prompt_part> crasherParts; ///< shared parts of the crashing requests' prompts
+    std::vector<prompt_part> othersParts; ///< shared parts of all other requests' prompts
     service_route route = draftRoute();
     std::string version = "v1"; ///< software version of new endpoints
     std::set<std::string> alive; ///< running endpoints
--- /dev/null
+++ b/unittests/Proxy/CrashingPartTests.cpp
@@ -0,0 +1,130 @@
+//===-- CrashingPartTests.cpp - prompt parts that crash endpoints -----------===//
+//
+// Guards against a part of prompts that crashes every endpoint that begins to answer a request with
+// it. No two of these requests are alike in anything but that part, and harmless requests share
+// their other parts and their caller.
+//
+//===----------------------------------------------------------------------===//
+#include "CrashFixture.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace laurelcroft;
+
+namespace {
+
+constexpr std::size_t crashesToDetect = 5;
+constexpr unsigned maxLaterArrivals = 3;
+constexpr milliseconds crasherInterval{150};
+/// From the start until harmless requests have to be served as usual: the crashes until the part is
+/// found, and twice the detection time.
+constexpr seconds recoveryTime{8};
+constexpr double minServedAfterwards = 0.97;
+
+const prompt_part sharedPart{"5c1e07a2", 800};
+const prompt_part crashingPart{"bad0bad0", 400};
+const prompt_part subjectPart{"91bd3f06", 410};
+
+/// Makes all crashing requests differ in all but \p parts.
+void usePart(crash_fixture &fixture, const std::vector<prompt_part> &parts)
+{
+    fixture.crashers = 1'000'000;
+    fixture.crasherParts = parts;
+    fixture.othersParts = {sharedPart, subjectPart};
+}
+
+/// Checks that the part is found in time and that harmless requests are served afterwards.
+void checkPart(crash_fixture &fixture)
+{
+    fixture.simulate(recoveryTime, crasherInterval);
+    CHECK(fixture.outcomes["others"].withheld == 0);
+    fixture.outcomes.clear();
+    fixture.simulate(seconds(12), crasherInterval);
+    CHECK(fixture.endedAt.size() >= 3);
+    CHECK(fixture.laterArrivals(crashesToDetect) <= maxLaterArrivals);
+    CHECK(fixture.outcomes["others"].withheld == 0);
+    CHECK(fixture.outcomes["others"].share() >= minServedAfterwards);
+    CHECK(fixture.outcomes["crasher"].withheld > 0);
+}
+
+} // namespace
+
+TEST_CASE("requests that share only a crashing prompt part are withheld, for any number of entries")
+{
+    for (const std::size_t entryCount : {3, 12, 100}) {
+        for (const std::uint64_t seed : {1, 2, 3}) {
+            CAPTURE(entryCount);
+            CAPTURE(seed);
+            crash_fixture fixture(entryCount, seed);
+            usePart(fixture, {sharedPart, crashingPart});
+            checkPart(fixture);
+        }
+    }
+}
+
+TEST_CASE("a crashing prompt part is found as the first part and beside parts that others share")
+{
+    const std::vector<std::vector<prompt_part>> prompts{
+            {crashingPart, sharedPart},
+            {sharedPart, crashingPart, subjectPart},
+            {sharedPart, subjectPart, crashingPart},
+    };
+    for (const std::size_t entryCount : {3, 100}) {
+        for (const std::vector<prompt_part> &prompt : prompts) {
+            CAPTURE(entryCount);
+            CAPTURE(prompt.front().id);
+            crash_fixture fixture(entryCount);
+            usePart(fixture, prompt);
+            checkPart(fixture);
+        }
+    }
+}
+
+TEST_CASE("a crashing prompt part is found without the store, and when datagrams are lost")
+{
+    for (const std::size_t entryCount : {3, 12, 100}) {
+        CAPTURE(entryCount);
+        crash_fixture lossy(entryCount);
+        lossy.lostDatagrams = 0.3;
+        usePart(lossy, {sharedPart, crashingPart});
+        checkPart(lossy);
+
+        crash_fixture without(entryCount);
+        without.entries.store.away = true;
+        usePart(without, {sharedPart, crashingPart});
+        without.simulate(seconds(8), crasherInterval);
+        CHECK(without.laterArrivals(crashesToDetect) <= maxLaterArrivals);
+        CHECK(without.outcomes["others"].withheld == 0);
+    }
+}
+
+TEST_CASE("a crashing prompt part is found while endpoints also crash without a cause")
+{
+    for (const std::size_t entryCount : {3, 12, 100}) {
+        CAPTURE(entryCount);
+        crash_fixture fixture(entryCount);
+        fixture.unrelatedCrashInterval = milliseconds(500);
+        usePart(fixture, {sharedPart, crashingPart});
+        checkPart(fixture);
+    }
+}
+
+TEST_CASE("no prompt part is withheld when endpoints crash without a cause")
+{
+    // Eight of 24 endpoints crash each second, and all requests share all parts but the last.
+    for (const std::size_t entryCount : {3, 12, 100}) {
+        for (const std::uint64_t seed : {1, 2, 3, 4}) {
+            CAPTURE(entryCount);
+            CAPTURE(seed);
+            crash_fixture fixture(entryCount, seed);
+            fixture.unrelatedCrashInterval = milliseconds(130);
+            fixture.othersParts = {sharedPart, subjectPart};
+            fixture.simulate(seconds(20), milliseconds(0));
+            CHECK(fixture.outcomes["others"].withheld == 0);
+            for (fleet_entry &entry : fixture.entries.entries)
+                CHECK(entry.routing.suspects().withheld().empty());
+        }
+    }
+}
