Withhold requests that hold a prompt part under which endpoints crash

What callers saw: one part of prompts crashes each engine that begins to answer a request with it, whatever else the request holds.

Cause: evidence was kept by a key of the whole request. Requests that share only a part have different keys, so each was a new suspect with no history.

Change: a suspect is a key, of a request or of a shared part of its prompt (one for all customers, one for the request's customer). Parts that an engine of the version has answered are proven beforehand (bounded, two generations), so a part that harmless requests hold does not gather ends. Parts with the same ends are withheld only together: a request that holds some of them is tried, one at a time, and an end or an answer shows which of them are to blame. Notices of a tie are one datagram; proven keys are answered with a cleared notice. Clearing counts from a stream's first event, not its head, which may come before the prompt is read.

--- a/include/laurelcroft/Proxy/CrashNotices.h
+++ b/include/laurelcroft/Proxy/CrashNotices.h
@@ -50,7 +50,8 @@
     bool operator==(const crash_notice &) const = default;
 };
 
-/// Reports that a request is withheld, that is, not sent to endpoints of the listed versions.
+/// Reports that a request is withheld, that is, not sent to endpoints of the listed versions. For a
+/// prompt part, the prompt parts in \c with have the same ends and are withheld likewise.
 struct withheld_notice
 {
     request_key key = 0;
@@ -58,6 +59,7 @@
     std::vector<std::string> versions;
     std::vector<std::uint64_t> ended; ///< hashes of the crashed endpoints
     milliseconds remaining{0}; ///< remaining time for which it is withheld
+    std::vector<request_key> with = {}; ///< see withheld_request::with
 
     bool operator==(const withheld_notice &) const = default;
 };
@@ -68,6 +70,7 @@
 {
     request_key key = 0;
     std::string version;
+    std::vector<request_key> others = {}; ///< further keys that the notice holds for
 
     bool operator==(const cleared_notice &) const = default;
 };
@@ -89,6 +92,7 @@
     milliseconds until{0}; ///< expiry time on the store's clock
     std::string route; ///< for operators only
     std::string customer; ///< for operators only
+    std::vector<request_key> with = {}; ///< see withheld_request::with
 
     bool operator==(const withheld_row &) const = default;
 };
--- a/include/laurelcroft/Proxy/CrashWatch.h
+++ b/include/laurelcroft/Proxy/CrashWatch.h
@@ -17,6 +17,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -64,10 +65,14 @@
     void applyNotice(const withheld_notice &notice, time_point now);
     void applyNotice(const cleared_notice &notice, time_point now);
 
-    /// Clears a request for \p version: an endpoint has answered it, or has run it for at least
-    /// \c endpoint_runs::clearedAfter.
+    /// Clears a request or a prompt part for \p version: an endpoint has answered it, or has run it
+    /// for at least \c endpoint_runs::clearedAfter.
     void clear(request_key key, const std::string &version, time_point now);
 
+    /// Records that an endpoint of \p version has run a request with these prompt \p parts without
+    /// crashing, and clears those that are suspected.
+    void proveParts(std::span<const request_key> parts, const std::string &version, time_point now);
+
     /// Applies a row from the store.
     /// \param until when the row expires.
     void applyRow(request_key key, const withheld_row &row, time_point until, time_point now);
@@ -103,7 +108,24 @@
     /// \param before number of crashes of each request before the notice.
     void forwardNewCrashes(const crash_notice &notice, std::span<const unsigned> before);
     void sendWithheldFinding(request_key key, time_point now);
+    /// Sends the findings on \p keys. One notice reports all prompt parts with the same ends.
+    void sendFindings(std::span<const request_key> keys, time_point now);
+    /// Records the finding of \p notice on \p key and on all prompt parts with the same ends.
+    /// \returns true if it changes what this entry knows.
+    bool withholdAll(const withheld_notice &notice, time_point now);
+    /// Clears those of \p keys that are suspected.
+    /// \returns those that other entries may suspect as well.
+    std::vector<request_key> clearAll(std::span<const request_key> keys, const std::string &version,
+                                      time_point now);
+    void sendCleared(std::span<const request_key> keys, const std::string &version);
+    /// Sends the findings that withhold more requests since the last end.
+    void sendWidenedFindings(time_point now);
+    /// Notifies other entries of those of \p keys that don't crash endpoints of \p version, unless
+    /// such a notice was sent just before.
+    void sendProof(std::span<const request_key> keys, const std::string &version, time_point now);
     void enqueue(request_key key, const endpoint_run &run, const std::string &service);
+    /// Releases the keys that the finding on \p key demands as well.
+    void releaseWith(request_key key);
     /// \returns true if \p key needs a row because it is withheld or strongly suspected.
     bool isFinding(request_key key) const;
     /// Sets the versions and the crashed endpoints of \p row.
@@ -115,6 +137,7 @@
     std::deque<unwritten_finding> m_unwritten; ///< versions and endpoints are set on reading
     std::set<request_key> m_fromRows; ///< requests that have a row in the store
     std::set<request_key> m_clearedHere; ///< cleared requests whose rows have to be removed
+    std::map<request_key, time_point> m_proofsSent; ///< recent ones, see sendProof()
     unsigned m_newlyWithheld = 0;
 };
 
--- a/include/laurelcroft/Proxy/EndpointRuns.h
+++ b/include/laurelcroft/Proxy/EndpointRuns.h
@@ -30,7 +30,7 @@
     std::string customer;
     std::vector<request_key> partKeys; ///< of the shared parts of its prompt
     time_point sentAt{};
-    std::optional<time_point> answerBeganAt; ///< when the answer began
+    std::optional<time_point> answerBeganAt; ///< the head; the first event of a stream
     std::optional<time_point> abandonedAt; ///< when this entry stopped waiting for it
     suspicion suspected = suspicion::none; ///< when it was sent
     bool isFinished = false; ///< the endpoint has answered it or never received it
--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -68,6 +68,7 @@
     std::string session;
     std::optional<std::uint64_t> key; ///< the same for each retry by the caller; set when needed
     std::vector<std::uint64_t> partKeys; ///< of the shared parts of its prompt
+    std::optional<std::uint64_t> withheldBy; ///< key for which it was withheld from an endpoint
     std::string route;
     std::string customer;
     std::string service;
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -269,10 +269,12 @@
     void sendAgain(further_send what);
     void closeAttempt(attempt_end end);
     void endRun();
-    /// \returns the request's key, or nothing while no request at all is suspected of crashing
-    /// endpoints. Computing the key hashes the body.
-    std::optional<request_key> keyIfSuspected();
+    /// \returns the keys of the request and of the parts of its prompt; none while nothing at all
+    /// is suspected of crashing endpoints. Computing the key of the request hashes the body.
+    std::span<const request_key> suspectKeys();
     suspicion ownSuspicion();
+    /// \returns the key for which the request is withheld from \p endpoint, if it is.
+    std::optional<request_key> withholdingKey(const service_endpoint &endpoint);
     bool waitForTrial();
     void endTrial();
     /// Clears the request of suspicion at the endpoint's version, since the endpoint has answered
@@ -330,6 +332,9 @@
     bool m_excludedInBackoff = false; ///< the last choice excluded an endpoint in backoff
     bool m_excludedRateLimited = false; ///< the last choice excluded an endpoint at its rate limit
     std::optional<time_point> m_nextAvailableAt; ///< earliest time an excluded endpoint is usable
+    std::vector<request_key> m_suspectKeys; ///< see suspectKeys()
+    std::vector<request_key> m_trialKeys; ///< those under suspicion when the attempt was sent
+    bool m_isProven = false; ///< the current attempt has run for long without a crash
     suspicion m_suspicion = suspicion::none; ///< of this request, as of the last choice
     bool m_isTrial = false; ///< the request was under suspicion when the current attempt was sent
     bool m_excludedWithheld = false; ///< the last choice withheld the request from an endpoint
--- a/include/laurelcroft/Proxy/RequestFlowAdmission.h
+++ b/include/laurelcroft/Proxy/RequestFlowAdmission.h
@@ -112,8 +112,8 @@
 void request_flow<Env>::refuseUnsent()
 {
     routing_state &state = m_env.routing();
-    const std::optional<time_point> until = m_excludedWithheld && m_record.key
-            ? state.suspects().withheldUntil(*m_record.key, now())
+    const std::optional<time_point> until = m_excludedWithheld
+            ? state.suspects().withheldUntil(m_suspectKeys, now())
             : std::nullopt;
     if (until) {
         refuse(http_status::unavailable, flow_reason::withheld,
--- a/include/laurelcroft/Proxy/RequestFlowAnswering.h
+++ b/include/laurelcroft/Proxy/RequestFlowAnswering.h
@@ -22,7 +22,9 @@
 {
     m_answer = std::move(answer);
     m_headReceived = true;
-    m_run->answerBeganAt = now();
+    // Endpoints may send the head of a stream before they have read the prompt.
+    if (!isStream())
+        m_run->answerBeganAt = now();
     endReading();
     m_endpoint->recordProgress(now());
     noteEndpointState();
@@ -74,13 +76,13 @@
         m_pauses.add(m_lastProgressAt - previousAt);
     if (!std::exchange(m_hasFirstEvent, true)) {
         m_firstEventAt = m_lastProgressAt;
+        m_run->answerBeganAt = m_firstEventAt;
         // Pauses between events have a shorter limit than the wait for the first event.
         m_env.runtime().cancel(m_progressTimer);
         watchProgress(m_attemptNumber);
     }
-    if (m_run->answerBeganAt
-        && m_lastProgressAt - *m_run->answerBeganAt > endpoint_runs::clearedAfter
-        && m_suspicion != suspicion::none) {
+    if (!m_isProven && m_lastProgressAt - m_firstEventAt > endpoint_runs::clearedAfter) {
+        m_isProven = true;
         clearOfSuspicion();
         m_suspicion = suspicion::none;
     }
--- a/include/laurelcroft/Proxy/RequestFlowCandidates.h
+++ b/include/laurelcroft/Proxy/RequestFlowCandidates.h
@@ -32,11 +32,10 @@
     candidate.tried
             = std::find(m_tried.begin(), m_tried.end(), endpoint->record().id) != m_tried.end();
     candidate.runsSuspect = runsSuspectedRequest(*endpoint);
-    if (m_suspicion == suspicion::strong
-        && m_env.routing().suspects().isWithheld(*m_record.key, endpoint->record().softwareVersion,
-                                                 at)) {
+    if (const std::optional<request_key> key = withholdingKey(*endpoint)) {
         candidate.withheld = true;
         m_excludedWithheld = true;
+        m_record.withheldBy = key;
     }
     candidate.failedInDataCentre = m_failedDataCentres.count(endpoint->record().dataCentre) != 0;
     candidate.hasConnection = m_env.hasRoomAt(endpoint);
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -47,6 +47,7 @@
     m_attemptAt = now();
     m_lastProgressAt = m_attemptAt;
     m_hasFirstEvent = false;
+    m_isProven = false;
     m_attemptEvents = 0;
     m_pauses.clear();
     m_headReceived = false;
--- a/include/laurelcroft/Proxy/RequestFlowSuspicion.h
+++ b/include/laurelcroft/Proxy/RequestFlowSuspicion.h
@@ -33,8 +33,11 @@
     m_run->partKeys = m_record.partKeys;
     m_run->suspected = m_suspicion;
     m_isTrial = m_suspicion != suspicion::none;
-    if (m_isTrial)
-        crashes.suspects().probeStarted(*m_record.key);
+    if (!m_isTrial)
+        return;
+    m_trialKeys = crashes.suspects().suspectedOf(suspectKeys(), now());
+    for (const request_key key : m_trialKeys)
+        crashes.suspects().probeStarted(key);
 }
 
 template <flow_environment Env>
@@ -48,25 +51,37 @@
 template <flow_environment Env>
 void request_flow<Env>::endTrial()
 {
-    if (std::exchange(m_isTrial, false))
-        m_env.routing().suspects().probeFinished(*m_record.key);
+    if (!std::exchange(m_isTrial, false))
+        return;
+    for (const request_key key : m_trialKeys)
+        m_env.routing().suspects().probeFinished(key);
 }
 
 template <flow_environment Env>
-std::optional<request_key> request_flow<Env>::keyIfSuspected()
+std::span<const request_key> request_flow<Env>::suspectKeys()
 {
-    if (m_env.routing().suspects().isEmpty())
-        return std::nullopt;
-    if (!m_record.key)
-        m_record.key = keyOf(*m_request);
-    return m_record.key;
+    if (m_suspectKeys.empty() && !m_env.routing().suspects().isEmpty()) {
+        if (!m_record.key)
+            m_record.key = keyOf(*m_request);
+        m_suspectKeys = m_record.partKeys;
+        m_suspectKeys.push_back(*m_record.key);
+    }
+    return m_suspectKeys;
 }
 
 template <flow_environment Env>
 suspicion request_flow<Env>::ownSuspicion()
 {
-    const std::optional<request_key> key = keyIfSuspected();
-    return key ? m_env.routing().suspects().suspicionOf(*key, now()) : suspicion::none;
+    return m_env.routing().suspects().suspicionOf(suspectKeys(), now());
+}
+
+template <flow_environment Env>
+std::optional<request_key> request_flow<Env>::withholdingKey(const service_endpoint &endpoint)
+{
+    if (m_suspicion != suspicion::strong)
+        return std::nullopt;
+    return m_env.routing().suspects().withholdingKey(m_suspectKeys,
+                                                     endpoint.record().softwareVersion, now());
 }
 
 template <flow_environment Env>
@@ -80,12 +95,12 @@
     // whether the request crashes endpoints. Then all waiting requests proceed or all are refused.
     // Each one that was sent concurrently could crash one more endpoint.
     const crash_suspects &suspects = m_env.routing().suspects();
-    if (suspects.isUnconfirmed(*m_record.key, now())) {
+    if (suspects.isUnconfirmed(m_suspectKeys, now())) {
         sendAfter(flow_bounds::roomCheckInterval);
         return true;
     }
-    const bool isKnown = suspects.withheldUntil(*m_record.key, now()).has_value();
-    if (isKnown || !suspects.isProbing(*m_record.key))
+    const bool isKnown = suspects.withheldUntil(m_suspectKeys, now()).has_value();
+    if (isKnown || !suspects.isProbing(m_suspectKeys))
         return false;
     return waitAndSend(m_route->objective);
 }
@@ -93,12 +108,14 @@
 template <flow_environment Env>
 void request_flow<Env>::clearOfSuspicion()
 {
-    const std::optional<request_key> key = keyIfSuspected();
-    if (!key)
-        return;
-    endTrial();
-    m_run->suspected = suspicion::none;
-    m_env.routing().crashes().clear(*key, m_endpoint->record().softwareVersion, now());
+    crash_watch &crashes = m_env.routing().crashes();
+    const std::string &version = m_endpoint->record().softwareVersion;
+    if (!suspectKeys().empty()) {
+        endTrial();
+        m_run->suspected = suspicion::none;
+        crashes.clear(*m_record.key, version, now());
+    }
+    crashes.proveParts(m_record.partKeys, version, now());
 }
 
 } // namespace laurelcroft
--- a/lib/Policy/CrashSuspects.cpp
+++ b/lib/Policy/CrashSuspects.cpp
@@ -10,6 +10,7 @@
 #include "laurelcroft/Support/Crypto.h"
 
 #include <algorithm>
+#include <iterator>
 
 using namespace laurelcroft;
 
@@ -28,6 +29,17 @@
 
 } // namespace
 
+/// Removes from \p keys all that are not in \p others.
+/// \returns true if it removed any.
+static bool keepCommon(std::vector<std::uint64_t> &keys, std::span<const std::uint64_t> others)
+{
+    return std::erase_if(keys,
+                         [others](std::uint64_t key) {
+                             return std::find(others.begin(), others.end(), key) == others.end();
+                         })
+            > 0;
+}
+
 unsigned crash_suspects::endsOf(std::uint64_t key) const
 {
     const auto it = m_suspects.find(key);
@@ -44,6 +56,8 @@
 
 bool crash_suspects::isCleared(std::uint64_t key, std::string_view version, time_point now) const
 {
+    if (m_proven.contains(key, version))
+        return true;
     const auto it = m_cleared.find(key);
     return it != m_cleared.end() && now < it->second.until
             && it->second.version == stableHash(version);
@@ -102,8 +116,10 @@
     return endsOf(key) >= (isUnstable ? endsToWithholdUnstable : endsToWithhold);
 }
 
-unsigned crash_suspects::priorEnds(const recent_request &request) const
+unsigned crash_suspects::priorEnds(const endpoint_end &end, const recent_request &request) const
 {
+    if (isCleared(request.key, end.version, end.at))
+        return 0;
     if (m_withheld.count(request.key) != 0)
         return endsToWithhold;
     const unsigned reported = request.ends > 0 ? request.ends - 1 : 0;
@@ -134,6 +150,8 @@
 
 bool crash_suspects::attributeEnd(const endpoint_end &end, recent_request &request)
 {
+    if (isCleared(request.key, end.version, end.at))
+        return false;
     std::erase(request.earlier, end.endpoint);
     addReportedEnds(request.key, request.earlier, end.at);
     const bool isNew = addEnd(end, request);
@@ -149,18 +167,16 @@
     std::vector<std::uint64_t> blamed;
     std::vector<std::uint64_t> found;
     for (recent_request &request : recent) {
-        if (priorEnds(request) < minPriorEnds)
+        if (priorEnds(end, request) < minPriorEnds)
             continue;
         blamed.push_back(request.key);
+        widenFinding(request.key, recent);
         if (attributeEnd(end, request))
             found.push_back(request.key);
     }
     explainEarlierEnds(blamed);
     if (minPriorEnds > 0)
         markExplained(end.endpoint, blamed);
-    // With the same ends, one of two requests may be harmless: they are sent separately next time.
-    if (found.size() > 1 && endsOf(found.front()) < endsToWithholdUnstable)
-        found.clear();
     return found;
 }
 
@@ -185,6 +201,15 @@
         markExplained(endpoint, strongest);
 }
 
+void crash_suspects::keepOneRequest(std::vector<std::uint64_t> &found) const
+{
+    // With the same ends, one of two requests may be harmless: they are sent separately next time.
+    const auto isRequest = [](std::uint64_t key) { return !isPartKey(key); };
+    const auto requests = std::count_if(found.begin(), found.end(), isRequest);
+    if (requests > 1 && endsOf(found.front()) < endsToWithholdUnstable)
+        std::erase_if(found, isRequest);
+}
+
 std::vector<std::uint64_t> crash_suspects::recordEnd(const endpoint_end &end,
                                                      std::span<recent_request> recent)
 {
@@ -192,7 +217,7 @@
     // A request with earlier ends is to blame for this one too, and no other request is.
     unsigned most = 0;
     for (const recent_request &request : recent)
-        most = std::max(most, priorEnds(request));
+        most = std::max(most, priorEnds(end, request));
     const bool isExplainedHere = most >= minEndsToExplain;
     if (!isExplainedHere && isExplained(end.endpoint))
         return {};
@@ -202,9 +227,16 @@
     // Copied before the first request is withheld, which removes its ends from all others.
     std::vector<withheld_request> findings;
     findings.reserve(found.size());
-    for (const std::uint64_t key : found)
-        findings.push_back(
-                {end.service, {end.version}, endpointsOf(key), end.at + withheldFor, {}});
+    const std::vector<std::uint64_t> tied = found;
+    keepOneRequest(found);
+    for (const std::uint64_t key : found) {
+        withheld_request finding{
+                end.service, {end.version}, endpointsOf(key), end.at + withheldFor, {}, {}};
+        if (isPartKey(key))
+            finding.with = tied;
+        std::erase(finding.with, key);
+        findings.push_back(std::move(finding));
+    }
     for (std::size_t i = 0; i < found.size(); ++i)
         withhold(found[i], findings[i], end.at);
     return found;
@@ -227,6 +259,8 @@
     const bool isKnown = m_suspects.erase(key) != 0 || m_withheld.count(key) != 0;
     if (!isKnown)
         return false;
+    for (auto &[withheldKey, request] : m_withheld)
+        std::erase(request.with, key);
     if (const auto it = m_withheld.find(key); it != m_withheld.end()) {
         std::erase(it->second.versions, version);
         if (it->second.versions.empty())
@@ -242,6 +276,55 @@
     return isStrong;
 }
 
+void crash_suspects::prove(key_span parts, std::string_view version, time_point now)
+{
+    for (const std::uint64_t part : parts)
+        m_proven.add(part, version, now);
+}
+
+bool crash_suspects::holdsAll(key_span keys, const withheld_request &request)
+{
+    return std::all_of(request.with.begin(), request.with.end(), [keys](std::uint64_t other) {
+        return std::find(keys.begin(), keys.end(), other) != keys.end();
+    });
+}
+
+bool crash_suspects::isWithheldBy(std::uint64_t key, key_span keys, time_point now) const
+{
+    const auto it = m_withheld.find(key);
+    return it != m_withheld.end() && now < it->second.until && holdsAll(keys, it->second);
+}
+
+std::optional<std::uint64_t> crash_suspects::withholdingKey(key_span keys, std::string_view version,
+                                                            time_point now) const
+{
+    const auto key = std::find_if(keys.begin(), keys.end(), [&](std::uint64_t item) {
+        return isWithheldBy(item, keys, now) && isWithheld(item, version, now);
+    });
+    return key == keys.end() ? std::nullopt : std::optional(*key);
+}
+
+bool crash_suspects::isUnconfirmed(key_span keys, time_point now) const
+{
+    return std::any_of(keys.begin(), keys.end(), [&](std::uint64_t key) {
+        return isWithheldBy(key, keys, now) && isUnconfirmed(key, now);
+    });
+}
+
+void crash_suspects::widenFinding(std::uint64_t key, std::span<const recent_request> recent)
+{
+    const auto it = m_withheld.find(key);
+    if (it == m_withheld.end())
+        return;
+    const std::size_t removed = std::erase_if(it->second.with, [&](std::uint64_t other) {
+        return std::none_of(recent.begin(), recent.end(), [other](const recent_request &request) {
+            return request.key == other;
+        });
+    });
+    if (removed > 0)
+        m_widened.push_back(key);
+}
+
 bool crash_suspects::isUnconfirmed(std::uint64_t key, time_point now) const
 {
     const auto it = m_withheld.find(key);
@@ -250,7 +333,8 @@
 
 suspicion crash_suspects::suspicionOf(std::uint64_t key, time_point now) const
 {
-    if (withheldUntil(key, now))
+    const auto finding = m_withheld.find(key);
+    if (finding != m_withheld.end() && now < finding->second.until)
         return suspicion::strong;
     const auto it = m_suspects.find(key);
     if (it == m_suspects.end() || now - it->second.lastAt > suspicionLifetime)
@@ -258,6 +342,22 @@
     return it->second.ends.size() > 1 ? suspicion::strong : suspicion::weak;
 }
 
+suspicion crash_suspects::suspicionOf(key_span keys, time_point now) const
+{
+    suspicion strongest = suspicion::none;
+    for (const std::uint64_t key : keys)
+        strongest = std::max(strongest, suspicionOf(key, now));
+    return strongest;
+}
+
+std::vector<std::uint64_t> crash_suspects::suspectedOf(key_span keys, time_point now) const
+{
+    std::vector<std::uint64_t> suspected;
+    std::copy_if(keys.begin(), keys.end(), std::back_inserter(suspected),
+                 [&](std::uint64_t key) { return suspicionOf(key, now) != suspicion::none; });
+    return suspected;
+}
+
 bool crash_suspects::isWithheld(std::uint64_t key, std::string_view version, time_point now) const
 {
     const auto it = m_withheld.find(key);
@@ -267,12 +367,16 @@
     return std::find(versions.begin(), versions.end(), version) != versions.end();
 }
 
-std::optional<time_point> crash_suspects::withheldUntil(std::uint64_t key, time_point now) const
+std::optional<time_point> crash_suspects::withheldUntil(key_span keys, time_point now) const
 {
-    const auto it = m_withheld.find(key);
-    if (it == m_withheld.end() || now >= it->second.until)
-        return std::nullopt;
-    return it->second.until;
+    std::optional<time_point> until;
+    for (const std::uint64_t key : keys) {
+        if (!isWithheldBy(key, keys, now))
+            continue;
+        const time_point end = m_withheld.at(key).until;
+        until = until ? std::max(*until, end) : end;
+    }
+    return until;
 }
 
 bool crash_suspects::withhold(std::uint64_t key, const withheld_request &request, time_point now)
@@ -288,6 +392,13 @@
         return false;
     withheld_request &known = m_withheld[key];
     bool isNew = known.versions.empty();
+    // What another entry has seen endpoints end without is not part of the cause.
+    if (isNew)
+        known.with.assign(request.with.begin(),
+                          request.with.begin()
+                                  + std::ptrdiff_t(std::min(request.with.size(), maxKeysWith)));
+    else if (keepCommon(known.with, request.with))
+        isNew = true;
     known.service = request.service;
     known.until = std::max(known.until, request.until);
     for (const std::string &version : request.versions) {
@@ -322,8 +433,15 @@
         m_probes.erase(it);
 }
 
+bool crash_suspects::isProbing(key_span keys) const
+{
+    return std::any_of(keys.begin(), keys.end(),
+                       [this](std::uint64_t key) { return isProbing(key); });
+}
+
 void crash_suspects::expire(time_point now)
 {
+    m_proven.expire(now);
     std::erase_if(m_suspects,
                   [now](const auto &item) { return now - item.second.lastAt > suspicionLifetime; });
     std::erase_if(m_cleared, [now](const auto &item) { return now >= item.second.until; });
--- a/lib/Proxy/CrashNotices.cpp
+++ b/lib/Proxy/CrashNotices.cpp
@@ -22,7 +22,11 @@
 constexpr std::size_t crashNoticeFields = 4;
 constexpr std::size_t requestFields = 5;
 constexpr std::size_t withheldNoticeFields = 6;
+/// With the other keys that a request must hold; left out if there are none.
+constexpr std::size_t conditionalNoticeFields = 7;
 constexpr std::size_t clearedNoticeFields = 3;
+/// With further keys; left out if there are none.
+constexpr std::size_t clearedNoticeFieldsMany = 4;
 /// Maximum number of versions and of endpoints listed for one request.
 constexpr std::size_t maxListed = 8;
 
@@ -58,13 +62,23 @@
     return encodeMessagePack(item);
 }
 
-static bool isHashList(const json &list)
+static bool isNumberList(const json &list, std::size_t longest)
 {
-    return list.is_array() && list.size() <= maxListed
+    return list.is_array() && list.size() <= longest
             && std::all_of(list.begin(), list.end(),
                            [](const json &hash) { return hash.is_number_unsigned(); });
 }
 
+static bool isHashList(const json &list)
+{
+    return isNumberList(list, maxListed);
+}
+
+static bool isKeyList(const json &list)
+{
+    return isNumberList(list, crash_suspects::maxKeysWith);
+}
+
 /// \returns true if the items starting at \p fields encode a request.
 static bool isRequest(const json *fields)
 {
@@ -106,8 +120,11 @@
 
 std::string laurelcroft::encodeWithheldNotice(const withheld_notice &notice)
 {
-    return encodeMessagePack(json::array({withheldKind, notice.key, notice.service, notice.versions,
-                                          notice.ended, notice.remaining.count()}));
+    json item = json::array({withheldKind, notice.key, notice.service, notice.versions,
+                             notice.ended, notice.remaining.count()});
+    if (!notice.with.empty())
+        item.push_back(notice.with);
+    return encodeMessagePack(item);
 }
 
 /// Reads the lists of versions and endpoint hashes into \p notice.
@@ -126,9 +143,12 @@
 std::optional<withheld_notice> laurelcroft::decodeWithheldNotice(std::string_view bytes)
 {
     const json item = decodeMessagePack(bytes);
-    const bool isWellFormed = item.is_array() && item.size() == withheldNoticeFields
-            && isKind(item[0], withheldKind) && item[1].is_number_unsigned() && isName(item[2])
-            && item[5].is_number_unsigned();
+    const bool hasFields = item.is_array()
+            && (item.size() == withheldNoticeFields
+                || (item.size() == conditionalNoticeFields
+                    && isKeyList(item[withheldNoticeFields])));
+    const bool isWellFormed = hasFields && isKind(item[0], withheldKind)
+            && item[1].is_number_unsigned() && isName(item[2]) && item[5].is_number_unsigned();
     withheld_notice notice;
     if (!isWellFormed || !readLists(item[3], item[4], notice))
         return std::nullopt;
@@ -138,22 +158,34 @@
     const auto left
             = std::min<std::uint64_t>(item[5].get<std::uint64_t>(), std::uint64_t(longest.count()));
     notice.remaining = milliseconds(left);
+    if (item.size() == conditionalNoticeFields)
+        notice.with = item[withheldNoticeFields].get<std::vector<request_key>>();
     return notice;
 }
 
 std::string laurelcroft::encodeClearedNotice(const cleared_notice &notice)
 {
-    return encodeMessagePack(json::array({clearedKind, notice.key, notice.version}));
+    json item = json::array({clearedKind, notice.key, notice.version});
+    if (!notice.others.empty())
+        item.push_back(notice.others);
+    return encodeMessagePack(item);
 }
 
 std::optional<cleared_notice> laurelcroft::decodeClearedNotice(std::string_view bytes)
 {
     const json item = decodeMessagePack(bytes);
-    const bool isWellFormed = item.is_array() && item.size() == clearedNoticeFields
-            && isKind(item[0], clearedKind) && item[1].is_number_unsigned() && isName(item[2]);
+    const bool hasFields = item.is_array()
+            && (item.size() == clearedNoticeFields
+                || (item.size() == clearedNoticeFieldsMany
+                    && isKeyList(item[clearedNoticeFields])));
+    const bool isWellFormed = hasFields && isKind(item[0], clearedKind)
+            && item[1].is_number_unsigned() && isName(item[2]);
     if (!isWellFormed)
         return std::nullopt;
-    return cleared_notice{item[1].get<request_key>(), item[2].get<std::string>()};
+    cleared_notice notice{item[1].get<request_key>(), item[2].get<std::string>()};
+    if (item.size() == clearedNoticeFieldsMany)
+        notice.others = item[clearedNoticeFields].get<std::vector<request_key>>();
+    return notice;
 }
 
 std::string laurelcroft::withheldRowKey(request_key key)
@@ -172,7 +204,8 @@
 {
     return json{{"service", row.service}, {"versions", row.versions},
                 {"ended", row.ended},     {"until_ms", row.until.count()},
-                {"route", row.route},     {"customer", row.customer}}
+                {"route", row.route},     {"customer", row.customer},
+                {"with", row.with}}
             .dump();
 }
 
@@ -187,6 +220,7 @@
         row.until = milliseconds(object.at("until_ms").get<std::int64_t>());
         row.route = object.value("route", "");
         row.customer = object.value("customer", "");
+        row.with = object.value("with", std::vector<request_key>());
         return row;
     } catch (const json::exception &error) {
         return failure(std::string(error.what()));
--- a/lib/Proxy/CrashWatch.cpp
+++ b/lib/Proxy/CrashWatch.cpp
@@ -20,11 +20,23 @@
 /// Maximum number of request keys in a log line: the requests of one entry in a full batch.
 constexpr std::size_t maxKeysLogged = 16;
 
-/// The distinct recent requests of an endpoint that exited, and a run of each at the same index.
+/// Runs under which endpoints crash within this time count once against a prompt part. Harmless
+/// parts are held by many requests, so that several endpoints that are lost together for one
+/// other reason all run requests with them.
+constexpr milliseconds samePartWindow{100};
+/// Interval at which other entries are told that a key is proven, and the number of keys in it.
+constexpr milliseconds proofInterval{50};
+constexpr std::size_t maxProofsPerInterval = 8;
+
+/// The distinct keys of the recent requests of an endpoint that exited, those of prompt parts
+/// first, and a run of each at the same index.
 struct recent_runs
 {
     std::vector<recent_request> requests;
     std::vector<std::shared_ptr<endpoint_run>> runs;
+    std::size_t requestCount = 0; ///< without prompt parts
+
+    void add(const recent_request &request, const std::shared_ptr<endpoint_run> &run);
 };
 
 } // namespace
@@ -66,31 +78,44 @@
     return text;
 }
 
-/// Merges the runs of the same request.
+void recent_runs::add(const recent_request &request, const std::shared_ptr<endpoint_run> &run)
+{
+    const auto known = std::find_if(
+            requests.begin(), requests.end(),
+            [&request](const recent_request &item) { return item.key == request.key; });
+    if (known == requests.end()) {
+        requests.push_back(request);
+        runs.push_back(run);
+    } else if (request.sentAt > known->sentAt) {
+        *known = request;
+    }
+}
+
+/// Merges the runs with the same key.
 /// \param at end time for runs that were not abandoned.
 static recent_runs recentRunsOf(std::span<const std::shared_ptr<endpoint_run>> runs, time_point at)
 {
     recent_runs young;
     for (const std::shared_ptr<endpoint_run> &run : runs) {
-        const recent_request request{
-                keyOf(*run->request), run->sentAt, run->abandonedAt.value_or(at), 0, {}};
-        const auto known
-                = std::find_if(young.requests.begin(), young.requests.end(),
-                               [&](const recent_request &item) { return item.key == request.key; });
-        if (known == young.requests.end()) {
-            young.requests.push_back(request);
-            young.runs.push_back(run);
-        } else if (run->sentAt > known->sentAt) {
-            *known = request;
-        }
+        const time_point leftAt = run->abandonedAt.value_or(at);
+        const time_point sentAt = std::max(run->sentAt, leftAt - samePartWindow);
+        for (const request_key part : run->partKeys)
+            young.add({part, sentAt, leftAt, 0, {}}, run);
     }
+    const std::size_t parts = young.requests.size();
+    for (const std::shared_ptr<endpoint_run> &run : runs) {
+        const time_point leftAt = run->abandonedAt.value_or(at);
+        young.add({keyOf(*run->request), run->sentAt, leftAt, 0, {}}, run);
+    }
+    young.requestCount = young.requests.size() - parts;
     return young;
 }
 
 void crash_watch::endpointEnded(const service_endpoint &endpoint, time_point at)
 {
     const endpoint_record &record = endpoint.record();
-    auto [young, runs] = recentRunsOf(m_runs.findSuspects(record.id, at), at);
+    const std::vector<std::shared_ptr<endpoint_run>> suspects = m_runs.findSuspects(record.id, at);
+    auto [young, runs, requestCount] = recentRunsOf(suspects, at);
     m_runs.forget(record.id);
     const bool isPlanned = endpoint.isLeaving() || endpoint.isRemoved();
     logInfo(log_part::fleet, "endpoint ended",
@@ -98,9 +123,9 @@
              {"service", record.service},
              {"version", record.softwareVersion},
              {"planned", isPlanned ? "yes" : "no"},
-             {"young_requests", std::int64_t(young.size())},
-             {"request_keys", textOfRequests(young)},
-             {"part_keys", textOfParts(runs)}});
+             {"young_requests", std::int64_t(requestCount)},
+             {"request_keys", textOfRequests(std::span(young).last(requestCount))},
+             {"part_keys", textOfParts(suspects)}});
     if (isPlanned || young.empty())
         return;
     const endpoint_end end{hashOf(record), record.service, record.softwareVersion, at};
@@ -124,6 +149,82 @@
         if (std::find(found.begin(), found.end(), key) != found.end())
             reportWithheld(key, *runs[i], end);
     }
+    sendFindings(found, at);
+    sendWidenedFindings(at);
+}
+
+void crash_watch::sendWidenedFindings(time_point now)
+{
+    const std::vector<request_key> widened = m_suspects.takeWidened();
+    for (const request_key key : widened)
+        logInfo(log_part::routing, "finding on a request widened",
+                {{"request_key", textOf(key)},
+                 {"with", textOfKeys(m_suspects.withheld().at(key).with, maxKeysLogged)}});
+    sendFindings(widened, now);
+}
+
+void crash_watch::sendFindings(std::span<const request_key> keys, time_point now)
+{
+    std::set<request_key> reported;
+    for (const request_key key : keys) {
+        const auto finding = m_suspects.withheld().find(key);
+        if (finding == m_suspects.withheld().end() || reported.count(key) != 0)
+            continue;
+        sendWithheldFinding(key, now);
+        reported.insert(finding->second.with.begin(), finding->second.with.end());
+    }
+}
+
+void crash_watch::sendProof(std::span<const request_key> keys, const std::string &version,
+                            time_point now)
+{
+    std::erase_if(m_proofsSent,
+                  [now](const auto &sent) { return now - sent.second > proofInterval; });
+    std::vector<request_key> due;
+    for (const request_key key : keys) {
+        const bool isDue = m_proofsSent.size() < maxProofsPerInterval
+                && m_suspects.isCleared(key, version, now)
+                && m_proofsSent.try_emplace(key, now).second;
+        if (isDue)
+            due.push_back(key);
+    }
+    sendCleared(due, version);
+}
+
+void crash_watch::sendCleared(std::span<const request_key> keys, const std::string &version)
+{
+    if (keys.empty() || !m_senders.sendClearedNotice)
+        return;
+    m_senders.sendClearedNotice({keys.front(), version, {keys.begin() + 1, keys.end()}});
+}
+
+std::vector<request_key> crash_watch::clearAll(std::span<const request_key> keys,
+                                               const std::string &version, time_point now)
+{
+    std::vector<request_key> cleared;
+    if (m_suspects.isEmpty())
+        return cleared;
+    for (const request_key key : keys) {
+        const bool wasWithheld = m_suspects.isWithheld(key, version, now);
+        if (!m_suspects.clear(key, version, now))
+            continue;
+        cleared.push_back(key);
+        m_clearedHere.insert(key);
+        if (m_clearedHere.size() > maxUnwritten)
+            m_clearedHere.erase(m_clearedHere.begin());
+        logWarning(log_part::routing, "request cleared",
+                   {{"request_key", textOf(key)},
+                    {"version", version},
+                    {"was_withheld", wasWithheld ? "yes" : "no"}});
+    }
+    return cleared;
+}
+
+void crash_watch::proveParts(std::span<const request_key> parts, const std::string &version,
+                             time_point now)
+{
+    sendCleared(clearAll(parts, version, now), version);
+    m_suspects.prove(parts, version, now);
 }
 
 void crash_watch::enqueue(request_key key, const endpoint_run &run, const std::string &service)
@@ -157,9 +258,10 @@
                 {"customer", run.customer},
                 {"service", end.service},
                 {"version", end.version},
+                {"suspect", isPartKey(key) ? "prompt_part" : "request"},
+                {"with", textOfKeys(m_suspects.withheld().at(key).with, maxKeysLogged)},
                 {"endpoints_ended", std::int64_t(m_suspects.withheld().at(key).ended.size())},
                 {"told_by", "own"}});
-    sendWithheldFinding(key, end.at);
 }
 
 void crash_watch::sendWithheldFinding(request_key key, time_point now)
@@ -169,22 +271,29 @@
         return;
     const withheld_request &known = it->second;
     const auto left = std::chrono::duration_cast<milliseconds>(known.until - now);
-    m_senders.sendWithheldNotice({key, known.service, known.versions, known.ended, left});
+    m_senders.sendWithheldNotice(
+            {key, known.service, known.versions, known.ended, left, known.with});
 }
 
 void crash_watch::applyNotice(const crash_notice &notice, time_point now)
 {
     std::vector<recent_request> young;
     young.reserve(notice.requests.size());
+    std::vector<request_key> withheld;
+    std::vector<request_key> proven;
     for (const reported_request &request : notice.requests) {
         // The sender may not know that the request is withheld, since it has just started or was
         // disconnected.
         if (m_suspects.isWithheld(request.key, notice.version, now))
-            sendWithheldFinding(request.key, now);
+            withheld.push_back(request.key);
+        else if (request.ends >= crash_suspects::minEndsToExplain)
+            proven.push_back(request.key);
         const time_point sentAt = now - request.age;
         young.push_back(
                 {request.key, sentAt, sentAt + request.runTime, request.ends, request.earlier});
     }
+    sendFindings(withheld, now);
+    sendProof(proven, notice.version, now);
     const endpoint_end end{notice.endpoint, notice.service, notice.version, now};
     std::vector<unsigned> before;
     before.reserve(young.size());
@@ -192,6 +301,7 @@
         before.push_back(m_suspects.endsOf(request.key));
     const std::vector<request_key> found = m_suspects.recordEnd(end, young);
     forwardNewCrashes(notice, before);
+    sendWidenedFindings(now);
     for (const request_key key : found) {
         ++m_newlyWithheld;
         logWarning(log_part::routing, "request withheld",
@@ -217,17 +327,36 @@
         m_senders.sendCrashNotice(newNotice);
 }
 
+bool crash_watch::withholdAll(const withheld_notice &notice, time_point now)
+{
+    std::vector<request_key> keys{notice.key};
+    keys.insert(keys.end(), notice.with.begin(), notice.with.end());
+    bool isNew = false;
+    for (std::size_t i = 0; i < keys.size(); ++i) {
+        if (i > 0 && !isPartKey(keys[i]))
+            continue;
+        withheld_request request{
+                notice.service, notice.versions, notice.ended, now + notice.remaining, {}, keys};
+        std::erase(request.with, keys[i]);
+        isNew = m_suspects.withhold(keys[i], request, now) || isNew;
+    }
+    return isNew;
+}
+
 void crash_watch::applyNotice(const withheld_notice &notice, time_point now)
 {
-    const withheld_request request{
-            notice.service, notice.versions, notice.ended, now + notice.remaining, {}};
-    if (!m_suspects.withhold(notice.key, request, now))
+    for (const std::string &version : notice.versions) {
+        sendProof(std::span(&notice.key, 1), version, now);
+        sendProof(notice.with, version, now);
+    }
+    if (!withholdAll(notice, now))
         return;
     ++m_newlyWithheld;
     logWarning(log_part::routing, "request withheld",
                {{"request_key", textOf(notice.key)},
                 {"service", notice.service},
                 {"versions", std::int64_t(notice.versions.size())},
+                {"with", textOfKeys(notice.with, maxKeysLogged)},
                 {"told_by", "entry"}});
     // Each entry forwards a new finding once, so that it reaches all entries in a few steps.
     sendWithheldFinding(notice.key, now);
@@ -235,24 +364,15 @@
 
 void crash_watch::clear(request_key key, const std::string &version, time_point now)
 {
-    const bool wasWithheld = m_suspects.isWithheld(key, version, now);
-    if (!m_suspects.clear(key, version, now))
-        return;
-    m_clearedHere.insert(key);
-    if (m_clearedHere.size() > maxUnwritten)
-        m_clearedHere.erase(m_clearedHere.begin());
-    logWarning(log_part::routing, "request cleared",
-               {{"request_key", textOf(key)},
-                {"version", version},
-                {"was_withheld", wasWithheld ? "yes" : "no"}});
-    if (m_senders.sendClearedNotice)
-        m_senders.sendClearedNotice({key, version});
+    sendCleared(clearAll(std::span(&key, 1), version, now), version);
 }
 
 void crash_watch::applyNotice(const cleared_notice &notice, time_point now)
 {
-    // clear() forwards the notice if it is new here.
-    clear(notice.key, notice.version, now);
+    std::vector<request_key> keys = notice.others;
+    keys.push_back(notice.key);
+    // Forwarded as far as it is new here.
+    sendCleared(clearAll(keys, notice.version, now), notice.version);
 }
 
 void crash_watch::applyRow(request_key key, const withheld_row &row, time_point until,
@@ -265,7 +385,7 @@
         m_suspects.addReportedEnds(key, row.ended, now);
         return;
     }
-    if (!m_suspects.withhold(key, {row.service, row.versions, row.ended, until, {}}, now))
+    if (!m_suspects.withhold(key, {row.service, row.versions, row.ended, until, {}, row.with}, now))
         return;
     ++m_newlyWithheld;
     logWarning(log_part::routing, "request withheld",
@@ -281,11 +401,26 @@
     m_clearedHere.erase(key);
     if (m_fromRows.erase(key) == 0)
         return;
+    releaseWith(key);
     m_suspects.release(key);
     logWarning(log_part::routing, "nothing speaks against a request any more",
                {{"request_key", textOf(key)}, {"told_by", "store"}});
 }
 
+void crash_watch::releaseWith(request_key key)
+{
+    const auto finding = m_suspects.withheld().find(key);
+    if (finding == m_suspects.withheld().end())
+        return;
+    // Without the condition that \p key is held, these findings would withhold more requests.
+    const std::vector<request_key> others = finding->second.with;
+    for (const request_key other : others) {
+        m_suspects.release(other);
+        if (m_fromRows.count(other) != 0)
+            m_clearedHere.insert(other);
+    }
+}
+
 void crash_watch::removeUnlistedRows(const std::vector<request_key> &listed)
 {
     const std::set<request_key> known = m_fromRows;
@@ -307,6 +442,7 @@
     const bool isWithheld = known != m_suspects.withheld().end();
     row.ended = isWithheld ? known->second.ended : m_suspects.endpointsOf(key);
     row.versions = isWithheld ? known->second.versions : std::vector<std::string>();
+    row.with = isWithheld ? known->second.with : std::vector<request_key>();
 }
 
 std::optional<unwritten_finding> crash_watch::nextUnwrittenFinding(time_point now)
@@ -329,7 +465,9 @@
         return true;
     withheld_row own;
     setCrashDetails(own, key);
-    return row.versions.size() >= own.versions.size() && row.ended.size() >= own.ended.size();
+    const bool isAsWide = row.versions.empty() || row.with.size() <= own.with.size();
+    return row.versions.size() >= own.versions.size() && row.ended.size() >= own.ended.size()
+            && isAsWide;
 }
 
 std::optional<request_key> crash_watch::findStaleRow() const
--- a/lib/Proxy/FlowReporter.cpp
+++ b/lib/Proxy/FlowReporter.cpp
@@ -85,6 +85,7 @@
              {"confidence", std::int64_t(record.confidence.value_or(-1))},
              {"service_wait_percent", std::lround(record.serviceWait * 100)},
              {"larger_expected_percent", std::lround(record.largerExpectedAt * 100)},
+             {"withheld_by", record.withheldBy ? textOf(*record.withheldBy) : ""},
              {"attempts", std::int64_t(record.attempts)},
              {"escalations", std::int64_t(record.escalations)},
              {"resumes", std::int64_t(record.resumes)},
--- a/lib/Proxy/PromptPartKeys.cpp
+++ b/lib/Proxy/PromptPartKeys.cpp
@@ -6,15 +6,13 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/PromptPartKeys.h"
 
+#include "laurelcroft/Policy/CrashSuspects.h"
 #include "laurelcroft/Support/Crypto.h"
 
 #include <algorithm>
 
 using namespace laurelcroft;
 
-/// Seed of the hashes, so that the key of a part differs from other hashes of its id.
-static constexpr std::uint64_t partSeed = 0x9d39'247e'3377'6d41;
-
 static void addUnlessKnown(std::vector<request_key> &keys, request_key key)
 {
     if (std::find(keys.begin(), keys.end(), key) == keys.end())
@@ -29,9 +27,9 @@
     const std::size_t shared = std::min(parts == 0 ? 0 : parts - 1, maxKeyedParts);
     keys.reserve(2 * shared);
     for (std::size_t i = 0; i < shared; ++i) {
-        const request_key part = stableHash(request.promptParts[i].id, partSeed);
+        const request_key part = partKeyFrom(stableHash(request.promptParts[i].id));
         addUnlessKnown(keys, part);
-        addUnlessKnown(keys, stableHash(customer, part));
+        addUnlessKnown(keys, partKeyFrom(stableHash(customer, part)));
     }
     return keys;
 }
--- a/unittests/Policy/CrashSuspectsTests.cpp
+++ b/unittests/Policy/CrashSuspectsTests.cpp
@@ -246,3 +246,64 @@
     CHECK(fixture.end({crashingKey, 3}) == std::vector{crashingKey});
     CHECK(fixture.isWithheld(crashingKey));
 }
+
+TEST_CASE("harmless prompt parts that were run before are not withheld beside a crashing one")
+{
+    suspects_fixture fixture;
+    const std::uint64_t crashingPart = partKeyFrom(1);
+    const std::uint64_t sharedPart = partKeyFrom(2);
+    fixture.suspects.prove(std::vector{sharedPart}, "v1", fixture.now);
+    CHECK(fixture.suspects.isEmpty());
+    for (std::uint64_t request = 10; request < 12; ++request)
+        CHECK(fixture.end({sharedPart, crashingPart, request}).empty());
+    CHECK(fixture.end({sharedPart, crashingPart, 12}) == std::vector{crashingPart});
+    CHECK(fixture.suspects.endsOf(sharedPart) == 0);
+    const std::vector<std::uint64_t> innocent{sharedPart, 13};
+    CHECK_FALSE(fixture.suspects.withholdingKey(innocent, "v1", fixture.now));
+    const std::vector<std::uint64_t> next{sharedPart, crashingPart, 14};
+    CHECK(fixture.suspects.withholdingKey(next, "v1", fixture.now) == crashingPart);
+    CHECK_FALSE(fixture.suspects.withholdingKey(next, "v2", fixture.now));
+}
+
+TEST_CASE("of two prompt parts with the same ends, a request with only one is tried")
+{
+    suspects_fixture fixture;
+    const std::uint64_t crashingPart = partKeyFrom(1);
+    const std::uint64_t harmlessPart = partKeyFrom(2);
+    for (std::uint64_t request = 10; request < 13; ++request)
+        fixture.end({crashingPart, harmlessPart, request});
+    const auto isWithheld = [&](std::vector<std::uint64_t> keys) {
+        return fixture.suspects.withholdingKey(keys, "v1", fixture.now).has_value();
+    };
+    CHECK(isWithheld({crashingPart, harmlessPart, 14}));
+    CHECK_FALSE(isWithheld({crashingPart, 15}));
+    CHECK_FALSE(isWithheld({harmlessPart, 16}));
+    CHECK(fixture.suspects.suspicionOf(harmlessPart, fixture.now) == suspicion::strong);
+
+    SUBCASE("the crashing one ends another endpoint without the harmless one")
+    {
+        fixture.end({crashingPart, 15});
+        CHECK(fixture.suspects.takeWidened() == std::vector{crashingPart});
+        CHECK(isWithheld({crashingPart, 17}));
+        CHECK_FALSE(isWithheld({harmlessPart, 18}));
+    }
+    SUBCASE("the harmless one is answered")
+    {
+        fixture.suspects.clear(harmlessPart, "v1", fixture.now);
+        CHECK(isWithheld({crashingPart, 17}));
+        CHECK_FALSE(isWithheld({harmlessPart, 18}));
+    }
+}
+
+TEST_CASE("proven prompt parts in use outlast any number of parts that are proven once")
+{
+    proven_keys proven;
+    const time_point now{std::chrono::hours(1)};
+    for (std::uint64_t key = 0; key < 10 * proven_keys::maxPerGeneration; ++key) {
+        proven.add(partKeyFrom(1), "v1", now);
+        proven.add(partKeyFrom(1000 + key), "v1", now);
+    }
+    CHECK(proven.contains(partKeyFrom(1), "v1"));
+    CHECK_FALSE(proven.contains(partKeyFrom(1), "v2"));
+    CHECK_FALSE(proven.contains(partKeyFrom(1000), "v1"));
+}
--- a/unittests/Proxy/CrashNoticesTests.cpp
+++ b/unittests/Proxy/CrashNoticesTests.cpp
@@ -5,6 +5,7 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/CrashNotices.h"
 #include "laurelcroft/Proxy/NoticeChannel.h"
+#include "laurelcroft/Support/MessagePack.h"
 
 #include "EntryFleet.h"
 
@@ -224,3 +225,19 @@
     CHECK(fixture.countWithholding() == 0);
     CHECK(fixture.entries.store.valueOf("laurelcroft", withheldRowKey(fixture.key)).empty());
 }
+
+TEST_CASE("notices of prompt parts keep their keys, and those of requests their format")
+{
+    const withheld_notice part{partKeyFrom(1),     "pool", {"v1"}, {7, 8, 9}, milliseconds(500),
+                               {partKeyFrom(2), 3}};
+    CHECK(decodeWithheldNotice(encodeWithheldNotice(part)) == part);
+    const cleared_notice cleared{partKeyFrom(1), "v1", {partKeyFrom(2)}};
+    CHECK(decodeClearedNotice(encodeClearedNotice(cleared)) == cleared);
+    // Without further keys, entries of earlier program versions read them as well.
+    const withheld_notice request{4, "pool", {"v1"}, {7}, milliseconds(500), {}};
+    CHECK(decodeMessagePack(encodeWithheldNotice(request)).size() == 6);
+    CHECK(decodeMessagePack(encodeClearedNotice({4, "v1", {}})).size() == 3);
+    withheld_row row;
+    row.with = {partKeyFrom(2)};
+    CHECK(decodeWithheldRow(encodeWithheldRow(row)).value() == row);
+}
--- a/unittests/Proxy/CrashingPartTests.cpp
+++ b/unittests/Proxy/CrashingPartTests.cpp
@@ -6,6 +6,7 @@
 //
 //===----------------------------------------------------------------------===//
 #include "CrashFixture.h"
+#include "FlowFixture.h"
 
 #include <doctest/doctest.h>
 
@@ -35,18 +36,32 @@
     fixture.othersParts = {sharedPart, subjectPart};
 }
 
-/// Checks that the part is found in time and that harmless requests are served afterwards.
-void checkPart(crash_fixture &fixture)
+/// \returns the share of harmless requests that are served from the recovery on.
+double servedAfterRecovery(crash_fixture &fixture, milliseconds crashPause)
 {
-    fixture.simulate(recoveryTime, crasherInterval);
+    fixture.simulate(recoveryTime, crashPause);
     CHECK(fixture.outcomes["others"].withheld == 0);
     fixture.outcomes.clear();
-    fixture.simulate(seconds(12), crasherInterval);
+    fixture.simulate(seconds(12), crashPause);
+    CHECK(fixture.outcomes["others"].withheld == 0);
+    return fixture.outcomes["others"].share();
+}
+
+/// Checks that the part is found in time.
+/// \returns the share of harmless requests that are served afterwards.
+double servedAfterDetection(crash_fixture &fixture)
+{
+    const double served = servedAfterRecovery(fixture, crasherInterval);
     CHECK(fixture.endedAt.size() >= 3);
     CHECK(fixture.laterArrivals(crashesToDetect) <= maxLaterArrivals);
-    CHECK(fixture.outcomes["others"].withheld == 0);
-    CHECK(fixture.outcomes["others"].share() >= minServedAfterwards);
     CHECK(fixture.outcomes["crasher"].withheld > 0);
+    return served;
+}
+
+/// Checks that the part is found in time and that harmless requests are served afterwards.
+void checkPart(crash_fixture &fixture)
+{
+    CHECK(servedAfterDetection(fixture) >= minServedAfterwards);
 }
 
 } // namespace
@@ -102,12 +117,27 @@
 
 TEST_CASE("a crashing prompt part is found while endpoints also crash without a cause")
 {
+    // The unrelated crashes alone interrupt harmless requests, so these are compared with plays
+    // without the crashing part.
+    constexpr std::uint64_t seeds = 5;
+    constexpr double maxLoss = 1 - minServedAfterwards;
     for (const std::size_t entryCount : {3, 12, 100}) {
         CAPTURE(entryCount);
-        crash_fixture fixture(entryCount);
-        fixture.unrelatedCrashInterval = milliseconds(500);
-        usePart(fixture, {sharedPart, crashingPart});
-        checkPart(fixture);
+        double servedBeside = 0;
+        double servedWithout = 0;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            CAPTURE(seed);
+            crash_fixture beside(entryCount, seed);
+            beside.unrelatedCrashInterval = milliseconds(500);
+            usePart(beside, {sharedPart, crashingPart});
+            servedBeside += servedAfterDetection(beside);
+
+            crash_fixture without(entryCount, seed);
+            without.unrelatedCrashInterval = milliseconds(500);
+            usePart(without, {});
+            servedWithout += servedAfterRecovery(without, milliseconds(0));
+        }
+        CHECK(servedBeside / seeds >= servedWithout / seeds - maxLoss);
     }
 }
 
@@ -128,3 +158,35 @@
         }
     }
 }
+
+TEST_CASE("a prompt part that crashes endpoints for one customer is not withheld from another")
+{
+    flow_fixture fixture(draftRoute(), {"e1", "e2", "e3"});
+    crash_watch &crashes = fixture.routing.crashes();
+    const auto request = requestFor(draftRoute());
+    request->promptParts = {crashingPart, {"own", 100}};
+    const auto sendFor = [&](const std::string &customer, unsigned number) {
+        const auto item = std::make_shared<proxy_request>(*request);
+        item->body = customer + std::to_string(number);
+        endpoint_record record;
+        record.id = "gone" + item->body;
+        record.service = "pool";
+        record.softwareVersion = "v1";
+        const auto run = crashes.runs().add(record.id, item, fixture.runtime.now());
+        run->partKeys = partKeysOf(*item, customer);
+        fixture.runtime.advance(milliseconds(150));
+        crashes.endpointEnded(service_endpoint(record), fixture.runtime.now());
+    };
+    const auto isWithheldFrom = [&](const std::string &customer) {
+        const std::vector<request_key> keys = partKeysOf(*request, customer);
+        return crashes.suspects().withholdingKey(keys, "v1", fixture.runtime.now()).has_value();
+    };
+    for (unsigned i = 0; i < 4; ++i)
+        sendFor("first", i);
+    CHECK(isWithheldFrom("first"));
+    CHECK_FALSE(isWithheldFrom("second"));
+    // The second customer's request is tried, and shows that the part alone is the cause.
+    sendFor("second", 0);
+    CHECK(isWithheldFrom("second"));
+    CHECK(isWithheldFrom("third"));
+}
