Answers that end with their connection clear a request only while its endpoint lives

What callers would see: an engine that crashes at the end of an event closes the channel, and where an answer has neither a length nor chunks that looks like its end. The crashing request, and the part of its prompt, then counted as answered: it was cleared for ten minutes, so that it would go on crashing engines for all entries.

Cause: any complete answer cleared at once. Change: where only the end of the connection shows completeness, and the answer has not run for a second, the request stays under suspicion for half a second; it is cleared then unless the endpoint was found to have ended. While anything is suspected, the endpoint is probed.

Evidence: SuspectFlowTests, 'an answer that ends with its connection clears its prompt parts only if the endpoint lives', with and without a crash. Of crashes that nobody probes for, only the closed idle connections tell, as before.

--- a/include/laurelcroft/Proxy/CrashWatch.h
+++ b/include/laurelcroft/Proxy/CrashWatch.h
@@ -50,6 +50,8 @@
 public:
     /// Maximum number of findings that wait to be written.
     static constexpr std::size_t maxUnwritten = 64;
+    /// Maximum number of requests that wait in clearLater(); further ones stay uncleared.
+    static constexpr std::size_t maxPending = 1024;
 
     void setSenders(crash_notice_senders links) { m_senders = std::move(links); }
 
@@ -73,6 +75,15 @@
     /// crashing, and clears those that are suspected.
     void proveParts(std::span<const request_key> parts, const std::string &version, time_point now);
 
+    /// Clears the request of \p run and its prompt parts at \p endpoint's version, unless the
+    /// endpoint is found to have exited by endpoint_runs::suspectAfterCancel from \p now. Only the
+    /// end of the connection shows that its answer is complete, and a crash ends it as well.
+    void clearLater(std::shared_ptr<endpoint_run> run, const service_endpoint &endpoint,
+                    time_point now);
+
+    /// Clears what clearLater() has put off until \p now.
+    void clearPending(time_point now);
+
     /// Applies a row from the store.
     /// \param until when the row expires.
     void applyRow(request_key key, const withheld_row &row, time_point until, time_point now);
@@ -101,6 +112,14 @@
     unsigned takeNewlyWithheld() { return std::exchange(m_newlyWithheld, 0); }
 
 private:
+    /// A request whose answer has ended with its connection.
+    struct pending_clearance
+    {
+        std::shared_ptr<endpoint_run> run;
+        std::string endpoint;
+        std::string version;
+        time_point at{};
+    };
     /// \returns the endpoints that crashed under \p key, without that of \p end.
     std::vector<std::uint64_t> otherEndpoints(request_key key, const endpoint_end &end) const;
     void reportWithheld(request_key key, const endpoint_run &run, const endpoint_end &end);
@@ -137,6 +156,7 @@
     std::deque<unwritten_finding> m_unwritten; ///< versions and endpoints are set on reading
     std::set<request_key> m_fromRows; ///< requests that have a row in the store
     std::set<request_key> m_clearedHere; ///< cleared requests whose rows have to be removed
+    std::deque<pending_clearance> m_pending; ///< oldest first
     std::map<request_key, time_point> m_proofsSent; ///< recent ones, see sendProof()
     unsigned m_newlyWithheld = 0;
 };
--- a/include/laurelcroft/Proxy/ProxyTypes.h
+++ b/include/laurelcroft/Proxy/ProxyTypes.h
@@ -71,6 +71,7 @@
     bool misdirected = false; ///< another process than the intended one answered at the address
     bool signedByEndpoint = false; ///< carries a proof that the endpoint itself answered
     std::optional<std::uint64_t> bodyLength; ///< in bytes, if the endpoint stated it
+    bool endsWithConnection = false; ///< has neither a length nor chunks
     bool encoded = false; ///< the body has a content coding that was not requested
     std::optional<endpoint_load> load;
     std::optional<int> confidence; ///< the model's confidence in its answer, percent
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -280,6 +280,10 @@
     /// Clears the request of suspicion at the endpoint's version, since the endpoint has answered
     /// it or has run it for long without crashing.
     void clearOfSuspicion();
+    /// \returns true if the endpoint may have crashed at the end of an answer that looks complete.
+    bool mayHideCrash() const { return m_answer.endsWithConnection && !m_isProven; }
+    /// Clears the request of suspicion unless the endpoint turns out to have crashed.
+    void clearLater();
     void onDeadline(flow_reason why);
 
     answer_timing timingNow();
--- a/include/laurelcroft/Proxy/RequestFlowAttempts.h
+++ b/include/laurelcroft/Proxy/RequestFlowAttempts.h
@@ -71,11 +71,15 @@
     if (connectionLost)
         m_failedDataCentres.insert(m_endpoint->record().dataCentre);
     const endpoint_ptr endpoint = m_endpoint;
-    m_run->isFinished = end != attempt_end::broken && end != attempt_end::silent;
-    if (end == attempt_end::answered)
+    const bool mayBeCutOff = end == attempt_end::answered && mayHideCrash();
+    m_run->isFinished = end != attempt_end::broken && end != attempt_end::silent && !mayBeCutOff;
+    if (mayBeCutOff)
+        clearLater();
+    else if (end == attempt_end::answered)
         clearOfSuspicion();
     closeAttempt(end);
-    if (connectionLost)
+    const bool isSuspect = mayBeCutOff && !m_env.routing().suspects().isEmpty();
+    if (connectionLost || isSuspect)
         m_env.checkEnded(endpoint);
     // The endpoint whose answer was dropped may have ended right after that, unnoticed.
     if (connectionLost && m_escalatedFrom)
--- a/include/laurelcroft/Proxy/RequestFlowSuspicion.h
+++ b/include/laurelcroft/Proxy/RequestFlowSuspicion.h
@@ -105,6 +105,12 @@
     return waitAndSend(m_route->objective);
 }
 
+template <flow_environment Env>
+void request_flow<Env>::clearLater()
+{
+    m_env.routing().crashes().clearLater(m_run, *m_endpoint, now());
+}
+
 template <flow_environment Env>
 void request_flow<Env>::clearOfSuspicion()
 {
--- a/lib/Proxy/CrashWatch.cpp
+++ b/lib/Proxy/CrashWatch.cpp
@@ -1,44 +1,26 @@
 //===-- CrashWatch.cpp - crash attribution to requests ----------------------===//
 //
-// Request keys are computed only for the recent requests of endpoints that exited, not for every
-// request.
+// What this entry finds is sent to others once; what it learns from them is forwarded as far as it
+// is new.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Proxy/CrashWatch.h"
 
 #include "laurelcroft/Proxy/PromptPartKeys.h"
+#include "laurelcroft/Proxy/RecentRuns.h"
 #include "laurelcroft/Support/Crypto.h"
 #include "laurelcroft/Support/Log.h"
 
 #include <algorithm>
-#include <map>
 
 using namespace laurelcroft;
 
 namespace {
 
-/// Maximum number of request keys in a log line: the requests of one entry in a full batch.
-constexpr std::size_t maxKeysLogged = 16;
-
-/// Runs under which endpoints crash within this time count once against a prompt part. Harmless
-/// parts are held by many requests, so that several endpoints that are lost together for one
-/// other reason all run requests with them.
-constexpr milliseconds samePartWindow{100};
 /// Interval at which other entries are told that a key is proven, and the number of keys in it.
 constexpr milliseconds proofInterval{50};
 constexpr std::size_t maxProofsPerInterval = 8;
 
-/// The distinct keys of the recent requests of an endpoint that exited, those of prompt parts
-/// first, and a run of each at the same index.
-struct recent_runs
-{
-    std::vector<recent_request> requests;
-    std::vector<std::shared_ptr<endpoint_run>> runs;
-    std::size_t requestCount = 0; ///< without prompt parts
-
-    void add(const recent_request &request, const std::shared_ptr<endpoint_run> &run);
-};
-
 } // namespace
 
 /// \returns a hash of the endpoint's id and start time, which is the same at all entries.
@@ -47,76 +29,14 @@
     return stableHash(record.id, record.startedAt);
 }
 
-/// \returns the keys of \p requests as text.
-static std::string textOfRequests(std::span<const recent_request> requests)
-{
-    std::vector<request_key> keys;
-    keys.reserve(requests.size());
-    for (const recent_request &request : requests)
-        keys.push_back(request.key);
-    return textOfKeys(keys, maxKeysLogged);
-}
-
-/// \returns the keys of the prompt parts of \p runs, those in most runs first, with the numbers of
-/// runs: "key:count,key:count".
-static std::string textOfParts(std::span<const std::shared_ptr<endpoint_run>> runs)
-{
-    std::map<request_key, std::size_t> counts;
-    for (const std::shared_ptr<endpoint_run> &run : runs) {
-        for (const request_key key : run->partKeys)
-            ++counts[key];
-    }
-    std::vector<std::pair<std::size_t, request_key>> ranked;
-    for (const auto &[key, count] : counts)
-        ranked.emplace_back(count, key);
-    std::sort(ranked.rbegin(), ranked.rend());
-    std::string text;
-    for (std::size_t i = 0; i < std::min(ranked.size(), maxKeysLogged); ++i) {
-        text += i == 0 ? "" : ",";
-        text += textOf(ranked[i].second) + ":" + std::to_string(ranked[i].first);
-    }
-    return text;
-}
-
-void recent_runs::add(const recent_request &request, const std::shared_ptr<endpoint_run> &run)
-{
-    const auto known = std::find_if(
-            requests.begin(), requests.end(),
-            [&request](const recent_request &item) { return item.key == request.key; });
-    if (known == requests.end()) {
-        requests.push_back(request);
-        runs.push_back(run);
-    } else if (request.sentAt > known->sentAt) {
-        *known = request;
-    }
-}
-
-/// Merges the runs with the same key.
-/// \param at end time for runs that were not abandoned.
-static recent_runs recentRunsOf(std::span<const std::shared_ptr<endpoint_run>> runs, time_point at)
-{
-    recent_runs young;
-    for (const std::shared_ptr<endpoint_run> &run : runs) {
-        const time_point leftAt = run->abandonedAt.value_or(at);
-        const time_point sentAt = std::max(run->sentAt, leftAt - samePartWindow);
-        for (const request_key part : run->partKeys)
-            young.add({part, sentAt, leftAt, 0, {}}, run);
-    }
-    const std::size_t parts = young.requests.size();
-    for (const std::shared_ptr<endpoint_run> &run : runs) {
-        const time_point leftAt = run->abandonedAt.value_or(at);
-        young.add({keyOf(*run->request), run->sentAt, leftAt, 0, {}}, run);
-    }
-    young.requestCount = young.requests.size() - parts;
-    return young;
-}
-
 void crash_watch::endpointEnded(const service_endpoint &endpoint, time_point at)
 {
     const endpoint_record &record = endpoint.record();
     const std::vector<std::shared_ptr<endpoint_run>> suspects = m_runs.findSuspects(record.id, at);
     auto [young, runs, requestCount] = recentRunsOf(suspects, at);
     m_runs.forget(record.id);
+    std::erase_if(m_pending,
+                  [&record](const pending_clearance &item) { return item.endpoint == record.id; });
     const bool isPlanned = endpoint.isLeaving() || endpoint.isRemoved();
     logInfo(log_part::fleet, "endpoint ended",
             {{"endpoint", record.id},
@@ -191,6 +111,26 @@
     sendCleared(due, version);
 }
 
+void crash_watch::clearLater(std::shared_ptr<endpoint_run> run, const service_endpoint &endpoint,
+                             time_point now)
+{
+    const endpoint_record &record = endpoint.record();
+    if (m_pending.size() < maxPending)
+        m_pending.push_back({std::move(run), record.id, record.softwareVersion, now});
+}
+
+void crash_watch::clearPending(time_point now)
+{
+    while (!m_pending.empty() && now - m_pending.front().at > endpoint_runs::suspectAfterCancel) {
+        const pending_clearance item = std::move(m_pending.front());
+        m_pending.pop_front();
+        item.run->isFinished = true;
+        if (!m_suspects.isEmpty())
+            clear(keyOf(*item.run->request), item.version, now);
+        proveParts(item.run->partKeys, item.version, now);
+    }
+}
+
 void crash_watch::sendCleared(std::span<const request_key> keys, const std::string &version)
 {
     if (keys.empty() || !m_senders.sendClearedNotice)
--- a/lib/Proxy/EndpointConnection.cpp
+++ b/lib/Proxy/EndpointConnection.cpp
@@ -225,8 +225,10 @@
 {
     m_mayReuse = m_mayReuse && head.keepAlive && !head.endsWithConnection;
     const std::optional<std::uint64_t> bodyLength = head.bodyLength;
+    const bool endsWithConnection = head.endsWithConnection;
     proxy_answer answer = m_dialect.decodeAnswer(std::move(head));
     answer.bodyLength = bodyLength;
+    answer.endsWithConnection = endsWithConnection;
     m_skippingAnswer = !answer.requestId.empty() && answer.requestId != m_request->id;
     if (m_skippingAnswer)
         return;
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -264,6 +264,7 @@
 {
     endpoints.sweep();
     callers.releaseMemory();
+    routing.crashes().clearPending(runtime.now());
     routing.runs().sweep(runtime.now());
     routing.directory().expire(runtime.now());
     routing.suspects().expire(runtime.now());
--- a/unittests/Proxy/SuspectFlowTests.cpp
+++ b/unittests/Proxy/SuspectFlowTests.cpp
@@ -125,3 +125,60 @@
     fixture.end(1, call_end::broken);
     CHECK(fixture.calls.size() == 3);
 }
+
+TEST_CASE("an answer that ends with its connection clears its prompt parts only if the endpoint "
+          "lives")
+{
+    for (const bool crashes : {false, true}) {
+        CAPTURE(crashes);
+        flow_fixture fixture(draftRoute(), {"e1", "e2"});
+        const auto request = requestFor(draftRoute());
+        request->promptParts = {{"shared", 100}, {"own", 100}};
+        const std::vector<request_key> parts = partKeysOf(*request, "");
+        startFlow(fixture, request);
+        const std::string endpoint = fixture.endpointOf(0);
+        proxy_answer head;
+        head.status = 200;
+        head.signedByEndpoint = true;
+        head.endsWithConnection = true;
+        head.confidence = 90;
+        fixture.calls[0].events.onAnswer(std::move(head));
+        fixture.data(0, eventText(1));
+        fixture.end(0, call_end::complete);
+        CHECK(fixture.ended);
+        crash_watch &crash = fixture.routing.crashes();
+        const auto isProven = [&] {
+            return crash.suspects().isCleared(parts.front(), "v1", fixture.runtime.now());
+        };
+        CHECK_FALSE(isProven());
+        if (crashes) {
+            fixture.runtime.advance(milliseconds(100));
+            const auto known = fixture.routing.directory().all().find(endpoint);
+            REQUIRE(known != fixture.routing.directory().all().end());
+            crash.endpointEnded(*known->second, fixture.runtime.now());
+            CHECK(crash.suspects().endsOf(parts.front()) == 1);
+        }
+        fixture.runtime.advance(endpoint_runs::suspectAfterCancel + milliseconds(1));
+        crash.clearPending(fixture.runtime.now());
+        CHECK(isProven() == !crashes);
+    }
+}
+
+TEST_CASE("the head of a stream does not clear a request, its events do")
+{
+    flow_fixture fixture(draftRoute(), {"e1", "e2"});
+    startFlow(fixture, requestFor(draftRoute()));
+    const std::string endpoint = fixture.endpointOf(0);
+    const auto suspects = [&] {
+        return fixture.routing.runs().findSuspects(endpoint, fixture.runtime.now()).size();
+    };
+    fixture.answer(0, 200, 90);
+    fixture.runtime.advance(milliseconds(500));
+    unsigned event = 0;
+    for (milliseconds at{0}; at <= endpoint_runs::clearedAfter; at += milliseconds(200)) {
+        fixture.data(0, eventText(++event));
+        CHECK(suspects() == 1);
+        fixture.runtime.advance(milliseconds(200));
+    }
+    CHECK(suspects() == 0);
+}
