--- a/lib/Proxy/RecentRuns.cpp
+++ b/lib/Proxy/RecentRuns.cpp
@@ -39,6 +39,7 @@
             ++counts[key];
     }
     std::vector<std::pair<std::size_t, request_key>> ranked;
+    ranked.reserve(counts.size());
     for (const auto &[key, count] : counts)
         ranked.emplace_back(count, key);
     std::sort(ranked.rbegin(), ranked.rend());
