--- a/utils/check.sh
+++ b/utils/check.sh
@@ -98,6 +98,7 @@
 countSummaryLine pinned-sessions utils/run-unittests.py platform/days/test_pinned.py
 countSummaryLine crashing-request python3 platform/soak/crasher.py --plays new_ids,same_ids,store_silent,popular --seconds 10 --jobs 4
 countSummaryLine crashing-prompt-part python3 platform/soak/part_crasher.py --plays part,part_first,part_store_silent,part_many,part_unrelated --seconds 12 --jobs 4
+countSummaryLine callers-gathered python3 platform/soak/gather.py --plays warm,cold,cold_many,limited_many --seconds 10 --jobs 4
 countSummaryLine repeats-in-bound python3 platform/soak/budget.py --plays refuse_all,mixed,killed,joined_no_store --seconds 15 --jobs 4
 countSummaryLine stated-rate-limits python3 platform/soak/limits.py --plays half,half_many,all,killed --seconds 14 --jobs 4
 countSummaryLine leaving-endpoints python3 platform/soak/leaving.py --plays two,refusing,all,store_there --seconds 10 --jobs 4
