Derive whether an attempt is a trial from its keys; one call less

m_isTrial repeated whether m_trialKeys has items, and the flow's clearLater() only passed its arguments on. No change of behaviour.

--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -280,10 +280,8 @@
     /// Clears the request of suspicion at the endpoint's version, since the endpoint has answered
     /// it or has run it for long without crashing.
     void clearOfSuspicion();
-    /// \returns true if the endpoint may have crashed at the end of an answer that looks complete.
+    /// \returns true if the endpoint may have crashed at the end of an answer that seems complete.
     bool mayHideCrash() const { return m_answer.endsWithConnection && !m_isProven; }
-    /// Clears the request of suspicion unless the endpoint turns out to have crashed.
-    void clearLater();
     void onDeadline(flow_reason why);
 
     answer_timing timingNow();
@@ -337,10 +335,9 @@
     bool m_excludedRateLimited = false; ///< the last choice excluded an endpoint at its rate limit
     std::optional<time_point> m_nextAvailableAt; ///< earliest time an excluded endpoint is usable
     std::vector<request_key> m_suspectKeys; ///< see suspectKeys()
-    std::vector<request_key> m_trialKeys; ///< those under suspicion when the attempt was sent
+    std::vector<request_key> m_trialKeys; ///< under suspicion when the current attempt was sent
     bool m_isProven = false; ///< the current attempt has run for long without a crash
     suspicion m_suspicion = suspicion::none; ///< of this request, as of the last choice
-    bool m_isTrial = false; ///< the request was under suspicion when the current attempt was sent
     bool m_excludedWithheld = false; ///< the last choice withheld the request from an endpoint
     bool m_excludedByRegion = false; ///< the last choice excluded an endpoint outside the regions
     bool m_coldRoomExpected = false; ///< this entry has a share of an untried cold endpoint
--- a/include/laurelcroft/Proxy/RequestFlowAttempts.h
+++ b/include/laurelcroft/Proxy/RequestFlowAttempts.h
@@ -74,7 +74,7 @@
     const bool mayBeCutOff = end == attempt_end::answered && mayHideCrash();
     m_run->isFinished = end != attempt_end::broken && end != attempt_end::silent && !mayBeCutOff;
     if (mayBeCutOff)
-        clearLater();
+        m_env.routing().crashes().clearLater(m_run, *m_endpoint, now());
     else if (end == attempt_end::answered)
         clearOfSuspicion();
     closeAttempt(end);
--- a/include/laurelcroft/Proxy/RequestFlowSuspicion.h
+++ b/include/laurelcroft/Proxy/RequestFlowSuspicion.h
@@ -32,8 +32,7 @@
     m_run->customer = m_record.customer;
     m_run->partKeys = m_record.partKeys;
     m_run->suspected = m_suspicion;
-    m_isTrial = m_suspicion != suspicion::none;
-    if (!m_isTrial)
+    if (m_suspicion == suspicion::none)
         return;
     m_trialKeys = crashes.suspects().suspectedOf(suspectKeys(), now());
     for (const request_key key : m_trialKeys)
@@ -51,9 +50,7 @@
 template <flow_environment Env>
 void request_flow<Env>::endTrial()
 {
-    if (!std::exchange(m_isTrial, false))
-        return;
-    for (const request_key key : m_trialKeys)
+    for (const request_key key : std::exchange(m_trialKeys, {}))
         m_env.routing().suspects().probeFinished(key);
 }
 
@@ -105,12 +102,6 @@
     return waitAndSend(m_route->objective);
 }
 
-template <flow_environment Env>
-void request_flow<Env>::clearLater()
-{
-    m_env.routing().crashes().clearLater(m_run, *m_endpoint, now());
-}
-
 template <flow_environment Env>
 void request_flow<Env>::clearOfSuspicion()
 {
--- a/lib/Proxy/CrashWatch.cpp
+++ b/lib/Proxy/CrashWatch.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-/// Interval at which other entries are told that a key is proven, and the number of keys in it.
+/// Interval at which other entries are notified that a key is proven, and the number of keys in it.
 constexpr milliseconds proofInterval{50};
 constexpr std::size_t maxProofsPerInterval = 8;
 
