review: case 1, fixed ports for engines

Cause: an engine's port came from the range that the kernel gives to outgoing connections, so that it could be taken before the next engine starts there. Change: engines listen on free ports below that range; unused parts of the stand-ins are gone.

--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -144,6 +144,19 @@
             continue
 
 
+def free_port():
+    """Returns a free port of 127.0.0.1 below those that the kernel gives to outgoing connections, so that it stays
+    free while nobody listens there."""
+    while True:
+        port = random.randint(15000, 30000)
+        try:
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", port))
+            return port
+        except OSError:
+            continue
+
+
 async def read_message(reader):
     """Reads one HTTP message with a length or none. Returns (first line, headers by lower-case name, body), or
     None at the end of the connection."""
@@ -191,11 +204,11 @@
         self.state = "ready"
         self.work_s = 0.06
         self.handle = None
-        self.writes_rows = True
+        self.port = free_port()
+        self.address = f"127.0.0.1:{self.port}"
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 23)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port, limit=1 << 23)
         self.beat = asyncio.create_task(self.heartbeat())
 
     def row(self):
@@ -205,8 +218,7 @@
 
     async def heartbeat(self):
         while True:
-            if self.writes_rows:
-                await self.rig.store.put("servers", self.id, self.row())
+            await self.rig.store.put("servers", self.id, self.row())
             await asyncio.sleep(HEARTBEAT_S)
 
     async def serve(self, reader, writer):
@@ -263,7 +275,6 @@
         self.zone = ZONES[number % len(ZONES)]
         self.name = f"edge-{self.zone}-1"
         self.process = None
-        self.store_address = None  # of a proxy before the store; None: the store itself
 
     async def start(self, command, seeds, store):
         path = os.path.join(self.rig.folder, self.name + ".toml")
@@ -316,14 +327,13 @@
         if not os.path.exists(os.path.join(ROOT, command[0])):
             raise FileNotFoundError(command[0])
         await self.store.start()
-        await self.before_start()
         await self.store.put("op", "config", self.manifest)
         for engine in self.engines:
             await engine.start()
         await asyncio.sleep(0.2)
         seeds = [entry.ip + ":8229" for entry in self.entries]
         for entry in self.entries:
-            await entry.start(command, seeds, entry.store_address or self.store.address)
+            await entry.start(command, seeds, self.store.address)
         until = time.monotonic() + 10
         while not all([await entry.is_ready() for entry in self.entries]):
             if time.monotonic() > until:
@@ -332,9 +342,6 @@
         self.note("all entries are ready")
         await asyncio.sleep(3.5)  # contact-ms after the start: the machines are in touch
 
-    async def before_start(self):
-        """Runs after the store has started and before anything else has; for proxies of a case."""
-
     async def stop(self):
         for entry in self.entries:
             if entry.process and entry.process.returncode is None:
