Answers without a length are broken when the upload meets a reset

Callers saw: the part of a 200 without a length that an endpoint had sent before it reset the connection, as a whole answer, while their long upload was still being written. Cause: endpoint_connection::write() met the reset first. The kernel reports a reset to one call only; the next read found an orderly end, and an orderly end completes an answer without a length. Evidence: the new test in EndpointCallerTests (16 MB to an endpoint with a small receive window, answer and reset at once) ended with `complete` on, idempotent and mutating; it ends with `broken` now. x86_64. Fix: after a failed write, the end of the connection no longer completes an answer. Answers with a length or in chunks are not affected: a test of an early whole answer beside the reset passed before and passes now. Cost: an answer without a length whose sender closed in order and then reset the unread rest of the upload counts as broken too, if the write meets the reset before the read has met the end. Other readers: http_client (store, cloud, peers, own agents) already reports such a reply as cut, since libcurl ends the transfer at the failed write; a caller's connection closes at a failed write, and requests never end with their connection; streams between own processes end by frames. Tests of http_client passed on and are kept.

--- a/lib/Proxy/EndpointConnection.cpp
+++ b/lib/Proxy/EndpointConnection.cpp
@@ -130,7 +130,9 @@
     asio::error_code error;
     m_outDone += m_socket.write_some(rest, error);
     if (error && error != asio::error::would_block) {
-        // The read side still delivers what arrived before the error, and then ends the call.
+        // The read side still delivers what arrived before the error, and then ends the call. The
+        // kernel reports a reset only once, so the read side sees an orderly end after it.
+        m_writeFailed = true;
         return;
     }
     if (isRequestWritten())
@@ -166,7 +168,7 @@
                 if (self->m_closed)
                     return;
                 if (error) {
-                    self->onReadEnd(error == asio::error::eof);
+                    self->onReadEnd(error == asio::error::eof && !self->m_writeFailed);
                     return;
                 }
                 self->onBytes(std::string_view(self->m_in.data(), size));
--- a/lib/Proxy/EndpointConnection.h
+++ b/lib/Proxy/EndpointConnection.h
@@ -82,6 +82,7 @@
     bool m_paused = false; ///< the answer is not read at present
     bool m_connected = false;
     bool m_closed = false;
+    bool m_writeFailed = false; ///< an orderly end that is read afterwards may be a reset
     bool m_skippingAnswer = false; ///< the current message belongs to another request
     bool m_mayReuse = true; ///< the connection can carry another request
 };
--- /dev/null
+++ b/unittests/Http/BrokenReplyTests.cpp
@@ -0,0 +1,119 @@
+//===-- BrokenReplyTests.cpp - replies that are not valid HTTP --------------===//
+//
+// The tests act as the server and write raw bytes to real sockets on the loopback address.
+//
+//===----------------------------------------------------------------------===//
+#include "laurelcroft/Http/Client.h"
+#include "laurelcroft/Support/Runtime.h"
+
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+
+using namespace laurelcroft;
+
+namespace {
+
+/// A server whose replies are written by the test.
+struct raw_server
+{
+    raw_server()
+        : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
+        , client(context)
+        , socket(context)
+    {
+    }
+
+    http_call callOf(std::string body)
+    {
+        http_call call;
+        call.method = body.empty() ? "GET" : "POST";
+        call.url = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/";
+        call.body = std::move(body);
+        return call;
+    }
+
+    void run(milliseconds time)
+    {
+        context.restart();
+        context.run_for(time);
+    }
+
+    /// Starts a call and accepts its connection.
+    void start(std::string body = {})
+    {
+        result.reset();
+        client.fetch(callOf(std::move(body)),
+                     [this](outcome<http_reply, http_error> reply) { result = std::move(reply); });
+        accept();
+    }
+
+    /// Accepts the connection of the call that was started last.
+    void accept()
+    {
+        run(milliseconds(20));
+        socket = acceptor.accept();
+        run(milliseconds(20));
+    }
+
+    /// Sends \p text and closes the connection regularly.
+    void reply(const std::string &text)
+    {
+        asio::write(socket, asio::buffer(text));
+        asio::error_code ignored;
+        socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        run(milliseconds(50));
+    }
+
+    /// Sends \p text and resets the connection.
+    void replyAndReset(const std::string &text)
+    {
+        asio::write(socket, asio::buffer(text));
+        socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+        run(milliseconds(50));
+    }
+
+    bool isCut() const { return result && !*result && result->error() == http_error::cut; }
+
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor;
+    http_client client;
+    asio::ip::tcp::socket socket;
+    std::optional<outcome<http_reply, http_error>> result;
+};
+
+} // namespace
+
+TEST_CASE("a reply without a length is cut when its connection is reset during an upload")
+{
+    raw_server server;
+    server.acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+    server.start(std::string(16U << 20, 'u'));
+    server.replyAndReset("HTTP/1.1 200 OK\r\n\r\npart");
+    CHECK(server.isCut());
+}
+
+TEST_CASE("a reply without a length is cut when its connection is reset")
+{
+    raw_server server;
+    server.start();
+    server.replyAndReset("HTTP/1.1 200 OK\r\n\r\npart");
+    CHECK(server.isCut());
+}
+
+TEST_CASE("a reply that ends before its length or last chunk is cut")
+{
+    for (const std::string field : {"Content-Length: 9", "Transfer-Encoding: chunked"}) {
+        raw_server server;
+        server.start();
+        server.reply("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n4\r\npart");
+        CHECK_MESSAGE(server.isCut(), field);
+    }
+}
--- a/unittests/Proxy/EndpointCallerTests.cpp
+++ b/unittests/Proxy/EndpointCallerTests.cpp
@@ -24,7 +24,11 @@
 {
     proxy_dialect dialect;
     dialect.encodeAttempt = [](const proxy_attempt &attempt) {
-        return attempt.request->method + " / HTTP/1.1\r\nId: " + attempt.request->id + "\r\n\r\n";
+        const std::size_t length = attempt.request->body.size();
+        const std::string lengthField
+                = length == 0 ? "" : "Content-Length: " + std::to_string(length) + "\r\n";
+        return attempt.request->method + " / HTTP/1.1\r\nId: " + attempt.request->id + "\r\n"
+                + lengthField + "\r\n";
     };
     dialect.decodeAnswer = [](message_head &&head) {
         proxy_answer answer;
@@ -56,11 +60,13 @@
         endpoint = std::make_shared<service_endpoint>(record);
     }
 
-    call_id start(const std::string &id, call_result &result, bool atMostOnce = false)
+    call_id start(const std::string &id, call_result &result, bool atMostOnce = false,
+                  std::string body = {})
     {
         auto request = std::make_shared<proxy_request>();
-        request->method = "GET";
+        request->method = body.empty() ? "GET" : "POST";
         request->id = id;
+        request->body = std::move(body);
         proxy_attempt attempt;
         attempt.request = request;
         attempt.endpoint = endpoint;
@@ -169,6 +175,39 @@
     }
 }
 
+TEST_CASE("an answer without a length is broken when its connection is reset during an upload")
+{
+    constexpr std::size_t uploadBytes = 16U << 20;
+    for (const bool atMostOnce : {false, true}) {
+        endpoint_caller_fixture fixture;
+        fixture.acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+        call_result result;
+        fixture.start("r1", result, atMostOnce, std::string(uploadBytes, 'u'));
+        auto &socket = fixture.accept();
+        // The answer and the reset arrive together, while the rest of the request waits.
+        asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nId: r1\r\n\r\npart")));
+        socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+        fixture.settle();
+        CHECK(result.end == call_end::broken);
+    }
+}
+
+TEST_CASE("an early answer with a length is complete although its connection is reset")
+{
+    endpoint_caller_fixture fixture;
+    fixture.acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+    call_result result;
+    fixture.start("r1", result, false, std::string(16U << 20, 'u'));
+    auto &socket = fixture.accept();
+    asio::write(socket, asio::buffer(answerTo("r1", "whole")));
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+    fixture.settle();
+    CHECK(result.body == "whole");
+    CHECK(result.end == call_end::complete);
+}
+
 TEST_CASE("an answer to another request is skipped")
 {
     endpoint_caller_fixture fixture;
