Responses whose status is out of range are broken

Callers saw: for an answer with status 000 (or 099, 20) nothing until their deadline, then 504, with no second attempt; a body above 256 KB of it would have been passed on under that status. 600 to 999 were delivered as answers. Cause: message_parser reported the head of every status but 100 to 199, yet took every status below 200 for interim at the end of the message, and kept waiting for the final response. Nothing checked the range. Fix: one range, 100 to 599 (RFC 9110, section 15), at the end of the head, before anything is reported; interim is asked for in one place. The attempt ends as broken, so that a request that may repeat goes elsewhere. Other readers: http_client cut off statuses below 100 before (libcurl) but took 600 and above: same check now, at the status line. Its test also showed that fields of an interim reply were taken for those of the final one (the store's era among them): they are dropped at the next status line.

--- a/include/laurelcroft/Http/Message.h
+++ b/include/laurelcroft/Http/Message.h
@@ -69,6 +69,18 @@
 inline constexpr int gatewayTimeout = 504;
 } // namespace http_status
 
+/// \returns true for the statuses that HTTP defines, RFC 9110, section 15.
+constexpr bool isValidStatus(int status)
+{
+    return status >= 100 && status <= 599;
+}
+
+/// \returns true for the 1xx statuses. A response with such a status precedes the final one.
+constexpr bool isInterim(int status)
+{
+    return status >= 100 && status < 200;
+}
+
 /// \returns true for the 2xx statuses.
 constexpr bool isSuccess(int status)
 {
--- a/include/laurelcroft/Http/Parser.h
+++ b/include/laurelcroft/Http/Parser.h
@@ -43,6 +43,7 @@
 /// Callbacks during parsing. Each may be empty.
 struct parser_events
 {
+    /// Interim responses are not reported.
     std::function<void(message_head &&head)> onHead;
     std::function<void(std::string_view data)> onBody;
 };
--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -25,6 +25,9 @@
 /// suspended. A call that is still open this long after its timeout is ended here.
 constexpr milliseconds deadlineMargin{100};
 
+constexpr std::string_view statusLineStart = "HTTP/";
+constexpr std::string_view emptyLine = "\r\n";
+
 struct curl_initializer
 {
     curl_initializer() { curl_global_init(CURL_GLOBAL_DEFAULT); }
@@ -42,6 +45,7 @@
     http_call_events events;
     http_headers replyHeaders;
     bool begun = false;
+    bool inHead = false; ///< the status line was received, the empty line was not
     http_call_id id = 0;
     boot_timer deadline;
 };
@@ -121,10 +125,26 @@
     return size * count;
 }
 
+/// Starts the head of a reply. The fields of an interim reply before it are dropped.
+/// \returns false if its status is not valid.
+static bool beginHead(active_call &call)
+{
+    call.inHead = true;
+    call.replyHeaders.clear();
+    long status = 0;
+    curl_easy_getinfo(call.easy, CURLINFO_RESPONSE_CODE, &status);
+    return isValidStatus(static_cast<int>(status));
+}
+
+/// Collects the fields of the reply. Returning less than the size of the line ends the call.
 static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *user)
 {
     auto &call = *static_cast<active_call *>(user);
     const std::string_view line(data, size * count);
+    if (!call.inHead && line.starts_with(statusLineStart))
+        return beginHead(call) ? line.size() : 0;
+    if (line == emptyLine)
+        call.inHead = false;
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos)
         return line.size();
--- a/lib/Http/Parser.cpp
+++ b/lib/Http/Parser.cpp
@@ -116,21 +116,23 @@
 int message_parser::state::onHeadEnd(http_parser *parser)
 {
     constexpr int skipBody = 1;
+    constexpr int fail = -1;
     state &self = of(parser);
     message_head &head = self.head;
     if (self.which == side::requests)
         head.method = http_method_str(static_cast<http_method>(parser->method));
     else
         head.status = static_cast<int>(parser->status_code);
-    if (self.which == side::answers)
+    if (self.which == side::answers) {
+        if (!isValidStatus(head.status))
+            return fail;
         head.bodyLength = statedLength(*parser);
+    }
     head.keepAlive = http_should_keep_alive(parser) != 0;
     head.endsWithConnection
             = self.which == side::answers && !self.noBody && endsWithConnection(*parser);
     head.isHttp10 = parser->http_major == 1 && parser->http_minor == 0;
-    // An interim (1xx) response precedes the final one and is not reported.
-    const bool interim = head.status >= 100 && head.status < 200;
-    if (!interim && self.events.onHead)
+    if (!isInterim(head.status) && self.events.onHead)
         self.events.onHead(std::move(head));
     return self.noBody ? skipBody : 0;
 }
@@ -146,8 +148,7 @@
 int message_parser::state::onEnd(http_parser *parser)
 {
     state &self = of(parser);
-    const bool interim = self.which == side::answers && parser->status_code < 200;
-    if (interim) {
+    if (self.which == side::answers && isInterim(static_cast<int>(parser->status_code))) {
         self.head = {};
         self.headBytes = 0;
         return 0;
--- a/unittests/Http/BrokenReplyTests.cpp
+++ b/unittests/Http/BrokenReplyTests.cpp
@@ -117,3 +117,25 @@
         CHECK_MESSAGE(server.isCut(), field);
     }
 }
+
+TEST_CASE("a reply whose status is out of range is cut")
+{
+    for (const std::string status : {"000", "001", "020", "099", "0", "20", "600", "999"}) {
+        raw_server server;
+        server.start();
+        server.reply("HTTP/1.1 " + status + " S\r\nContent-Length: 2\r\n\r\nab");
+        CHECK_MESSAGE(server.isCut(), status);
+    }
+}
+
+TEST_CASE("the fields of interim replies are not those of the reply")
+{
+    raw_server server;
+    server.start();
+    server.reply("HTTP/1.1 103 Early Hints\r\nX-A: early\r\n\r\n"
+                 "HTTP/1.1 200 OK\r\nX-A: final\r\nContent-Length: 2\r\n\r\nab");
+    REQUIRE(server.result);
+    REQUIRE(*server.result);
+    CHECK(findHeader(server.result->value().headers, "X-A") == "final");
+    CHECK(server.result->value().body == "ab");
+}
--- a/unittests/Http/ParserTests.cpp
+++ b/unittests/Http/ParserTests.cpp
@@ -96,6 +96,18 @@
     CHECK(parseIn(message_parser::side::requests, text, 100).last == parse_state::failed);
 }
 
+TEST_CASE("a response whose status is out of range fails to parse at the end of its head")
+{
+    for (const std::string status : {"000", "001", "020", "099", "0", "20", "600", "999"}) {
+        const std::string text = "HTTP/1.1 " + status + " S\r\nContent-Length: 2\r\n\r\n";
+        for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+            const parsed result = parseIn(message_parser::side::answers, text, piece);
+            CHECK_MESSAGE(result.last == parse_state::failed, status);
+            CHECK_MESSAGE(result.heads.empty(), status);
+        }
+    }
+}
+
 TEST_CASE("events are complete however the stream is split")
 {
     const std::string text
--- a/unittests/Proxy/EndpointCallerTests.cpp
+++ b/unittests/Proxy/EndpointCallerTests.cpp
@@ -245,6 +245,19 @@
     CHECK(result.end == call_end::broken);
 }
 
+TEST_CASE("an answer whose status is out of range is broken at once, on an open connection")
+{
+    for (const std::string status : {"000", "099", "20", "999"}) {
+        endpoint_caller_fixture fixture;
+        call_result result;
+        fixture.start("r1", result);
+        fixture.send(fixture.accept(),
+                     "HTTP/1.1 " + status + " S\r\nId: r1\r\nContent-Length: 2\r\n\r\nab");
+        CHECK_MESSAGE(!result.answer, status);
+        CHECK_MESSAGE(result.end == call_end::broken, status);
+    }
+}
+
 TEST_CASE("a cancelled call closes its connection and invokes no callback")
 {
     endpoint_caller_fixture fixture;
