Messages with an invalid field name are broken, on every side

Callers saw: an answer whose head had a blank inside a field's name or before its colon, as a 200 with that line passed on; with the blank in `Content-Length :` alone, framing by another rule than the endpoint's. Cause: http_parser is built without its strict mode, in which a blank is no byte of a name; nothing checked names after it. Lines that begin with a blank were joined to the value before them without the blank, which changes the value. Fix: one check, hasOnlyTokenBytes() (RFC 9110, section 5.6.2), where names arrive: message_parser for endpoints' answers and callers' requests (400), http_client for store, cloud, peers and own agents. http_client refuses control bytes in values, too, as the parser does: an own agent passes an engine's Content-Type on.

--- a/include/laurelcroft/Http/Message.h
+++ b/include/laurelcroft/Http/Message.h
@@ -27,6 +27,13 @@
 /// \returns the value of the first field called \p name, ignoring case; empty if there is none.
 std::string_view findHeader(const http_headers &headers, std::string_view name);
 
+/// \returns true if \p text holds only bytes that the name of a field may hold: those of a token,
+/// RFC 9110, section 5.6.2. A part of a name can be checked, too.
+bool hasOnlyTokenBytes(std::string_view text);
+
+/// \returns true if \p text has control bytes other than tabs. The value of a field must not.
+bool hasControlBytes(std::string_view text);
+
 /// A complete request, as received by the server.
 struct http_request
 {
--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -14,6 +14,7 @@
 #include <curl/curl.h>
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 using namespace laurelcroft;
@@ -26,7 +27,6 @@
 constexpr milliseconds deadlineMargin{100};
 
 constexpr std::string_view statusLineStart = "HTTP/";
-constexpr std::string_view emptyLine = "\r\n";
 
 struct curl_initializer
 {
@@ -136,25 +136,40 @@
     return isValidStatus(static_cast<int>(status));
 }
 
+/// \returns the field in \p line; nothing if its name or its value is not valid.
+static std::optional<http_header> parseField(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    const bool hasName = colon != std::string_view::npos && colon > 0;
+    if (!hasName || !hasOnlyTokenBytes(line.substr(0, colon)))
+        return std::nullopt;
+    std::string_view value = line.substr(colon + 1);
+    while (value.starts_with(' '))
+        value.remove_prefix(1);
+    if (hasControlBytes(value))
+        return std::nullopt;
+    return http_header{std::string(line.substr(0, colon)), std::string(value)};
+}
+
 /// Collects the fields of the reply. Returning less than the size of the line ends the call.
 static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *user)
 {
     auto &call = *static_cast<active_call *>(user);
-    const std::string_view line(data, size * count);
+    const std::size_t taken = size * count;
+    std::string_view line(data, taken);
+    while (line.ends_with('\r') || line.ends_with('\n'))
+        line.remove_suffix(1);
     if (!call.inHead && line.starts_with(statusLineStart))
-        return beginHead(call) ? line.size() : 0;
-    if (line == emptyLine)
+        return beginHead(call) ? taken : 0;
+    if (line.empty()) {
         call.inHead = false;
-    const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos)
-        return line.size();
-    std::string_view value = line.substr(colon + 1);
-    while (!value.empty() && (value.front() == ' '))
-        value.remove_prefix(1);
-    while (!value.empty() && (value.back() == '\r' || value.back() == '\n'))
-        value.remove_suffix(1);
-    call.replyHeaders.push_back({std::string(line.substr(0, colon)), std::string(value)});
-    return line.size();
+        return taken;
+    }
+    std::optional<http_header> header = parseField(line);
+    if (!header)
+        return 0;
+    call.replyHeaders.push_back(std::move(*header));
+    return taken;
 }
 
 static http_error errorOf(CURLcode code, CURL *easy)
--- a/lib/Http/Message.cpp
+++ b/lib/Http/Message.cpp
@@ -26,6 +26,25 @@
     return {};
 }
 
+static bool isTokenByte(char c)
+{
+    constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
+    return std::isalnum(static_cast<unsigned char>(c)) != 0
+            || symbols.find(c) != std::string_view::npos;
+}
+
+bool laurelcroft::hasOnlyTokenBytes(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), isTokenByte);
+}
+
+bool laurelcroft::hasControlBytes(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(), [](char c) {
+        return c != '\t' && std::iscntrl(static_cast<unsigned char>(c)) != 0;
+    });
+}
+
 std::string laurelcroft::queryValue(std::string_view query, std::string_view name)
 {
     while (!query.empty()) {
--- a/lib/Http/Parser.cpp
+++ b/lib/Http/Parser.cpp
@@ -1,7 +1,8 @@
 //===-- Parser.cpp - incremental HTTP/1.1 parser ----------------------------===//
 //
 // The parser pauses at the end of each message, so that the caller keeps the bytes of
-// the next message and any bytes that belong to no message.
+// the next message and any bytes that belong to no message. http_parser is built without its strict
+// mode and accepts blanks in the names of fields, so names are checked here.
 //
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Http/Parser.h"
@@ -27,6 +28,8 @@
     bool tooLarge = false;
     bool noBody = false;
     bool lastWasValue = true;
+    const char *inputEnd = nullptr; ///< of the bytes that are being parsed
+    bool valueContinues = false; ///< the last value reached the end of its input
 
     void reset();
     bool countHeadBytes(std::size_t bytes);
@@ -77,6 +80,8 @@
 int message_parser::state::onField(http_parser *parser, const char *data, std::size_t size)
 {
     state &self = of(parser);
+    if (!hasOnlyTokenBytes({data, size}))
+        return 1;
     if (self.lastWasValue)
         self.head.headers.emplace_back();
     self.lastWasValue = false;
@@ -87,8 +92,10 @@
 int message_parser::state::onValue(http_parser *parser, const char *data, std::size_t size)
 {
     state &self = of(parser);
-    self.lastWasValue = true;
-    if (self.head.headers.empty())
+    // A line that begins with a blank would be joined to the value before it, without the blank.
+    const bool isFolded = std::exchange(self.lastWasValue, true) && !self.valueContinues;
+    self.valueContinues = data + size == self.inputEnd;
+    if (self.head.headers.empty() || isFolded)
         return 1;
     self.head.headers.back().value.append(data, size);
     return self.countHeadBytes(size) ? 0 : 1;
@@ -188,6 +195,7 @@
 
 parse_state message_parser::feed(std::string_view bytes, std::size_t &used)
 {
+    m_state->inputEnd = bytes.data() + bytes.size();
     used = http_parser_execute(&m_state->parser, &state::callbacks(), bytes.data(), bytes.size());
     if (m_state->complete)
         return parse_state::complete;
--- a/unittests/Http/BrokenReplyTests.cpp
+++ b/unittests/Http/BrokenReplyTests.cpp
@@ -139,3 +139,29 @@
     CHECK(findHeader(server.result->value().headers, "X-A") == "final");
     CHECK(server.result->value().body == "ab");
 }
+
+TEST_CASE("a reply with a field whose name or value is not valid is cut")
+{
+    for (const std::string line :
+         {"X Foo: 1", "X-Foo : 1", "Content-Length : 2", "X\x01Foo: 1", "X\x7f: 1", ": 1",
+          "Transfer-Encoding : chunked", "no colon", "X: 1\r\n Foo: 1", "X: a\rb", "X: a\x1f"}) {
+        raw_server server;
+        server.start();
+        server.reply("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\nab");
+        CHECK_MESSAGE(server.isCut(), line);
+    }
+}
+
+TEST_CASE("the fields of a reply are returned without the blanks before their values")
+{
+    raw_server server;
+    server.start();
+    server.reply("HTTP/1.1 200 OK\r\nX-A:  a\tb\r\nX-B:\r\nContent-Length: 2\r\n\r\nab");
+    REQUIRE(server.result);
+    REQUIRE(*server.result);
+    const http_headers &headers = server.result->value().headers;
+    REQUIRE(headers.size() == 3);
+    CHECK(headers[0].value == "a\tb");
+    CHECK(headers[1].value.empty());
+    CHECK(headers[2].name == "Content-Length");
+}
--- a/unittests/Http/ParserTests.cpp
+++ b/unittests/Http/ParserTests.cpp
@@ -42,6 +42,22 @@
     return result;
 }
 
+/// \returns header lines whose names hold a blank, a control byte or another byte that no token
+/// has.
+std::vector<std::string> namesThatAreNoTokens()
+{
+    std::vector<std::string> lines
+            = {"X Foo: 1",  "X-Foo : 1", " X-Foo: 1",  "Content-Length : 5",
+               ": 1",       "X\tFoo: 1", "X-Foo\t: 1", "X(Foo): 1",
+               "X\"Foo: 1", "no colon",  "X\x7f: 1",   "Transfer-Encoding : chunked"};
+    for (char control = 0; control < ' '; ++control) {
+        if (control != '\r' && control != '\n')
+            lines.push_back(std::string("X") + control + "Foo: 1");
+    }
+    lines.push_back("X\x80oo: 1");
+    return lines;
+}
+
 } // namespace
 
 TEST_CASE("a request is parsed identically however its bytes are split")
@@ -108,6 +124,36 @@
     }
 }
 
+TEST_CASE("a message with a field name that is not a token fails to parse")
+{
+    const auto lastOf = [](message_parser::side side, const std::string &start,
+                           const std::string &line) {
+        const std::string text = start + "Host: x\r\n" + line + "\r\nContent-Length: 0\r\n\r\n";
+        parsed result = parseIn(side, text, 1);
+        const bool same = parseIn(side, text, text.size()).last == result.last;
+        CHECK_MESSAGE(same, line);
+        return result.last;
+    };
+    using side = message_parser::side;
+    const std::string request = "GET / HTTP/1.1\r\n";
+    const std::string response = "HTTP/1.1 200 OK\r\n";
+    for (const std::string &line : namesThatAreNoTokens()) {
+        CHECK_MESSAGE(lastOf(side::requests, request, line) == parse_state::failed, line);
+        CHECK_MESSAGE(lastOf(side::answers, response, line) == parse_state::failed, line);
+    }
+    for (const std::string line : {"X-Foo: a b", "X-Foo:a", "x!#$%&'*+-.^_`|~9: ", "X:\ta"}) {
+        CHECK_MESSAGE(lastOf(side::requests, request, line) == parse_state::complete, line);
+        CHECK_MESSAGE(lastOf(side::answers, response, line) == parse_state::complete, line);
+    }
+}
+
+TEST_CASE("a response with a trailer whose name is not a token fails to parse")
+{
+    const std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "1\r\na\r\n0\r\nX Foo: 1\r\n\r\n";
+    CHECK(parseIn(message_parser::side::answers, text, 1).last == parse_state::failed);
+}
+
 TEST_CASE("events are complete however the stream is split")
 {
     const std::string text
--- a/unittests/Proxy/CallerServerTests.cpp
+++ b/unittests/Proxy/CallerServerTests.cpp
@@ -135,6 +135,16 @@
     CHECK(fixture.closed);
 }
 
+TEST_CASE("a request with a blank in the name of a field is refused and not passed on")
+{
+    for (const std::string line : {"X Foo: 1", "X-Foo : 1", "Transfer-Encoding : chunked"}) {
+        caller_server_fixture fixture;
+        fixture.send("POST /a HTTP/1.1\r\nHost: x\r\n" + line + "\r\nContent-Length: 0\r\n\r\n");
+        CHECK_MESSAGE(fixture.received().starts_with("HTTP/1.1 400 "), line);
+        CHECK_MESSAGE(fixture.requests == 0, line);
+    }
+}
+
 TEST_CASE("a caller that disconnects is noticed while its request runs")
 {
     caller_server_fixture fixture;
--- a/unittests/Proxy/EndpointCallerTests.cpp
+++ b/unittests/Proxy/EndpointCallerTests.cpp
@@ -258,6 +258,19 @@
     }
 }
 
+TEST_CASE("an answer with a blank in the name of a field is broken")
+{
+    for (const std::string line : {"X Foo: 1", "X-Foo : 1", "Content-Length : 2"}) {
+        endpoint_caller_fixture fixture;
+        call_result result;
+        fixture.start("r1", result);
+        fixture.send(fixture.accept(),
+                     "HTTP/1.1 200 OK\r\nId: r1\r\n" + line + "\r\nContent-Length: 2\r\n\r\nab");
+        CHECK_MESSAGE(!result.answer, line);
+        CHECK_MESSAGE(result.end == call_end::broken, line);
+    }
+}
+
 TEST_CASE("a cancelled call closes its connection and invokes no callback")
 {
     endpoint_caller_fixture fixture;
