A reply above the size limit is cut, not returned in part

Readers saw: a body above 16 MB without the pieces beyond the limit, as a whole reply; smaller later pieces were still appended. Its head had no limit: lines were collected until the call's timeout. Cause: http_client::fetch() dropped what didn't fit and reported the status. Evidence: the new test (limit 8, body 9) returned a reply before and is cut now; with limit 9 it is returned. x86_64. Fix: the call ends as cut when its body passes the limit, or its head 64 KB with interim replies and trailer. Kept as handled before: bytes after a whole reply close the connection (new test).

--- a/include/laurelcroft/Http/Client.h
+++ b/include/laurelcroft/Http/Client.h
@@ -11,8 +11,10 @@
 #include "laurelcroft/Support/Outcome.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -27,7 +29,7 @@
 enum class http_error {
     notSent, ///< no connection was made: the server received nothing
     timeout, ///< the timeout expired: the server may have executed the request
-    cut, ///< the connection was lost: the server may have executed the request
+    cut, ///< the reply is not whole or not valid: the server may have executed the request
     cancelled, ///< cancelled by this process
 };
 
@@ -42,6 +44,9 @@
     std::string body;
     std::chrono::milliseconds timeout{5000}; ///< for the whole call
     std::chrono::milliseconds connectTimeout{1000};
+    /// Size of the largest body of a reply, in bytes. The call of a larger one ends with
+    /// http_error::cut.
+    std::size_t maxBodyBytes = std::numeric_limits<std::size_t>::max();
     /// Uses a new connection for this call. libcurl resends a request when a reused connection
     /// turns out to be closed, which must not happen to a call that must run at most once.
     bool freshConnection = false;
@@ -77,11 +82,13 @@
     void pause(http_call_id id);
     void resume(http_call_id id);
 
-    /// Makes a call and collects the whole reply. Data that would make the body larger than
-    /// \p maxReplyBytes bytes is dropped.
+    /// Makes a call and collects the whole reply. Its body may be \c maxFetchedBytes long, or less
+    /// if \p call says so.
     /// \returns the ID of the call, for cancel().
-    http_call_id fetch(http_call call, std::function<void(outcome<http_reply, http_error>)> done,
-                       std::size_t maxReplyBytes = 16U << 20);
+    http_call_id fetch(http_call call, std::function<void(outcome<http_reply, http_error>)> done);
+
+    /// Size of the largest body of a reply that fetch() collects, in bytes.
+    static constexpr std::size_t maxFetchedBytes = 16U << 20;
 
 private:
     struct state;
--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -13,6 +13,7 @@
 #include <asio/post.hpp>
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -26,6 +27,9 @@
 /// suspended. A call that is still open this long after its timeout is ended here.
 constexpr milliseconds deadlineMargin{100};
 
+/// Largest head of a reply in bytes, with its trailer and the interim replies before it.
+constexpr std::size_t maxHeadBytes = 64U << 10;
+
 constexpr std::string_view statusLineStart = "HTTP/";
 
 struct curl_initializer
@@ -45,6 +49,8 @@
     http_call_events events;
     http_headers replyHeaders;
     bool begun = false;
+    std::size_t headBytes = 0;
+    std::size_t bodyBytes = 0;
     bool inHead = false; ///< the status line was received, the empty line was not
     http_call_id id = 0;
     boot_timer deadline;
@@ -116,13 +122,18 @@
         call.events.onBegin(static_cast<int>(status), call.replyHeaders);
 }
 
+/// Passes data of the body on. Returning less than its size ends the call.
 static std::size_t onData(char *data, std::size_t size, std::size_t count, void *user)
 {
     auto &call = *static_cast<active_call *>(user);
+    const std::size_t taken = size * count;
+    call.bodyBytes += taken;
+    if (call.bodyBytes > call.call.maxBodyBytes)
+        return 0;
     begin(call);
     if (call.events.onData)
-        call.events.onData(std::string_view(data, size * count));
-    return size * count;
+        call.events.onData(std::string_view(data, taken));
+    return taken;
 }
 
 /// Starts the head of a reply. The fields of an interim reply before it are dropped.
@@ -156,6 +167,9 @@
 {
     auto &call = *static_cast<active_call *>(user);
     const std::size_t taken = size * count;
+    call.headBytes += taken;
+    if (call.headBytes > maxHeadBytes)
+        return 0;
     std::string_view line(data, taken);
     while (line.ends_with('\r') || line.ends_with('\n'))
         line.remove_suffix(1);
@@ -414,19 +428,16 @@
 }
 
 http_call_id http_client::fetch(http_call call,
-                                std::function<void(outcome<http_reply, http_error>)> done,
-                                std::size_t maxReplyBytes)
+                                std::function<void(outcome<http_reply, http_error>)> done)
 {
+    call.maxBodyBytes = std::min(call.maxBodyBytes, maxFetchedBytes);
     const auto reply = std::make_shared<http_reply>();
     http_call_events events;
     events.onBegin = [reply](int status, const http_headers &headers) {
         reply->status = status;
         reply->headers = headers;
     };
-    events.onData = [reply, maxReplyBytes](std::string_view data) {
-        if (reply->body.size() + data.size() <= maxReplyBytes)
-            reply->body += data;
-    };
+    events.onData = [reply](std::string_view data) { reply->body += data; };
     events.onEnd = [reply, done = std::move(done)](outcome<int, http_error> result) {
         if (!result)
             done(result.error());
--- a/unittests/Http/BrokenReplyTests.cpp
+++ b/unittests/Http/BrokenReplyTests.cpp
@@ -45,18 +45,14 @@
         context.run_for(time);
     }
 
+    void start(std::string body = {}) { start(callOf(std::move(body))); }
+
     /// Starts a call and accepts its connection.
-    void start(std::string body = {})
+    void start(http_call call)
     {
         result.reset();
-        client.fetch(callOf(std::move(body)),
+        client.fetch(std::move(call),
                      [this](outcome<http_reply, http_error> reply) { result = std::move(reply); });
-        accept();
-    }
-
-    /// Accepts the connection of the call that was started last.
-    void accept()
-    {
         run(milliseconds(20));
         socket = acceptor.accept();
         run(milliseconds(20));
@@ -165,3 +161,33 @@
     CHECK(headers[1].value.empty());
     CHECK(headers[2].name == "Content-Length");
 }
+
+TEST_CASE("a reply above the size limit is not returned in part")
+{
+    for (const std::size_t maxBytes : {8, 9}) {
+        raw_server server;
+        http_call call = server.callOf({});
+        call.maxBodyBytes = maxBytes;
+        server.start(std::move(call));
+        server.reply("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n123456789");
+        CHECK(server.isCut() == (maxBytes < 9));
+    }
+}
+
+TEST_CASE("bytes after a whole reply do not reach the next call")
+{
+    raw_server server;
+    server.start();
+    asio::write(server.socket,
+                asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nxy")));
+    server.run(milliseconds(50));
+    REQUIRE(server.result);
+    REQUIRE(*server.result);
+    CHECK(server.result->value().body == "ab");
+    server.start();
+    server.reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\ncd");
+    REQUIRE(server.result);
+    REQUIRE(*server.result);
+    CHECK(server.result->value().body == "cd");
+}
