Answers without end are ended

A refusal (not run) with a body without end was waited for until the deadline. Cause: endpoint_connection had no bound on what comes before the awaited head; request_flow let an answer that was begun continue past its deadline while its endpoint made progress, and a refusal end only with its body. Evidence: the three new tests fail on the code before and pass now: 1 KB pieces of interim responses, of whole answers to another request and of one such body (6,000 pieces were taken); a begun answer whose endpoint keeps sending (120 s on the paused clock, quick and slow caller); a refusal of 256 KB. x86_64. Fix: 4 MB before the awaited head, whatever they are, end the call as broken. An answer that was begun may take twice the request's time limit, not counting the time in which its caller is behind; the tests of slow callers pass as they are. A refusal is acted on once its body passes what is held of an answer. Handled before, tests stand: head, chunk or event without end.

--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -158,6 +158,9 @@
 inline constexpr std::size_t maxHeldAnswerBytes = 256U << 10;
 /// Largest event of a stream, in bytes. An incomplete event is held back.
 inline constexpr std::size_t maxEventBytes = 1U << 20;
+/// An answer that was begun may take this many times the request's time limit, without the time in
+/// which its caller is behind. Large answers end by then; bytes without end don't.
+inline constexpr int lateAnswerFactor = 2;
 /// After the deadline, an answer that was begun ends when its caller takes nothing for this long.
 inline constexpr milliseconds callerStallTimeout{10000};
 
--- a/include/laurelcroft/Proxy/RequestFlowBackpressure.h
+++ b/include/laurelcroft/Proxy/RequestFlowBackpressure.h
@@ -13,8 +13,12 @@
 void request_flow<Env>::holdBack(std::string_view data)
 {
     // The body of a refusal is never delivered.
-    if (m_answer.notRun)
+    if (m_answer.notRun) {
+        m_droppedBytes += data.size();
+        if (m_droppedBytes > flow_bounds::maxHeldAnswerBytes)
+            endAttempt(attempt_end::refused);
         return;
+    }
     m_body.append(data);
     const bool hasMemory = m_env.holdAnswer(m_body.capacity());
     if (!hasMemory || m_body.size() > flow_bounds::maxHeldAnswerBytes)
@@ -86,6 +90,10 @@
 {
     if (!m_endpoint || !(m_passingOn || m_paused))
         return false;
+    const duration pausedNow = m_paused ? now() - m_pausedAt : duration(0);
+    const duration heldByEndpoint = now() - m_arrivedAt - m_pausedTime - pausedNow;
+    if (heldByEndpoint >= flow_bounds::lateAnswerFactor * (m_deadline - m_arrivedAt))
+        return false;
     const duration idle = now() - (m_paused ? m_env.callerProgressAt() : m_lastProgressAt);
     return idle
             < (m_paused ? flow_bounds::callerStallTimeout : flow_bounds::endpointSilenceTimeout);
--- a/include/laurelcroft/Proxy/RequestFlowSending.h
+++ b/include/laurelcroft/Proxy/RequestFlowSending.h
@@ -53,6 +53,7 @@
     m_headReceived = false;
     m_countedSlow = false;
     m_body.clear();
+    m_droppedBytes = 0;
     m_paused = false;
     m_pausedTime = duration(0);
     m_splitter = isStream() ? std::make_unique<event_splitter>() : nullptr;
--- a/lib/Proxy/EndpointConnection.cpp
+++ b/lib/Proxy/EndpointConnection.cpp
@@ -26,6 +26,9 @@
 constexpr unsigned tcpUserTimeoutMs = 2500;
 /// Largest accepted head of an answer, in bytes. Endpoints send smaller ones.
 constexpr std::size_t maxHeadBytes = 32768;
+/// Most bytes that a call receives before the head of its answer: interim responses and answers to
+/// other requests. Beyond it they are taken for bytes without end.
+constexpr std::size_t maxBytesBeforeAnswer = 4U << 20;
 /// Receive buffer of a connection whose call was paused. Otherwise the kernel of this instance
 /// would take megabytes of each answer that is not read.
 constexpr int pausedReceiveBytes = 128 << 10;
@@ -65,6 +68,8 @@
     m_busy = true;
     m_paused = false;
     m_skippingAnswer = false;
+    m_hasAnswer = false;
+    m_bytesBeforeAnswer = 0;
     m_parser.reset();
     if (m_request->method == "HEAD") {
         m_parser.expectNoBody();
@@ -190,9 +195,12 @@
         if (m_closed)
             return;
         bytes.remove_prefix(used);
-        if (state == parse_state::open)
+        if (!m_hasAnswer)
+            m_bytesBeforeAnswer += used;
+        const bool isEndless = m_bytesBeforeAnswer > maxBytesBeforeAnswer;
+        if (state == parse_state::open && !isEndless)
             return;
-        if (state == parse_state::failed) {
+        if (state == parse_state::failed || isEndless) {
             end(call_end::broken);
             return;
         }
@@ -234,6 +242,7 @@
     m_skippingAnswer = !answer.requestId.empty() && answer.requestId != m_request->id;
     if (m_skippingAnswer)
         return;
+    m_hasAnswer = true;
     if (answer.keepAliveTimeout)
         m_idleTimeout = std::max<duration>(*answer.keepAliveTimeout - idleMargin, milliseconds(0));
     const bool success = isSuccess(answer.status);
--- a/lib/Proxy/EndpointConnection.h
+++ b/lib/Proxy/EndpointConnection.h
@@ -84,6 +84,8 @@
     bool m_closed = false;
     bool m_writeFailed = false; ///< an orderly end that is read afterwards may be a reset
     bool m_skippingAnswer = false; ///< the current message belongs to another request
+    bool m_hasAnswer = false; ///< the head of the answer was received
+    std::size_t m_bytesBeforeAnswer = 0; ///< received before that head
     bool m_mayReuse = true; ///< the connection can carry another request
 };
 
--- a/unittests/Proxy/EndpointCallerTests.cpp
+++ b/unittests/Proxy/EndpointCallerTests.cpp
@@ -271,6 +271,31 @@
     }
 }
 
+TEST_CASE("bytes without end before an answer end its call")
+{
+    const std::string interim
+            = "HTTP/1.1 103 Early Hints\r\nX: " + std::string(1000, 'x') + "\r\n\r\n";
+    const std::string other = answerTo("other", std::string(1000, 'x'));
+    for (const std::string &piece : {interim, other, std::string(1000, 'x')}) {
+        endpoint_caller_fixture fixture;
+        call_result result;
+        fixture.start("r1", result);
+        auto &socket = fixture.accept();
+        if (piece.front() == 'x')
+            asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nId: other\r\n\r\n")));
+        constexpr std::size_t maxPieces = 6000;
+        asio::error_code error;
+        std::size_t pieces = 0;
+        for (; !result.end && pieces < maxPieces; ++pieces) {
+            asio::write(socket, asio::buffer(piece), error);
+            fixture.context.restart();
+            fixture.context.poll();
+        }
+        CHECK(pieces > 3000);
+        CHECK(result.end == call_end::broken);
+    }
+}
+
 TEST_CASE("a cancelled call closes its connection and invokes no callback")
 {
     endpoint_caller_fixture fixture;
--- a/unittests/Proxy/SlowCallerFlowTests.cpp
+++ b/unittests/Proxy/SlowCallerFlowTests.cpp
@@ -254,6 +254,52 @@
     CHECK(fixture.record->reason == flow_reason::timedOut);
 }
 
+TEST_CASE("an answer without end is ended although its endpoint keeps sending")
+{
+    for (const bool slowCaller : {false, true}) {
+        flow_fixture fixture(lookupRoute(), {"e1"});
+        startFlow(fixture, requestFor(lookupRoute()));
+        fixture.answer(0, 200);
+        fixture.data(0, largePart);
+        fixture.callerBehind = slowCaller;
+        const time_point began = fixture.runtime.now();
+        while (!fixture.record && fixture.runtime.now() - began < seconds(120)) {
+            fixture.callerProgressAt = fixture.runtime.now();
+            fixture.data(0, "more");
+            fixture.runtime.advance(milliseconds(100));
+            if (slowCaller) {
+                fixture.runtime.advance(milliseconds(300));
+                drain(fixture);
+                fixture.runtime.advance(milliseconds(100));
+            }
+        }
+        REQUIRE(fixture.record.has_value());
+        CHECK(fixture.aborted);
+        CHECK(fixture.calls[0].cancelled);
+        CHECK(fixture.record->reason == flow_reason::timedOut);
+        // The time in which the caller was behind, four fifths of it, doesn't count.
+        const duration limit = flow_bounds::lateAnswerFactor * lookupRoute().timeout;
+        const duration taken = fixture.runtime.now() - began;
+        CHECK(taken >= limit);
+        CHECK(taken <= (slowCaller ? 6 : 1) * limit);
+    }
+}
+
+TEST_CASE("the body of a refusal without end is not waited for")
+{
+    flow_fixture fixture(lookupRoute(), {"e1", "e2"});
+    startFlow(fixture, requestFor(lookupRoute()));
+    proxy_answer refusal;
+    refusal.status = http_status::unavailable;
+    refusal.notRun = true;
+    fixture.calls[0].events.onAnswer(std::move(refusal));
+    fixture.data(0, largePart);
+    CHECK(fixture.calls[0].cancelled);
+    REQUIRE(fixture.calls.size() == 2);
+    REQUIRE(fixture.steps.size() == 1);
+    CHECK(fixture.steps[0] == std::pair(attempt_end::refused, next_step::tryElsewhere));
+}
+
 TEST_CASE("an event that grows without end is not held")
 {
     flow_fixture fixture(draftRoute(), {"e1"});
