Agents end engines' answers without end, and outlive usage of another type

Seen by reading, then shown by tests: an engine's whole answer or event without end was collected by its agent until the deadline; `"prompt_tokens":"many"` in an answer threw through libcurl's callback and would have ended the agent. Cause: endpoint_client held what had come without a bound; readUsage() read numbers without a check of their type. Fix: a body above 16 MB or an event above 1 MB fails its work as executed, and the call is cancelled; usage of another type counts as absent.

--- a/include/laurelcroft/Agent/EndpointClient.h
+++ b/include/laurelcroft/Agent/EndpointClient.h
@@ -25,6 +25,8 @@
     /// usage and score of the last event and removes the `[DONE]` marker.
     std::string feed(std::string_view data);
 
+    /// \returns the size of the incomplete event, in bytes.
+    std::size_t heldBytes() const { return m_buffer.size(); }
     bool sawEnd() const { return m_sawEnd; }
     const wire::usage &usage() const { return m_usage; }
     double score() const { return m_score; }
@@ -40,7 +42,8 @@
 };
 
 /// Reads the token usage and the confidence from a JSON answer.
-/// \returns false if \p body is not a JSON object with a \c usage object.
+/// \returns false if \p body is not a JSON object with a \c usage object, or a field has another
+/// type.
 bool readUsage(std::string_view body, wire::usage &usage, double &score);
 
 /// Callbacks of an endpoint client.
--- a/lib/Agent/EndpointClient.cpp
+++ b/lib/Agent/EndpointClient.cpp
@@ -19,10 +19,12 @@
 constexpr std::string_view dataField = "data: ";
 constexpr std::string_view endMark = "[DONE]";
 constexpr milliseconds orderTimeout{5000};
+/// Largest event of a stream, in bytes. An incomplete event is held back.
+constexpr std::size_t maxEventBytes = 1U << 20;
 } // namespace
 
 bool laurelcroft::readUsage(std::string_view body, wire::usage &usage, double &score)
-{
+try {
     const json object = json::parse(body, nullptr, false);
     if (!object.is_object() || !object.contains("usage") || !object["usage"].is_object())
         return false;
@@ -34,6 +36,8 @@
                 used["prompt_tokens_details"].value("cached_tokens", std::uint64_t{0}));
     score = object.value("confidence", 0.0);
     return true;
+} catch (const json::type_error &) {
+    return false;
 }
 
 bool event_reader::handleEvent(std::string_view event)
@@ -89,6 +93,8 @@
 
     void begin(work_id work, int status, const http_headers &headers);
     void data(work_id work, std::string_view data);
+    /// Cancels a call whose answer is too large to be held.
+    void abandon(work_id work);
     void end(work_id work, const outcome<int, http_error> &result);
 };
 
@@ -172,11 +178,32 @@
     item.anyData = true;
     if (!item.streamed) {
         item.body += data;
+        if (item.body.size() > http_client::maxFetchedBytes)
+            abandon(work);
         return;
     }
     const std::string forwarded = item.events.feed(data);
+    const bool isTooLarge = item.events.heldBytes() > maxEventBytes;
     if (!forwarded.empty())
         events.onData(work, forwarded);
+    if (isTooLarge)
+        abandon(work);
+}
+
+void endpoint_client::state::abandon(work_id work)
+{
+    const auto node = jobs.extract(work);
+    if (node.empty())
+        return;
+    client.cancel(node.mapped().call);
+    work_result done;
+    done.status = node.mapped().status;
+    done.contentType = node.mapped().contentType;
+    done.failed = true;
+    done.message = "the answer is too large";
+    done.executed = wire::execution_yes;
+    done.usage = node.mapped().events.usage();
+    events.onEnd(work, done);
 }
 
 void endpoint_client::state::end(work_id work, const outcome<int, http_error> &result)
--- a/unittests/Agent/AgentTests.cpp
+++ b/unittests/Agent/AgentTests.cpp
@@ -5,8 +5,16 @@
 //===----------------------------------------------------------------------===//
 #include "laurelcroft/Agent/EndpointClient.h"
 
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+
 #include <doctest/doctest.h>
 
+#include <optional>
+#include <string>
+
 using namespace laurelcroft;
 
 static const std::string streamText
@@ -47,6 +55,63 @@
     CHECK(usage.generated_tokens() == 5);
     CHECK_FALSE(readUsage("{}", usage, score));
     CHECK_FALSE(readUsage("no json", usage, score));
+    CHECK_FALSE(readUsage(R"({"usage":{"prompt_tokens":"many"}})", usage, score));
+    CHECK_FALSE(readUsage(R"({"usage":{"prompt_tokens":3},"confidence":"high"})", usage, score));
+}
+
+namespace {
+
+/// A client whose engine is played by the test.
+struct engine_fixture
+{
+    /// Starts a call and lets the engine send \p piece until the call ends.
+    /// \returns the number of bytes sent.
+    std::size_t sendEndlessly(const std::string &head, const std::string &piece)
+    {
+        constexpr std::size_t maxBytes = 64U << 20;
+        wire::offer offer;
+        offer.set_kind(wire::work_service);
+        offer.set_target("s");
+        offer.set_deadline_ms(30000);
+        engine.start(1, offer);
+        context.run_for(milliseconds(20));
+        asio::ip::tcp::socket socket = acceptor.accept();
+        asio::write(socket, asio::buffer(head));
+        asio::error_code error;
+        std::size_t sent = 0;
+        for (; !result && sent < maxBytes; sent += piece.size()) {
+            asio::write(socket, asio::buffer(piece), error);
+            context.restart();
+            context.run_for(milliseconds(2));
+        }
+        return sent;
+    }
+
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor{context, {asio::ip::make_address("127.0.0.1"), 0}};
+    http_client http{context};
+    std::optional<work_result> result;
+    endpoint_client engine{
+            http, "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+            endpoint_events{[](work_id, std::string_view) {},
+                            [this](work_id, const work_result &ended) { result = ended; }}};
+};
+
+} // namespace
+
+TEST_CASE("an answer or an event without end ends its work")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string stream = head + "Content-Type: text/event-stream\r\n\r\ndata: ";
+    const std::string piece(1U << 18, 'x');
+    for (const std::string &start : {head + "\r\n", stream}) {
+        engine_fixture fixture;
+        const std::size_t sent = fixture.sendEndlessly(start, piece);
+        REQUIRE(fixture.result);
+        CHECK(fixture.result->failed);
+        CHECK(fixture.result->executed == wire::execution_yes);
+        CHECK(sent <= 2 * http_client::maxFetchedBytes);
+    }
 }
 
 TEST_CASE("cached prompt tokens cost less and a service has a fixed cost per call")
