A version that may be slow, by few answers, is not completed

Cause: an entry released the old version unless it suspected the new one: three slow answers at least and two standard deviations above the tolerated share. The new unit test completes on the code before. Fix: at the completion, which is final, two slow answers a standard deviation above the tolerated share are enough to revert. A trial still goes to full share with them, so that more answers can clear the version.

--- a/include/laurelcroft/Policy/ServiceRollout.h
+++ b/include/laurelcroft/Policy/ServiceRollout.h
@@ -75,7 +75,8 @@
     bool targetListed = false; ///< endpoints of the target version accept requests
     bool foundBad = false; ///< by the guards of this entry
     std::uint64_t evaluatedAnswers = 0; ///< answers of the new version that the guards evaluated
-    bool suspected = false; ///< there is too much evidence against it to stop the old version
+    bool suspected = false; ///< there is too much evidence against it to use it at full share
+    bool doubtful = false; ///< there is too little evidence for it to stop the old version
     /// Whether the findings of other entries are up to date. If not, the only step is to revert a
     /// version that this entry has found bad.
     bool peerEvidenceCurrent = true;
--- a/include/laurelcroft/Policy/VersionGuard.h
+++ b/include/laurelcroft/Policy/VersionGuard.h
@@ -44,6 +44,10 @@
     /// the tolerated share; 0 if it does not, or if there are too few bad answers.
     double deviationsAbove() const;
 
+    /// \returns true if the bad share of the version under roll-out may exceed the tolerated share,
+    /// judged by too few answers to be sure. A version that is no worse seldom reaches it.
+    bool isDoubtful() const;
+
     /// \returns the number of bad answers, and of all answers, of the version under roll-out.
     std::uint64_t rolloutBad() const { return static_cast<std::uint64_t>(m_rolloutBad); }
     std::uint64_t rolloutAll() const
@@ -57,6 +61,9 @@
 
 private:
     void step(bool bad);
+    /// \returns by how many standard deviations the bad share of the version under roll-out exceeds
+    /// the tolerated share; 0 if there are fewer than \p minBad bad answers.
+    double deviationsAbove(double minBad) const;
 
     static constexpr std::size_t bets = 4;
 
--- a/include/laurelcroft/Proxy/VersionEvaluator.h
+++ b/include/laurelcroft/Proxy/VersionEvaluator.h
@@ -98,6 +98,10 @@
     /// end.
     bool isSuspected() const;
 
+    /// \returns true when the new version may be slower than the old one, although too few answers
+    /// are known for a suspicion. Failures don't count: those of single endpoints come in groups.
+    bool isDoubtful() const;
+
     /// Slow answers of the new version closer together than this count as one. A trial uses few
     /// endpoints, and one long prompt delays all requests that run beside it.
     static constexpr milliseconds slowAnswerSpacing{300};
--- a/lib/Policy/ServiceRollout.cpp
+++ b/lib/Policy/ServiceRollout.cpp
@@ -239,8 +239,9 @@
     default:
         if (elapsed < window - completionMargin || inStage < minFullDuration)
             break;
-        // Completion is final: if a fault is still suspected, revert.
-        if (view.suspected)
+        // Completion is final: if a fault is still possible, revert. The operator can order the
+        // roll-out again, but a version that was completed can't be taken back.
+        if (view.suspected || view.doubtful)
             return advancedNow(*row, rollout_stage::reverted, view);
         if (view.evaluatedAnswers >= minJudgedAnswers)
             return advancedNow(*row, rollout_stage::completed, view);
--- a/lib/Policy/VersionGuard.cpp
+++ b/lib/Policy/VersionGuard.cpp
@@ -23,6 +23,11 @@
 constexpr double maxToleratedShare = 0.95;
 /// Minimum number of bad answers for a meaningful share.
 constexpr double minBadAnswers = 3;
+/// Minimum number of bad answers for a doubt: a single one says nothing.
+constexpr double minDoubtfulAnswers = 2;
+/// Standard deviations above the tolerated share from which there is a doubt. The tolerated share
+/// includes the margin of the settled version.
+constexpr double doubtDeviations = 1;
 /// Bet sizes, as fractions of the largest bet that cannot lose all wealth.
 constexpr std::array<double, 4> betShares = {0.1, 0.25, 0.5, 0.8};
 
@@ -43,9 +48,19 @@
 }
 
 double version_guard::deviationsAbove() const
+{
+    return deviationsAbove(minBadAnswers);
+}
+
+bool version_guard::isDoubtful() const
+{
+    return deviationsAbove(minDoubtfulAnswers) >= doubtDeviations;
+}
+
+double version_guard::deviationsAbove(double minBad) const
 {
     const double count = m_rolloutGood + m_rolloutBad;
-    if (m_rolloutBad < minBadAnswers)
+    if (m_rolloutBad < minBad)
         return 0;
     const double tolerated = toleratedBadShare();
     const double deviation = std::sqrt(tolerated * (1 - tolerated) / count);
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -275,6 +275,7 @@
     view.requestsPerSecond = static_cast<double>(m_arrivals.size() * entries);
     view.evaluatedAnswers = m_evaluator.targetAnswers();
     view.suspected = m_evaluator.isSuspected();
+    view.doubtful = m_evaluator.isDoubtful();
     view.foundBad = m_evaluator.isFoundBad();
     view.peerEvidenceCurrent = peerEvidenceCurrent;
     view.targetListed = std::any_of(endpoints.begin(), endpoints.end(), [&](const auto &endpoint) {
--- a/lib/Proxy/VersionEvaluator.cpp
+++ b/lib/Proxy/VersionEvaluator.cpp
@@ -283,3 +283,9 @@
                        || guard.deviationsAbove() >= suspicionDeviations;
            });
 }
+
+bool version_evaluator::isDoubtful() const
+{
+    return std::any_of(m_guards.begin(), m_guards.end(),
+                       [](const auto &item) { return item.second.slowness.isDoubtful(); });
+}
--- a/unittests/Proxy/RolloutTests.cpp
+++ b/unittests/Proxy/RolloutTests.cpp
@@ -268,6 +268,31 @@
     CHECK(stageAfter(3) == rollout_stage::reverted);
 }
 
+TEST_CASE("a version that may be slow, by few answers, is not completed")
+{
+    const auto stageAfter = [](int good, int slow) {
+        rollout_tracker tracker(0.15);
+        tracker.setOrder(exampleOrder());
+        tracker.setRow(rowAt(rollout_stage::full));
+        const answer_timing quick{milliseconds(50), {}, {}};
+        for (int i = 0; i < 60; ++i)
+            tracker.observe("v1", "route", "m", quick, nextMoment());
+        for (int i = 0; i < good; ++i)
+            tracker.observe("v2", "route", "m", quick, nextMoment());
+        // Eight times as long as usual.
+        for (int i = 0; i < slow; ++i)
+            tracker.observe("v2", "route", "m", answer_timing{milliseconds(400), {}, {}},
+                            nextMoment());
+        for (int i = 0; i < 10; ++i)
+            tracker.observe("v2", "other route", "m", quick, nextMoment());
+        return tracker.nextRow(milliseconds(20500), {endpointOf("b", "v2")}, 3).value().stage;
+    };
+    CHECK(stageAfter(8, 2) == rollout_stage::reverted);
+    CHECK(stageAfter(12, 3) == rollout_stage::reverted);
+    CHECK(stageAfter(9, 1) == rollout_stage::completed);
+    CHECK(stageAfter(40, 2) == rollout_stage::completed);
+}
+
 TEST_CASE("without evidence of other entries a roll-out may be reverted but not advanced")
 {
     rollout_tracker tracker(0.15);
