Requests that can't meet their objective before a planned stop are refused

Here no request was cut without an answer (leads: 0 of 40); but those that came late in the delay until the load balancer sends no more were sent on although they could not end within a short grace, and answered 504 at its end (leads: 1.4 to 2.5 s after SIGTERM, grace 4 s, work of 2 s): work for nothing, and no promise to those that may run once. Cause: until the drain delay has passed every request was started as usual. Evidence: the new test in ProxyServerTests (600 ms of grace, objective 300 ms): a request at 450 ms reached the endpoint before and is refused with 503 now; one at 100 ms is still sent on. x86_64. Fix: during the delay a request is served if its objective or its deadline ends within the grace, else refused at once as not run, with a short Retry-After, since other entries serve it. Begun streams that outlast the grace were not played.

--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -110,6 +110,11 @@
     /// Starts handling the request. The response may be complete before this returns.
     void start();
 
+    /// Replaces start() while this process waits until it gets no more callers before it shuts down
+    /// at \p end. A request whose objective can't be met by then is refused at once; other
+    /// processes can serve it.
+    void startBeforeShutdown(time_point end);
+
     /// Replaces start() while this process shuts down. A request whose deadline is at or before
     /// \p end is served; any other is refused at once.
     /// \param retryAfter time until this process or its successor is expected to be ready.
--- a/include/laurelcroft/Proxy/RequestFlowAdmission.h
+++ b/include/laurelcroft/Proxy/RequestFlowAdmission.h
@@ -21,6 +21,18 @@
         serve();
 }
 
+template <flow_environment Env>
+void request_flow<Env>::startBeforeShutdown(time_point end)
+{
+    if (!admit())
+        return;
+    // Its endpoint would work in vain, and a request that may run only once would be lost.
+    if (now() + m_route->objective <= end || m_deadline <= end)
+        serve();
+    else
+        refuse(http_status::unavailable, flow_reason::stopping, flow_bounds::minRetryAfter);
+}
+
 template <flow_environment Env>
 void request_flow<Env>::startDuringShutdown(time_point end, milliseconds retryAfter)
 {
--- a/unittests/Proxy/ProxyServerTests.cpp
+++ b/unittests/Proxy/ProxyServerTests.cpp
@@ -12,6 +12,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <array>
 #include <memory>
 #include <string>
@@ -56,6 +57,7 @@
         route.name = "route";
         route.host = "site.example";
         route.pathPrefix = "/a/";
+        route.objective = milliseconds(300);
         route.timeout = milliseconds(1000);
         route.services = {{"pool", 1.0}};
         auto contract = std::make_shared<service_contract>();
@@ -89,6 +91,22 @@
         context.run_for(time);
     }
 
+    /// Sends a request over a new connection.
+    /// \returns the version and status of the answer; empty if none comes at once.
+    std::string firstLineOfAnswer()
+    {
+        constexpr std::size_t length = 12;
+        tcp::socket caller(context);
+        caller.connect({loopback, options.port});
+        asio::write(caller, asio::buffer(std::string("GET /a/x HTTP/1.1\r\nHost: x\r\n\r\n")));
+        runFor(milliseconds(30));
+        caller.non_blocking(true);
+        std::array<char, 256> buffer{};
+        asio::error_code error;
+        const std::size_t size = caller.read_some(asio::buffer(buffer), error);
+        return std::string(buffer.data(), std::min(size, length));
+    }
+
     bool endpointWasCalled()
     {
         asio::error_code error;
@@ -119,14 +137,25 @@
     fixture.runFor(fixture.options.drainDelay + milliseconds(30));
     REQUIRE(!drained);
 
-    tcp::socket caller(fixture.context);
-    caller.connect({loopback, fixture.options.port});
-    asio::write(caller, asio::buffer(std::string("GET /a/x HTTP/1.1\r\nHost: x\r\n\r\n")));
-    fixture.runFor(milliseconds(30));
+    CHECK(fixture.firstLineOfAnswer() == "HTTP/1.1 503");
     CHECK(!fixture.endpointWasCalled());
-    caller.non_blocking(true);
-    std::array<char, 256> buffer{};
-    asio::error_code error;
-    const std::size_t size = caller.read_some(asio::buffer(buffer), error);
-    CHECK(std::string_view(buffer.data(), size).substr(0, 12) == "HTTP/1.1 503");
+}
+
+TEST_CASE("a request that can't meet its objective before the stop is refused and not sent on")
+{
+    // The grace period leaves 600 ms; the objective is 300 ms.
+    for (const milliseconds sinceStop : {milliseconds(100), milliseconds(450)}) {
+        entry_fixture fixture;
+        fixture.options.drainDelay = milliseconds(500);
+        fixture.options.gracePeriod = milliseconds(1000);
+        proxy_server server(fixture.context, fixture.routing, fixture.metrics, plainDialect(),
+                            fixture.options);
+        REQUIRE(server.open().empty());
+        fixture.runFor(milliseconds(50));
+        server.drain([] {});
+        fixture.runFor(sinceStop);
+        const bool isLate = sinceStop > milliseconds(300);
+        CHECK(fixture.firstLineOfAnswer() == (isLate ? "HTTP/1.1 503" : ""));
+        CHECK(fixture.endpointWasCalled() == !isLate);
+    }
 }
