Trials of small services use the requests tolerated beyond the share

A trial got 7.5% of the requests: 4 or 5 answers of a service of 12 requests a second, and the second of full share that follows shows few slow answers in time. Cause: the site states two bounds on a bad version, a share and a number of requests beyond it (exposure-slack); the second was not read. Fix: a trial may use three tenths of those requests, by a cautious estimate of the rate, at most 30% of all. A service of 100 requests a second is bound by what its trial needs, as before. Unit test: the share stays within these bounds.

--- a/include/laurelcroft/Policy/ServiceRollout.h
+++ b/include/laurelcroft/Policy/ServiceRollout.h
@@ -68,6 +68,18 @@
 /// \returns \p row with the version that the row of its order \p order has now.
 rollout_row renamed(rollout_row row, const rollout_order &order);
 
+/// Requests that a site tolerates on a bad version, from the order to its deadline.
+struct rollout_exposure
+{
+    rollout_exposure(double share, double requests = 0)
+        : share(share)
+        , requests(requests)
+    {
+    }
+    double share; ///< of all requests for the service
+    double requests; ///< beyond that share
+};
+
 /// What this entry currently knows about a roll-out.
 struct rollout_view
 {
@@ -80,7 +92,8 @@
     /// Whether the findings of other entries are up to date. If not, the only step is to revert a
     /// version that this entry has found bad.
     bool peerEvidenceCurrent = true;
-    double exposure = 0.1; ///< share of requests that the site tolerates on a bad version
+    rollout_exposure exposure{0.1};
+    std::chrono::milliseconds window{0}; ///< rollout_order::window
     double requestsPerSecond = 0; ///< for the service, at all entries
 };
 
--- a/include/laurelcroft/Proxy/RolloutTracker.h
+++ b/include/laurelcroft/Proxy/RolloutTracker.h
@@ -57,8 +57,8 @@
 class rollout_tracker
 {
 public:
-    /// \param exposure greatest share of requests that a version under roll-out may get on trial.
-    explicit rollout_tracker(double exposure)
+    /// \param exposure requests that a version under roll-out may get.
+    explicit rollout_tracker(rollout_exposure exposure)
         : m_exposure(exposure)
     {
     }
@@ -165,7 +165,7 @@
     void limitToTrialEndpoints(std::vector<endpoint_ptr> &onTarget, time_point now) const;
     std::string_view settledVersion(const std::vector<endpoint_ptr> &endpoints);
 
-    double m_exposure;
+    rollout_exposure m_exposure;
     std::deque<time_point> m_arrivals; ///< arrival times of requests in the last second
     std::optional<rollout_order> m_order;
     std::optional<rollout_row> m_row;
--- a/include/laurelcroft/Proxy/RoutingState.h
+++ b/include/laurelcroft/Proxy/RoutingState.h
@@ -46,8 +46,7 @@
 struct routing_bounds
 {
     send_budget_bounds repeats;
-    /// Share of requests that a version under roll-out may get on trial.
-    double rolloutExposure = 0.1;
+    rollout_exposure rolloutExposure{0.1};
     load_settings load;
     std::string dataCentre; ///< data centre of this entry
     std::map<std::string, std::string> regions; ///< keyed by data centre
--- a/lib/Policy/ServiceRollout.cpp
+++ b/lib/Policy/ServiceRollout.cpp
@@ -27,6 +27,11 @@
 constexpr double trialRequestsPerSecond = 9;
 /// Largest fraction of the tolerated exposure that a trial uses.
 constexpr double trialExposureFraction = 0.5;
+/// The same of the requests that are tolerated beyond a share. A service with few requests shows
+/// too few answers in a trial without them.
+constexpr double trialRequestsFraction = 0.3;
+/// Largest share of a trial, whatever the number of requests is taken for.
+constexpr double maxTrialShare = 0.3;
 /// Fraction of the tolerated exposure that trial and full share use together if no fault is found;
 /// the rest is reserved for a request rate that rises towards the end.
 constexpr double plannedExposureFraction = 0.88;
@@ -107,6 +112,16 @@
     return row;
 }
 
+/// \returns the share of a trial's requests that uses those tolerated beyond a share.
+static double extraTrialShare(const rollout_view &view)
+{
+    const std::chrono::duration<double> trial = view.window * (1 - trialStartFraction);
+    // The rate is an estimate from the requests of one second.
+    const double rate = view.requestsPerSecond + 2 * std::sqrt(view.requestsPerSecond);
+    const double requests = rate * trial.count();
+    return requests > 0 ? view.exposure.requests * trialRequestsFraction / requests : 0;
+}
+
 double laurelcroft::shareOf(rollout_stage stage, const rollout_view &view)
 {
     switch (stage) {
@@ -119,10 +134,11 @@
     case rollout_stage::trial:
         break;
     }
-    const double most = view.exposure * trialExposureFraction;
+    const double most = view.exposure.share * trialExposureFraction;
     if (view.requestsPerSecond <= 0)
         return most;
-    return std::min(most, trialRequestsPerSecond / view.requestsPerSecond);
+    const double share = std::max(most, std::min(maxTrialShare, most + extraTrialShare(view)));
+    return std::min(share, trialRequestsPerSecond / view.requestsPerSecond);
 }
 
 double laurelcroft::shareInForce(const rollout_row &row, bool begun)
@@ -224,7 +240,7 @@
         break;
     }
     case rollout_stage::trial: {
-        const auto due = fullStageStart(window, row->share, view.exposure);
+        const auto due = fullStageStart(window, row->share, view.exposure.share);
         // Do not extend a suspected fault to full share. It is reverted at the end of the window,
         // whose last second is too short for slow answers to arrive.
         if (view.suspected) {
--- a/lib/Proxy/RolloutTracker.cpp
+++ b/lib/Proxy/RolloutTracker.cpp
@@ -272,6 +272,7 @@
     rollout_view view;
     view.now = storeNow;
     view.exposure = m_exposure;
+    view.window = m_order->window;
     view.requestsPerSecond = static_cast<double>(m_arrivals.size() * entries);
     view.evaluatedAnswers = m_evaluator.targetAnswers();
     view.suspected = m_evaluator.isSuspected();
--- a/unittests/Policy/DirectPolicyTests.cpp
+++ b/unittests/Policy/DirectPolicyTests.cpp
@@ -305,6 +305,24 @@
     }
 }
 
+TEST_CASE("a trial of a small service uses requests tolerated beyond the share, within its bounds")
+{
+    rollout_view view;
+    view.exposure = {0.15, 30};
+    view.window = seconds(15);
+    const double trialSeconds = 7.5;
+    for (const double rate : {1.0, 5.0, 12.0, 50.0, 100.0, 1000.0}) {
+        view.requestsPerSecond = rate;
+        const double share = shareOf(rollout_stage::trial, view);
+        CHECK(share <= 0.3);
+        CHECK(share * rate * trialSeconds <= 0.075 * rate * trialSeconds + 10);
+        CHECK(share * rate <= 9.001);
+    }
+    // Half as many again as the share alone allows.
+    view.requestsPerSecond = 12;
+    CHECK(shareOf(rollout_stage::trial, view) >= 1.5 * 0.075);
+}
+
 TEST_CASE("a version whose faults go undetected stays within the exposure and the deadline")
 {
     for (const double window : {6.0, 8.0, 12.0, 20.0, 24.0, 60.0, 600.0}) {
