A huge answer without a stated length ends past the deadline, also for a slow caller

Callers saw: a body without end that comes faster than they read was still passed on until they closed: the time in which a caller is behind doesn't count. Fix: after the deadline, an answer without a stated length ends once 64 MB were passed on. With a stated length it has an end, and continues as before.

--- a/include/laurelcroft/Proxy/FlowTypes.h
+++ b/include/laurelcroft/Proxy/FlowTypes.h
@@ -161,6 +161,9 @@
 /// An answer that was begun may take this many times the request's time limit, without the time in
 /// which its caller is behind. Large answers end by then; bytes without end don't.
 inline constexpr int lateAnswerFactor = 2;
+/// Largest answer without a stated length that continues after the deadline, in bytes, whether its
+/// caller is behind or not. A file of this size takes a slow caller half a minute.
+inline constexpr std::size_t maxLateUnsizedBytes = 64U << 20;
 /// After the deadline, an answer that was begun ends when its caller takes nothing for this long.
 inline constexpr milliseconds callerStallTimeout{10000};
 
--- a/include/laurelcroft/Proxy/RequestFlow.h
+++ b/include/laurelcroft/Proxy/RequestFlow.h
@@ -365,6 +365,7 @@
     std::string m_streamVersion; ///< software version of the endpoint that began the stream
     std::optional<std::uint64_t> m_lastEventId;
     std::string m_body;
+    std::size_t m_passedBytes = 0; ///< of the body of a large answer
     std::size_t m_droppedBytes = 0; ///< of the body of a refusal
     std::unique_ptr<event_splitter> m_splitter;
     time_point m_attemptAt{};
--- a/include/laurelcroft/Proxy/RequestFlowBackpressure.h
+++ b/include/laurelcroft/Proxy/RequestFlowBackpressure.h
@@ -53,6 +53,7 @@
 {
     m_lastProgressAt = now();
     m_endpoint->recordProgress(m_lastProgressAt);
+    m_passedBytes += data.size();
     m_env.write(data);
     pauseIfBehind();
 }
@@ -90,6 +91,8 @@
 {
     if (!m_endpoint || !(m_passingOn || m_paused))
         return false;
+    if (!m_answer.bodyLength && m_passedBytes > flow_bounds::maxLateUnsizedBytes)
+        return false;
     const duration pausedNow = m_paused ? now() - m_pausedAt : duration(0);
     const duration heldByEndpoint = now() - m_arrivedAt - m_pausedTime - pausedNow;
     if (heldByEndpoint >= flow_bounds::lateAnswerFactor * (m_deadline - m_arrivedAt))
--- a/unittests/Proxy/SlowCallerFlowTests.cpp
+++ b/unittests/Proxy/SlowCallerFlowTests.cpp
@@ -285,6 +285,28 @@
     }
 }
 
+TEST_CASE("a huge answer to a slow caller continues past the deadline only with a stated length")
+{
+    for (const bool hasLength : {false, true}) {
+        flow_fixture fixture(lookupRoute(), {"e1"});
+        startFlow(fixture, requestFor(lookupRoute()));
+        if (hasLength)
+            answerWithLength(fixture, 0, 200, 1ULL << 30);
+        else
+            fixture.answer(0, 200);
+        const std::string piece(1U << 20, 'a');
+        for (std::size_t sent = 0; sent <= flow_bounds::maxLateUnsizedBytes; sent += piece.size())
+            fixture.data(0, piece);
+        fixture.callerBehind = true;
+        fixture.data(0, "more");
+        REQUIRE(fixture.calls[0].paused);
+        fixture.callerProgressAt = fixture.runtime.now() + lookupRoute().timeout;
+        fixture.runtime.advance(lookupRoute().timeout + milliseconds(1));
+        CHECK(fixture.aborted != hasLength);
+        CHECK(fixture.calls[0].cancelled != hasLength);
+    }
+}
+
 TEST_CASE("the body of a refusal without end is not waited for")
 {
     flow_fixture fixture(lookupRoute(), {"e1", "e2"});
