--- a/utils/check.sh
+++ b/utils/check.sh
@@ -105,6 +105,7 @@
 countSummaryLine endpoints-in-backoff python3 platform/soak/rest.py --plays half,short,all,malformed --jobs 4
 countSummaryLine uneven-endpoints python3 platform/soak/uneven.py --plays half,half_many --seconds 8 --jobs 1
 countSummaryLine slow-readers python3 platform/soak/slow_readers.py --plays unread,slow,slow_chunked,broken,leave --seconds 8 --jobs 4
+countSummaryLine broken-answers python3 platform/soak/broken.py --seconds 5 --jobs 3
 countSummaryLine room-under-shortage python3 platform/soak/room.py --plays urgent,hot --seconds 9 --jobs 1
 countSummaryLine usage-told-once python3 platform/soak/duty.py --plays calm,holder_killed,holder_suspended,raced --seconds 14 --jobs 4
 countSummaryLine usage-over-returns python3 platform/soak/duty_returns.py --plays store_returns --seconds 14
