--- a/include/laurelcroft/Proxy/StoreSyncRollouts.h
+++ b/include/laurelcroft/Proxy/StoreSyncRollouts.h
@@ -137,7 +137,8 @@
                                            const rollout_row &row)
 {
     m_isWriting = true;
-    const rollout_suspicion doubt = m_state.rollouts(service).evaluator().strongestSuspicion();
+    const version_evaluator &evaluator = m_state.rollouts(service).evaluator();
+    const rollout_suspicion doubt = evaluator.strongestSuspicion();
     logInfo(log_part::bundle, "roll-out step is due",
             {{"service", service},
              {"target", row.targetVersion},
@@ -147,7 +148,8 @@
              {"bad", std::int64_t(doubt.bad)},
              {"answers", std::int64_t(doubt.all)},
              {"evidence_percent", std::lround(doubt.evidence * 100)},
-             {"deviations_percent", std::lround(doubt.deviations * 100)}});
+             {"deviations_percent", std::lround(doubt.deviations * 100)},
+             {"may_be_slow", evaluator.isDoubtful() ? "yes" : "no"}});
     const row_write own{std::string(internalTable), rolloutKey(service), encodeRollout(row),
                         m_rowVersions[service]};
     const std::vector<row_write> writes{own, m_codec.encodeStatus(order, row.stage)};
