--- a/include/laurelcroft/Http/Client.h
+++ b/include/laurelcroft/Http/Client.h
@@ -82,8 +82,8 @@
     void pause(http_call_id id);
     void resume(http_call_id id);
 
-    /// Makes a call and collects the whole reply. Its body may be \c maxFetchedBytes long, or less
-    /// if \p call says so.
+    /// Makes a call and collects the whole reply. Its body is limited to \c maxFetchedBytes, or to
+    /// the limit of \p call if that is smaller.
     /// \returns the ID of the call, for cancel().
     http_call_id fetch(http_call call, std::function<void(outcome<http_reply, http_error>)> done);
 
--- a/lib/Policy/VersionGuard.cpp
+++ b/lib/Policy/VersionGuard.cpp
@@ -23,7 +23,7 @@
 constexpr double maxToleratedShare = 0.95;
 /// Minimum number of bad answers for a meaningful share.
 constexpr double minBadAnswers = 3;
-/// Minimum number of bad answers for a doubt: a single one says nothing.
+/// Minimum number of bad answers for a doubt: a single one may be chance.
 constexpr double minDoubtfulAnswers = 2;
 /// Standard deviations above the tolerated share from which there is a doubt. The tolerated share
 /// includes the margin of the settled version.
--- a/lib/Proxy/ProxyServer.cpp
+++ b/lib/Proxy/ProxyServer.cpp
@@ -393,9 +393,9 @@
 void proxy_server::drain(std::function<void()> done)
 {
     m_state->draining = true;
-    m_state->drainDeadline = m_state->runtime.now() + m_state->options.gracePeriod - finalWriteTime;
     m_state->onDrained = std::move(done);
     m_state->callers.closeAfterAnswers();
+    m_state->drainDeadline = m_state->runtime.now() + m_state->options.gracePeriod - finalWriteTime;
     m_state->runtime.after(m_state->options.drainDelay, [this] {
         m_state->isPastDrainDelay = true;
         m_state->callers.drainConnections();
--- a/unittests/Proxy/SlowCallerFlowTests.cpp
+++ b/unittests/Proxy/SlowCallerFlowTests.cpp
@@ -25,6 +25,16 @@
     fixture.calls[index].events.onAnswer(std::move(head));
 }
 
+/// Refuses the first call as not run, with a body larger than what is held of an answer.
+void refuseWithLargeBody(flow_fixture &fixture)
+{
+    proxy_answer refusal;
+    refusal.status = http_status::unavailable;
+    refusal.notRun = true;
+    fixture.calls[0].events.onAnswer(std::move(refusal));
+    fixture.data(0, largePart);
+}
+
 void drain(flow_fixture &fixture)
 {
     const auto action = std::exchange(fixture.onDrained, nullptr);
@@ -123,11 +133,7 @@
 {
     flow_fixture fixture(lookupRoute(), {"e1"});
     startFlow(fixture, requestFor(lookupRoute()));
-    proxy_answer refusal;
-    refusal.status = http_status::unavailable;
-    refusal.notRun = true;
-    fixture.calls[0].events.onAnswer(std::move(refusal));
-    fixture.data(0, largePart);
+    refuseWithLargeBody(fixture);
     CHECK(!fixture.begun);
     fixture.end(0, call_end::complete);
     CHECK(fixture.status == http_status::unavailable);
@@ -311,11 +317,7 @@
 {
     flow_fixture fixture(lookupRoute(), {"e1", "e2"});
     startFlow(fixture, requestFor(lookupRoute()));
-    proxy_answer refusal;
-    refusal.status = http_status::unavailable;
-    refusal.notRun = true;
-    fixture.calls[0].events.onAnswer(std::move(refusal));
-    fixture.data(0, largePart);
+    refuseWithLargeBody(fixture);
     CHECK(fixture.calls[0].cancelled);
     REQUIRE(fixture.calls.size() == 2);
     REQUIRE(fixture.steps.size() == 1);
