--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -329,6 +329,7 @@
         self.world, self.name, self.host = world, f"edge-hall-norr-{number}", host
         self.process = None
         self.ports = {}
+        self.store_address = world.store.address
 
     def prepare(self):
         for part in ("front", "ready", "control"):
@@ -339,7 +340,7 @@
     async def start(self, seeds):
         path = os.path.join(self.world.folder, self.name + ".toml")
         with open(path, "w", encoding="utf-8") as file:
-            file.write(SETTINGS.format(name=self.name, host=self.host, store=self.world.store.address,
+            file.write(SETTINGS.format(name=self.name, host=self.host, store=self.store_address,
                                        seeds=", ".join(f'"{seed}"' for seed in seeds), **self.ports))
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             run = tomllib.load(file)["roles"]["edge"]["run"].split(" ")
@@ -379,7 +380,7 @@
         self.store = Store()
         self.engines, self.entries = [], []
 
-    async def start(self, manifest, engines, entries=1):
+    async def start(self, manifest, engines, entries=1, before_entries=None):
         await self.store.start()
         self.store.put("op", "config", manifest)
         for engine in engines:
@@ -389,6 +390,8 @@
         self.entries = [Entry(self, number + 1, f"{net}.{number + 1}") for number in range(entries)]
         for entry in self.entries:
             entry.prepare()
+        if before_entries:
+            await before_entries()
         seeds = [f"{entry.host}:{entry.ports['control']}" for entry in self.entries[:3]]
         for entry in self.entries:
             await entry.start(seeds)
