--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -153,6 +153,8 @@
         self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
 
     def note(self, text):
+        if self.file.closed:
+            return  # the case has ended
         self.file.write(f"{time.monotonic() - self.began:9.3f} {text}\n")
 
     def result(self, text):
@@ -430,17 +432,21 @@
 
 
 def main(case):
-    """Runs `case(world, trouble)`, which returns true if the rule held, and exits as run.sh has to."""
+    """Runs `case(world, trouble)`, which returns true if the rule held, and exits as run.sh has to. All processes
+    that it started are ended, also if it is told to stop or fails itself; these count as a case that couldn't run."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play():
         world = World(folder)
         world.record.note(f"TROUBLE={int(trouble)}")
+        own = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, own.cancel)
         try:
             held = await asyncio.wait_for(case(world, trouble), 110)
             return HELD if held else BROKEN
-        except (CannotRun, OSError, asyncio.TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             world.record.result(f"the case could not run: {type(error).__name__} {error}")
             return NOT_RUN
         finally:
